--- a/packages/core/src/codes/access.ts
+++ b/packages/core/src/codes/access.ts
@@ -32,4 +32,10 @@
     http: 404,
     text: 'No reachable node holds a record of this call.',
   },
+  bodyTooLarge: {
+    code: 1906,
+    exit: 19,
+    http: 413,
+    text: 'The body of an operator request exceeds the size limit.',
+  },
 });
