Add first version of routing decisions

Ruled out: a service interface per policy; one implementation each exists. Conclusion: public API is fixed in packages/routing/src/index.ts; new code 1615 (calls.suspectBusy, not run) for a suspect that meets another one.

--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -98,4 +98,11 @@
     notRun: true,
     text: 'The upstream of the instance is not ready.',
   },
+  suspectBusy: {
+    code: 1615,
+    exit: 16,
+    http: 503,
+    notRun: true,
+    text: 'The request may crash instances and another such request runs now.',
+  },
 });
--- /dev/null
+++ b/packages/routing/src/admission.ts
@@ -0,0 +1,188 @@
+import {CALL_CODES} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
+import type {
+  AdmissionCall,
+  AdmissionDecision,
+  AdmissionOptions,
+} from './admission-types.js';
+import {GradientLimit} from './gradient-limit.js';
+import type {LoadReport} from './load-report.js';
+
+interface Waiting {
+  readonly call: AdmissionCall;
+  readonly since: number;
+}
+
+const defaultMaxWaitMs = 50;
+/** Share of the longest wait at which the queue counts as overloaded. */
+const overloadShare = 0.5;
+
+/**
+ * Decides which calls run on the own upstream. A refusal means that the call
+ * was not run. Methods return the decisions on queued calls that they caused;
+ * the driver must carry out all of them.
+ *
+ * @public
+ */
+export class Admission {
+  readonly #limit: GradientLimit;
+  readonly #maxWaitMs: number;
+  readonly #running = new Map<string, number>();
+  /** Oldest first. */
+  readonly #queue: Waiting[] = [];
+  #draining = false;
+
+  constructor(options: AdmissionOptions) {
+    this.#limit = new GradientLimit(options.slots, options.gradient);
+    this.#maxWaitMs = options.maxWaitMs ?? defaultMaxWaitMs;
+  }
+
+  get inFlight(): number {
+    return this.#running.size;
+  }
+
+  get queued(): number {
+    return this.#queue.length;
+  }
+
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** True when the instance is leaving and its last call has ended. */
+  get drained(): boolean {
+    return this.#draining && this.#running.size === 0;
+  }
+
+  /** Time at which {@link Admission.expire} is due; null with no queue. */
+  get nextExpiry(): number | null {
+    const times = this.#queue.map(w => this.#expiryOf(w));
+    return times.length === 0 ? null : Math.min(...times);
+  }
+
+  /**
+   * Asks for a slot.
+   *
+   * Refusals: 1605 while draining, 1606 if the deadline cannot be met, 1604 if
+   * the expected wait exceeds the limit.
+   */
+  tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
+    if (this.#draining) return refused(call, CALL_CODES.draining);
+    const free = this.#running.size < this.#limit.limit;
+    const waitMs = free && this.#queue.length === 0 ? 0 : this.#expectedWait();
+    if (!call.deadline.allows(now, waitMs + this.#limit.floorMs)) {
+      return refused(call, CALL_CODES.deadlineTooClose);
+    }
+    if (free && this.#queue.length === 0) return this.#admit(call, now);
+    if (waitMs > this.#maxWaitMs) return refused(call, CALL_CODES.queueFull);
+    this.#queue.push({call, since: now});
+    return {kind: 'queued', callId: call.id};
+  }
+
+  /**
+   * Ends a running call and fills the free slots. An unknown id is ignored,
+   * because an end may be reported twice.
+   *
+   * @param measured - False for calls whose time says nothing about the
+   * upstream (cancelled, reset); they do not count for the limit.
+   */
+  finish(callId: string, now: number, measured = true): AdmissionDecision[] {
+    const startedAt = this.#running.get(callId);
+    if (startedAt === undefined) return [];
+    this.#running.delete(callId);
+    if (measured) this.#limit.record(now - startedAt, now);
+    return this.#fill(now);
+  }
+
+  /**
+   * Removes a call that waits. Returns false if it does not wait here: a
+   * running call keeps its slot until {@link Admission.finish}.
+   */
+  cancel(callId: string): boolean {
+    const index = this.#queue.findIndex(w => w.call.id === callId);
+    if (index < 0) return false;
+    this.#queue.splice(index, 1);
+    return true;
+  }
+
+  /** Refuses the waiting calls whose time is over. */
+  expire(now: number): AdmissionDecision[] {
+    const decisions: AdmissionDecision[] = [];
+    for (let i = this.#queue.length - 1; i >= 0; i--) {
+      const waiting = this.#queue[i];
+      if (!waiting || this.#expiryOf(waiting) > now) continue;
+      this.#queue.splice(i, 1);
+      decisions.push(refused(waiting.call, this.#expiryCode(waiting)));
+    }
+    return decisions;
+  }
+
+  /** Refuses new and waiting calls from now on; running calls continue. */
+  drain(): AdmissionDecision[] {
+    this.#draining = true;
+    const waiting = this.#queue.splice(0);
+    return waiting.map(w => refused(w.call, CALL_CODES.draining));
+  }
+
+  /** Takes over a changed number of slots and fills the free ones. */
+  setSlots(slots: number, now: number): AdmissionDecision[] {
+    this.#limit.setSlots(slots);
+    return this.#fill(now);
+  }
+
+  /** Exact load for the answer to the entry node. */
+  report(): LoadReport {
+    return {
+      inFlight: this.#running.size,
+      queued: this.#queue.length,
+      slots: this.#limit.limit,
+      serviceMs: this.#limit.serviceMs,
+    };
+  }
+
+  #fill(now: number): AdmissionDecision[] {
+    const decisions = this.expire(now);
+    while (this.#queue.length > 0 && this.#running.size < this.#limit.limit) {
+      const next = this.#takeNext(now);
+      if (next) decisions.push(this.#admit(next.call, now));
+    }
+    return decisions;
+  }
+
+  /**
+   * Oldest first in normal operation. Newest first under overload: the newest
+   * call has the most time left, the oldest would be answered too late.
+   */
+  #takeNext(now: number): Waiting | undefined {
+    const oldest = this.#queue[0];
+    const overloaded =
+      oldest && now - oldest.since > overloadShare * this.#maxWaitMs;
+    return overloaded ? this.#queue.pop() : this.#queue.shift();
+  }
+
+  #admit(call: AdmissionCall, now: number): AdmissionDecision {
+    this.#running.set(call.id, now);
+    return {kind: 'admitted', callId: call.id};
+  }
+
+  #expectedWait(): number {
+    const ahead = this.#queue.length + 1;
+    return (ahead * this.#limit.serviceMs) / this.#limit.limit;
+  }
+
+  #expiryOf(waiting: Waiting): number {
+    const lastStart = waiting.call.deadline.at - this.#limit.floorMs;
+    return Math.min(waiting.since + this.#maxWaitMs, lastStart);
+  }
+
+  #expiryCode(waiting: Waiting): ResultCode {
+    const byWait = waiting.since + this.#maxWaitMs;
+    return this.#expiryOf(waiting) < byWait
+      ? CALL_CODES.deadlineTooClose
+      : CALL_CODES.queueFull;
+  }
+}
+
+function refused(call: AdmissionCall, code: ResultCode): AdmissionDecision {
+  return {kind: 'refused', callId: call.id, code};
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,4 +3,44 @@
  *
  * @packageDocumentation
  */
+export {Admission} from './admission.js';
+export type {
+  AdmissionCall,
+  AdmissionDecision,
+  AdmissionOptions,
+} from './admission-types.js';
+export {crashNoticeSchema} from './crash-notice.js';
+export type {CrashNotice} from './crash-notice.js';
+export {CrashQuarantine} from './crash-quarantine.js';
+export type {
+  CrashQuarantineOptions,
+  QuarantineDecision,
+} from './crash-quarantine.js';
+export {Deadline, MAX_DEADLINE_MS} from './deadline.js';
+export {FINGERPRINT_BODY_BYTES, fingerprintOf} from './fingerprint.js';
+export type {FingerprintParts} from './fingerprint.js';
+export {GradientLimit} from './gradient-limit.js';
+export type {GradientOptions} from './gradient-limit.js';
+export {InstancePicker} from './instance-picker.js';
 export type {LoadReport} from './load-report.js';
+export {CALL_OUTCOMES} from './picker-types.js';
+export type {
+  CallOutcome,
+  Candidate,
+  InstanceView,
+  OutcomeReport,
+  PickerOptions,
+} from './picker-types.js';
+export {
+  DEFAULT_RETRIES,
+  MAX_RETRIES,
+  parseRetriesLeft,
+  RetryBudget,
+} from './retry-budget.js';
+export type {
+  RetryBudgetOptions,
+  RetryDecision,
+  RetryRequest,
+} from './retry-budget.js';
+export {retriesAfter, RetryLedger} from './retry-ledger.js';
+export type {RetryLedgerOptions} from './retry-ledger.js';
--- /dev/null
+++ b/packages/routing/src/instance-stats.ts
@@ -0,0 +1,172 @@
+import type {LoadReport} from './load-report.js';
+import {CALL_OUTCOMES} from './picker-types.js';
+import type {OutcomeReport, PickerOptions} from './picker-types.js';
+import {Smoothed} from './smoothed.js';
+
+/** Values of the whole pool that replace what is not known of an instance. */
+export interface PoolPriors {
+  /** Smoothed calls of other entry nodes per slot. */
+  readonly othersPerSlot: number;
+  /** Smoothed time of a call in milliseconds. */
+  readonly latencyMs: number;
+}
+
+/** Load changes within some calls' time, so a report loses its value. */
+const reportHalfLifeMs = 250;
+/** An instance that looked slow is tried again after some seconds. */
+const latencyHalfLifeMs = 5000;
+/** Failure samples before the share of failures counts. */
+const minSamples = 10;
+/** Queue assumed after a refusal, as a share of the slots. */
+const refusedQueueShare = 1;
+const maxEjectionDoublings = 6;
+const recoveredAfter = 5;
+const lowestSuccessShare = 0.05;
+
+/** Own observations of one instance and its last load report. @internal */
+export class InstanceStats {
+  inFlight = 0;
+  ejectedUntil = -Infinity;
+  #ejections = 0;
+  #consecutiveFailures = 0;
+  #successesSinceReturn = 0;
+  readonly #failures = new Smoothed(0, 0.1);
+  readonly #latency = new Smoothed(0, 0.3, 0.1);
+  #latencyAt = -Infinity;
+  #report: LoadReport | null = null;
+  #reportAt = -Infinity;
+  #ownAtReport = 0;
+
+  get failureShare(): number {
+    return this.#failures.count < minSamples ? 0 : this.#failures.value;
+  }
+
+  /** Calls of other entry nodes per slot by the last report; null if none. */
+  get othersPerSlot(): number | null {
+    if (!this.#report) return null;
+    return this.#othersAtReport() / Math.max(1, this.#report.slots);
+  }
+
+  record(
+    report: OutcomeReport,
+    options: Required<PickerOptions>,
+    now: number,
+  ): void {
+    this.inFlight = Math.max(0, this.inFlight - 1);
+    if (report.load) this.#takeReport(report.load, now);
+    recorders[report.outcome](this, report, options, now);
+  }
+
+  /**
+   * Expected time to the answer in milliseconds. A report can only raise it
+   * above what was observed here: a false report of no load attracts no calls
+   * beyond those whose answers disprove it.
+   */
+  cost(announcedSlots: number, pool: PoolPriors, now: number): number {
+    const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
+    const fresh = halfLife(now - this.#reportAt, reportHalfLifeMs);
+    const others =
+      fresh * this.#othersAtReport() + (1 - fresh) * pool.othersPerSlot * slots;
+    const serviceMs = this.#serviceMs(pool);
+    const waitMs = ((this.inFlight + others) * serviceMs) / slots;
+    const observedMs = this.#observed(pool, now);
+    const success = Math.max(lowestSuccessShare, 1 - this.failureShare);
+    return Math.max(waitMs + serviceMs, observedMs + waitMs) / success;
+  }
+
+  succeeded(latencyMs: number, now: number): void {
+    this.#consecutiveFailures = 0;
+    this.#successesSinceReturn++;
+    if (this.#successesSinceReturn >= recoveredAfter) this.#ejections = 0;
+    this.#failures.add(0);
+    this.#latency.add(latencyMs);
+    this.#latencyAt = now;
+  }
+
+  /** A failure never lowers the latency: fast errors must not attract calls. */
+  failed(
+    latencyMs: number,
+    options: Required<PickerOptions>,
+    now: number,
+  ): void {
+    this.#consecutiveFailures++;
+    this.#failures.add(1);
+    if (latencyMs > this.#latency.value) this.#latency.add(latencyMs);
+    const onProbation =
+      this.#ejections > 0 && this.#successesSinceReturn < recoveredAfter;
+    const limit = onProbation ? 1 : options.maxFailures;
+    const bad =
+      this.#consecutiveFailures >= limit ||
+      this.failureShare > options.maxFailureShare;
+    if (bad) this.eject(options, now);
+  }
+
+  /** Assumes a full queue: the refusal tells more than an older report. */
+  refused(load: LoadReport | undefined, now: number): void {
+    const base = load ?? this.#report;
+    if (!base) return;
+    const queued = Math.max(base.queued, base.slots * refusedQueueShare);
+    this.#takeReport({...base, inFlight: base.slots, queued}, now);
+  }
+
+  eject(options: Required<PickerOptions>, now: number): void {
+    if (now < this.ejectedUntil) return;
+    const factor = 2 ** Math.min(this.#ejections, maxEjectionDoublings);
+    this.ejectedUntil = now + options.ejectionMs * factor;
+    this.#ejections++;
+    this.#consecutiveFailures = 0;
+    this.#successesSinceReturn = 0;
+  }
+
+  #takeReport(load: LoadReport, now: number): void {
+    this.#report = load;
+    this.#reportAt = now;
+    this.#ownAtReport = this.inFlight;
+  }
+
+  #othersAtReport(): number {
+    if (!this.#report) return 0;
+    const total = this.#report.inFlight + this.#report.queued;
+    return Math.max(0, total - this.#ownAtReport);
+  }
+
+  /** A reported time far below what was observed is not believed. */
+  #serviceMs(pool: PoolPriors): number {
+    const reported = this.#report?.serviceMs ?? pool.latencyMs;
+    const observed = this.#latency.count > 0 ? this.#latency.value : 0;
+    return Math.max(reported, observed / 2);
+  }
+
+  #observed(pool: PoolPriors, now: number): number {
+    if (this.#latency.count === 0) return pool.latencyMs;
+    const fresh = halfLife(now - this.#latencyAt, latencyHalfLifeMs);
+    return fresh * this.#latency.value + (1 - fresh) * pool.latencyMs;
+  }
+}
+
+type Recorder = (
+  stats: InstanceStats,
+  report: OutcomeReport,
+  options: Required<PickerOptions>,
+  now: number,
+) => void;
+
+const recorders: Record<OutcomeReport['outcome'], Recorder> = {
+  [CALL_OUTCOMES.ok]: (stats, report, _options, now) => {
+    stats.succeeded(report.latencyMs, now);
+  },
+  [CALL_OUTCOMES.failed]: (stats, report, options, now) => {
+    stats.failed(report.latencyMs, options, now);
+  },
+  [CALL_OUTCOMES.refused]: (stats, report, _options, now) => {
+    stats.refused(report.load, now);
+  },
+  [CALL_OUTCOMES.unreachable]: (stats, _report, options, now) => {
+    stats.eject(options, now);
+  },
+  [CALL_OUTCOMES.cancelled]: () => undefined,
+};
+
+function halfLife(ageMs: number, halfLifeMs: number): number {
+  return 2 ** (-Math.max(0, ageMs) / halfLifeMs);
+}
