Add document compiler, diff, delta and route lookup

Cause: nodes need one checked, immutable form of the operators' text, and operators need each refusal with a code and a line.

smol-toml reports lines for syntax errors only, so SourceLines indexes the keys and array elements of a valid text; it is built only for a refusal. The canonical hash covers the meaning, so a delta, which works on the text, carries hashes of the texts. A delta by lines needs no diff library: runs of base lines are found by an index of line contents. A search through all routes was ruled out in favour of an index by host and prefix.

Proofs, each run with its mechanism turned off in the built code: - result hash check of applyDelta off: "A delta yields exactly the target text" fails; - base hash check off: the same scenario fails; - reference checks off: 10 refusal scenarios fail; - order by prefix length off, or whole path segments off: "The most specific route wins" fails; - canonical order of caller classes off: "The hash covers the meaning only" fails.

--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -3,6 +3,16 @@
  *
  * @packageDocumentation
  */
+export {canonicalHash} from './canonical.js';
+export type {DocumentParts} from './canonical.js';
+export {checkDeadlines, compile} from './compile.js';
+export {applyDelta, delta} from './delta.js';
+export type {Delta, DeltaStep} from './delta.js';
+export {CHANGE_KINDS, diff} from './diff.js';
+export type {Change} from './diff.js';
+export {findRoute} from './find-route.js';
+export type {RouteQuery} from './find-route.js';
+export {MAX_DOCUMENT_BYTES} from './parse-document.js';
 export {STRICTNESS} from './snapshot.js';
 export type {
   CompiledDocument,
