--- a/packages/core/src/codes/store.ts
+++ b/packages/core/src/codes/store.ts
@@ -28,4 +28,11 @@
     notRun: true,
     text: 'The call budget of this role for the store is used up.',
   },
+  rejected: {
+    code: 1305,
+    exit: 13,
+    http: 500,
+    notRun: true,
+    text: 'The store rejected the operation as invalid; it was not applied.',
+  },
 });
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -14,3 +14,14 @@
   WatchEvent,
   WatchOptions,
 } from './store.js';
+export {Breaker} from './breaker.js';
+export type {BreakerOptions, BreakerState} from './breaker.js';
+export {HttpStore} from './http-store.js';
+export type {HttpStoreOptions} from './http-store.js';
+export {readOperationId, settledPut, settledTxn} from './settled-put.js';
+export type {SettledPut, SettleOptions} from './settled-put.js';
+export {systemSleep} from './sleep.js';
+export type {Sleep} from './sleep.js';
+export {StoreBudget} from './store-budget.js';
+export type {StoreBudgetOptions} from './store-budget.js';
+export {isUnknownOutcome} from './store-errors.js';
