moves: add records, evidence, tests, planner, gate and controller

The test conditions on the number of events per block (noncentral hypergeometric likelihood ratio), because a fixed baseline rate was ruled out: a fault that hits both versions in the same seconds would stop a good move.

Not measured yet: trials and failure tests follow.

--- /dev/null
+++ b/packages/moves/src/crash-ledger.ts
@@ -0,0 +1,48 @@
+import type {CrashReport} from './evidence.js';
+
+/** Bounds memory; older crashes are forgotten first. */
+const maxCrashes = 512;
+
+/**
+ * Decides which crashes count against a version. A crash that shares a request
+ * with an earlier crash of another process is blamed on that request, unless
+ * the old version answered the same request since.
+ *
+ * @internal
+ */
+export class CrashLedger {
+  /** Fingerprints by crash id. */
+  readonly #crashes = new Map<string, Set<string>>();
+  readonly #cleared = new Set<string>();
+
+  /** Notes answers of the old version to requests seen in a crash. */
+  clear(fingerprints: readonly string[]): void {
+    for (const fingerprint of fingerprints) this.#cleared.add(fingerprint);
+  }
+
+  /** Adds a report; true when it is a new crash to blame on the version. */
+  add(report: CrashReport): boolean {
+    const known = this.#crashes.get(report.crashId);
+    if (known) {
+      for (const fingerprint of report.fingerprints) known.add(fingerprint);
+      return false;
+    }
+    const explained = this.#isExplained(report.fingerprints);
+    this.#crashes.set(report.crashId, new Set(report.fingerprints));
+    this.#trim();
+    return !explained;
+  }
+
+  #isExplained(fingerprints: readonly string[]): boolean {
+    const suspects = fingerprints.filter(f => !this.#cleared.has(f));
+    return suspects.some(f =>
+      [...this.#crashes.values()].some(crash => crash.has(f)),
+    );
+  }
+
+  #trim(): void {
+    if (this.#crashes.size <= maxCrashes) return;
+    const oldest = this.#crashes.keys().next().value;
+    if (oldest !== undefined) this.#crashes.delete(oldest);
+  }
+}
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -1,1 +1,59 @@
-export {};
+/**
+ * Version moves: evidence, tests, pace, state machine, entry gate and
+ * controller.
+ *
+ * @packageDocumentation
+ */
+export {CALL_OUTCOMES, warmUpMs} from './call-outcome.js';
+export type {CallOutcome, CallOutcomeKind} from './call-outcome.js';
+export {capacityShare} from './capacity-share.js';
+export type {CapacityInput} from './capacity-share.js';
+export {controllerKey, controllerLeaseMs} from './controller-lease.js';
+export {mergeEvidence} from './evidence.js';
+export type {Counts, CrashReport, Evidence, EvidenceCell} from './evidence.js';
+export {packEvidence, unpackEvidence} from './evidence-codec.js';
+export type {PackedEvidence} from './evidence-codec.js';
+export {loadLevel} from './evidence-recorder.js';
+export {
+  EvidenceAggregator,
+  evidenceTreeWidth,
+  parentIndex,
+} from './evidence-tree.js';
+export {latencyBin, latencyBinCount, lowerEdgeMs} from './latency-bins.js';
+export type {BinaryBlock} from './likelihood.js';
+export {MixtureTest} from './mixture-test.js';
+export {MoveController} from './move-controller.js';
+export type {
+  ControllerInput,
+  ControllerOutput,
+  MoveControllerOptions,
+} from './move-controller.js';
+export {MoveGate} from './move-gate.js';
+export type {GateFlush, IsReady, MoveGateOptions} from './move-gate.js';
+export {MoveJudge, controllerAlphaPart, localAlphaPart} from './move-judge.js';
+export type {JudgeOptions} from './move-judge.js';
+export {
+  applyPlan,
+  startRecord,
+  takeBack,
+  waitingRecord,
+} from './move-machine.js';
+export type {ChangeStamp, MovePlan} from './move-machine.js';
+export {MovePilot} from './move-pilot.js';
+export type {PilotInput} from './move-pilot.js';
+export {MOVE_POLICIES} from './move-policy.js';
+export type {MovePolicy} from './move-policy.js';
+export {
+  MOVE_STATES,
+  decodeRecord,
+  encodeRecord,
+  isTerminal,
+  mergeRecords,
+} from './move-record.js';
+export type {MoveRecord, MoveState} from './move-record.js';
+export {StopSet, parseMoveStop} from './move-stop.js';
+export type {MoveStop} from './move-stop.js';
+export {moveKey, movesPrefix} from './move-store.js';
+export {firstShare, planShare} from './share-planner.js';
+export type {Plan, PlannerInput} from './share-planner.js';
+export type {Verdict} from './verdict.js';
--- /dev/null
+++ b/packages/moves/src/likelihood.ts
@@ -0,0 +1,81 @@
+/**
+ * Calls of both versions over the same seconds, and how many of them had an
+ * event (a failure, or a latency over a threshold).
+ *
+ * @public
+ */
+export interface BinaryBlock {
+  readonly oldCalls: number;
+  readonly oldEvents: number;
+  readonly newCalls: number;
+  readonly newEvents: number;
+}
+
+/** New calls beside a fixed event rate of the old version. @internal */
+export interface ReferenceBlock {
+  readonly calls: number;
+  readonly events: number;
+  readonly rate: number;
+}
+
+/**
+ * Log likelihood ratio of two odds ratios for one block, given the number of
+ * events in both versions together (Fisher's noncentral hypergeometric
+ * distribution). The condition removes the service's own event rate, so a
+ * fault that hits both versions in the same seconds carries no evidence.
+ *
+ * @internal
+ */
+export function blockLogRatio(
+  block: BinaryBlock,
+  oddsRatio: number,
+  tolerated: number,
+): number {
+  const events = block.oldEvents + block.newEvents;
+  if (events === 0 || block.oldCalls === 0 || block.newCalls === 0) return 0;
+  return logMass(block, events, oddsRatio) - logMass(block, events, tolerated);
+}
+
+/** Log probability of `newEvents`, without the terms free of the odds ratio. */
+function logMass(block: BinaryBlock, events: number, ratio: number): number {
+  const {oldCalls, newCalls, newEvents} = block;
+  const low = Math.max(0, events - oldCalls);
+  const high = Math.min(events, newCalls);
+  const logOdds = Math.log(ratio);
+  // Terms relative to the first one; `max` keeps the sum within the range of
+  // floating-point numbers.
+  let log = 0;
+  let max = 0;
+  let sum = 1;
+  for (let k = low; k < high; k++) {
+    const ways =
+      ((newCalls - k) * (events - k)) / ((k + 1) * (oldCalls - events + k + 1));
+    log += Math.log(ways) + logOdds;
+    if (log > max) {
+      sum = sum * Math.exp(max - log) + 1;
+      max = log;
+    } else {
+      sum += Math.exp(log - max);
+    }
+  }
+  return (newEvents - low) * logOdds - max - Math.log(sum);
+}
+
+/** Log likelihood ratio of two odds ratios over a fixed rate. @internal */
+export function referenceLogRatio(
+  block: ReferenceBlock,
+  oddsRatio: number,
+  tolerated: number,
+): number {
+  const high = shiftOdds(block.rate, oddsRatio);
+  const low = shiftOdds(block.rate, tolerated);
+  const quiet = block.calls - block.events;
+  return (
+    block.events * Math.log(high / low) +
+    quiet * Math.log((1 - high) / (1 - low))
+  );
+}
+
+function shiftOdds(rate: number, ratio: number): number {
+  return (rate * ratio) / (1 - rate + rate * ratio);
+}
--- /dev/null
+++ b/packages/moves/src/move-record.ts
@@ -0,0 +1,72 @@
+import {z} from 'zod';
+
+/** States of a move. `done` and `takenBack` are final. @public */
+export const MOVE_STATES = {
+  waiting: 'waiting',
+  running: 'running',
+  done: 'done',
+  takenBack: 'takenBack',
+} as const;
+
+/** One of the values of {@link MOVE_STATES}. @public */
+export type MoveState = (typeof MOVE_STATES)[keyof typeof MOVE_STATES];
+
+/** Validator of a record read from the store or a peer. @internal */
+export const moveRecordSchema = z.object({
+  moveId: z.string().min(1),
+  service: z.string().min(1),
+  from: z.string().min(1),
+  to: z.string().min(1),
+  step: z.number().int().nonnegative(),
+  share: z.number().min(0).max(1),
+  state: z.enum(MOVE_STATES),
+  reason: z.string(),
+  deadline: z.number(),
+  decidedBy: z.string(),
+  operationId: z.string(),
+  changedAt: z.number(),
+});
+
+/**
+ * The durable state of a move. `deadline` and `changedAt` are milliseconds
+ * since the Unix epoch; `share` is the part of calls for `to`, 0 to 1; `reason`
+ * is text for operators; `decidedBy` is a node id or an operator.
+ *
+ * @public
+ */
+export type MoveRecord = Readonly<z.infer<typeof moveRecordSchema>>;
+
+/** True when the record can no longer change. @public */
+export function isTerminal(record: MoveRecord): boolean {
+  return (
+    record.state === MOVE_STATES.done || record.state === MOVE_STATES.takenBack
+  );
+}
+
+/**
+ * Merges two records of one move: terminal beats running, then the higher step
+ * wins. Ties are broken by operation id, so that every node keeps the same
+ * record whatever the order of arrival.
+ *
+ * @public
+ */
+export function mergeRecords(a: MoveRecord, b: MoveRecord): MoveRecord {
+  if (isTerminal(a) !== isTerminal(b)) return isTerminal(a) ? a : b;
+  if (a.step !== b.step) return a.step > b.step ? a : b;
+  return a.operationId >= b.operationId ? a : b;
+}
+
+/** Bytes of a record as the store keeps it (JSON). @public */
+export function encodeRecord(record: MoveRecord): Uint8Array {
+  return new TextEncoder().encode(JSON.stringify(record));
+}
+
+/** Reads a stored record; null when the bytes are not a record. @public */
+export function decodeRecord(bytes: Uint8Array): MoveRecord | null {
+  try {
+    const value: unknown = JSON.parse(new TextDecoder().decode(bytes));
+    return moveRecordSchema.safeParse(value).data ?? null;
+  } catch {
+    return null;
+  }
+}
