Add the metrics of a node

Cause: operators need histograms per caller class and service. Ruled out: labels per caller or per route, because their number is not bounded. Conclusion: gauges read their sources when scraped.

--- /dev/null
+++ b/packages/node/src/metrics/node-metrics.ts
@@ -0,0 +1,173 @@
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+  collectDefaultMetrics,
+} from 'prom-client';
+import type {ResultCode} from '@verbenabeam/core';
+import type {ByteCounts} from '@verbenabeam/wire';
+
+/** Upper bounds of the call histograms, in seconds. */
+const callBucketsSeconds = [
+  0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5,
+  10,
+];
+/** Upper bounds of the convergence histogram, in seconds. */
+const convergenceBucketsSeconds = [0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60];
+const msPerSecond = 1_000;
+
+/** One finished call, for the histograms. @public */
+export interface CallSample {
+  readonly callerClass: string;
+  readonly service: string;
+  readonly code: number;
+  readonly durationMs: number;
+  /** Attempts beyond the first. */
+  readonly retries: number;
+}
+
+/** What the gauges read when the metrics are collected. @public */
+export interface MetricSources {
+  readonly configVersion: () => number;
+  /** Number of members by state. */
+  readonly members: () => Readonly<Record<string, number>>;
+  readonly bytes: () => ByteCounts;
+  readonly inFlight: () => number;
+}
+
+/** The Prometheus metrics of one node. @public */
+export class NodeMetrics {
+  readonly #registry = new Registry();
+  readonly #calls = new Histogram({
+    name: 'verbenabeam_call_duration_seconds',
+    help: 'Time from the request head to the end of the answer.',
+    labelNames: ['caller_class', 'service'],
+    buckets: callBucketsSeconds,
+    registers: [this.#registry],
+  });
+  readonly #results = new Counter({
+    name: 'verbenabeam_calls_total',
+    help: 'Calls by result code.',
+    labelNames: ['caller_class', 'service', 'code'],
+    registers: [this.#registry],
+  });
+  readonly #retries = new Counter({
+    name: 'verbenabeam_retries_total',
+    help: 'Attempts beyond the first.',
+    labelNames: ['service'],
+    registers: [this.#registry],
+  });
+  readonly #convergence = new Histogram({
+    name: 'verbenabeam_convergence_seconds',
+    help: 'Time from acceptance of a version to its activation here.',
+    buckets: convergenceBucketsSeconds,
+    registers: [this.#registry],
+  });
+  readonly #broken = new Counter({
+    name: 'verbenabeam_invariant_broken_total',
+    help: 'Broken invariants by code.',
+    labelNames: ['code'],
+    registers: [this.#registry],
+  });
+  readonly #storeCalls = new Counter({
+    name: 'verbenabeam_store_calls_total',
+    help: 'Calls to the store by role.',
+    labelNames: ['role'],
+    registers: [this.#registry],
+  });
+
+  constructor(sources: MetricSources) {
+    collectDefaultMetrics({register: this.#registry, prefix: 'verbenabeam_'});
+    this.#addGauges(sources);
+  }
+
+  recordCall(sample: CallSample): void {
+    const {callerClass, service, code} = sample;
+    this.#calls
+      .labels(callerClass, service)
+      .observe(sample.durationMs / msPerSecond);
+    this.#results.labels(callerClass, service, String(code)).inc();
+    if (sample.retries > 0) this.#retries.labels(service).inc(sample.retries);
+  }
+
+  /** @param delayMs - From acceptance to activation on this node. */
+  recordConvergence(delayMs: number): void {
+    this.#convergence.observe(delayMs / msPerSecond);
+  }
+
+  recordBrokenInvariant(code: ResultCode): void {
+    this.#broken.labels(String(code.code)).inc();
+  }
+
+  recordStoreCall(role: string): void {
+    this.#storeCalls.labels(role).inc();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  /** Renders all metrics in the Prometheus text format. */
+  render(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #addGauges(sources: MetricSources): void {
+    this.#gauge(
+      'verbenabeam_config_version',
+      'Active configuration version.',
+      [],
+      gauge => {
+        gauge.set(sources.configVersion());
+      },
+    );
+    this.#gauge(
+      'verbenabeam_calls_in_flight',
+      'Calls that run on the own upstream.',
+      [],
+      gauge => {
+        gauge.set(sources.inFlight());
+      },
+    );
+    this.#gauge(
+      'verbenabeam_members',
+      'Known nodes by state.',
+      ['state'],
+      gauge => {
+        gauge.reset();
+        for (const [state, count] of Object.entries(sources.members())) {
+          gauge.set({state}, count);
+        }
+      },
+    );
+    this.#gauge(
+      'verbenabeam_wire_bytes',
+      'Bytes between nodes since the start, by class and direction.',
+      ['class', 'direction'],
+      gauge => {
+        for (const [name, counts] of Object.entries(sources.bytes())) {
+          gauge.set({class: name, direction: 'sent'}, counts.sent);
+          gauge.set({class: name, direction: 'received'}, counts.received);
+        }
+      },
+    );
+  }
+
+  #gauge(
+    name: string,
+    help: string,
+    labelNames: string[],
+    update: (gauge: Gauge) => void,
+  ): void {
+    new Gauge({
+      name,
+      help,
+      labelNames,
+      registers: [this.#registry],
+      collect() {
+        update(this);
+      },
+    });
+  }
+}
