Add the wire package: framed connections between nodes

Cause: nodes need requests, notices and call streams over TCP, with control messages and calls on separate connections. Chunk frames are written and read by hand as CBOR, so a payload is copied neither into nor out of the encoder; the frames of one event-loop turn leave in one write. The handshake proves the node key in both directions and is bound to the TLS session where there is one. Ruled out: one connection in both directions, because a response would share the credit and the idle time of the other side's calls; replaying events that arrive before listen() by the caller, since streams now hold them instead. Conclusion: the interface of peer-bus.ts is implemented by TcpPeerBus. An idle connection is closed by the side that opened it, so no request meets a close; a busy connection that is silent is pinged and then closed.

--- a/packages/core/src/codes/wire.ts
+++ b/packages/core/src/codes/wire.ts
@@ -47,4 +47,33 @@
     notRun: true,
     text: 'The peer has no handler for this kind of message.',
   },
+  cancelled: {
+    code: 1408,
+    exit: 14,
+    http: 499,
+    text: 'The sender cancelled the request or stream.',
+  },
+  unexpectedFrame: {
+    code: 1409,
+    exit: 14,
+    http: 400,
+    text: 'A frame breaks the protocol of the connection.',
+  },
+  closing: {
+    code: 1410,
+    exit: 14,
+    http: 503,
+    notRun: true,
+    text: 'The peer closes its connections and takes nothing new.',
+  },
+  handlerFailed: {
+    code: 1411,
+    exit: 14,
+    text: 'The handler of the peer failed without a known code.',
+  },
+  listenFailed: {
+    code: 1412,
+    exit: 14,
+    text: 'The listen address of the wire cannot be used.',
+  },
 });
--- /dev/null
+++ b/packages/wire/src/connection.ts
@@ -0,0 +1,291 @@
+import {Result} from 'true-myth';
+import {logger, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import {
+  encodeFrame,
+  FRAME_TYPES,
+  LENGTH_BYTES,
+  MAX_FRAME_BYTES,
+} from './frame.js';
+import type {Frame} from './frame.js';
+import type {FrameSink, FrameSocket} from './frame-socket.js';
+import type {PeerIdentity} from './handshake.js';
+import type {HandlerTable} from './handler-table.js';
+import {MuxStream} from './mux-stream.js';
+import type {StreamLink} from './mux-stream.js';
+import type {ByteStream, PeerContext, RequestOptions} from './peer-bus.js';
+import {PendingRequests} from './pending-requests.js';
+import {RequestServer} from './request-server.js';
+import {cancelled, errorFromFrame, notSent} from './wire-errors.js';
+
+/** What a connection needs besides its socket. @internal */
+export interface ConnectionOptions {
+  readonly peer: PeerIdentity;
+  readonly handlers: HandlerTable;
+  readonly streamCreditBytes: number;
+  /** Called for a response whose request is not known (any more). */
+  readonly onUnknownResponse: () => void;
+  readonly onClose: (connection: Connection) => void;
+}
+
+/** A stream that this side opened. */
+interface OpenedStream {
+  readonly frameNumber: number;
+  /** Stops listening to the caller's signal. */
+  readonly stop: () => void;
+}
+
+/** A peer that does not read is not sent more than this many bytes. */
+const maxPendingBytes = 8 * MAX_FRAME_BYTES;
+const log = logger('wire');
+
+/** An authenticated connection: requests, notices and streams. @internal */
+export class Connection implements FrameSink, StreamLink {
+  readonly #socket: FrameSocket;
+  readonly #options: ConnectionOptions;
+  readonly #pending = new PendingRequests();
+  readonly #streams = new Map<number, MuxStream>();
+  readonly #opened = new Map<number, OpenedStream>();
+  readonly #context: PeerContext;
+  readonly #ended = new AbortController();
+  readonly #server: RequestServer;
+  /** Time at which a sweep last found the connection idle. */
+  lastIdleAt = performance.now();
+  #nextId = 1;
+  #goingAway = false;
+  #lastUseAt = performance.now();
+  readonly #takers: Readonly<Record<number, (frame: Frame) => void>> = {
+    [FRAME_TYPES.request]: f => this.#server.take(f),
+    [FRAME_TYPES.response]: f => this.#settle(f, Result.ok(f[2])),
+    [FRAME_TYPES.failure]: f => this.#settle(f, Result.err(errorFromFrame(f))),
+    [FRAME_TYPES.notice]: f => this.#takeNotice(f),
+    [FRAME_TYPES.open]: f => this.#takeOpen(f),
+    [FRAME_TYPES.head]: f => this.#stream(f)?.takeHead(f[2]),
+    [FRAME_TYPES.end]: f => this.#stream(f)?.takeEnd(f[2]),
+    [FRAME_TYPES.reset]: f => this.#stream(f)?.takeReset(errorFromFrame(f)),
+    [FRAME_TYPES.credit]: f => this.#takeCredit(f),
+    [FRAME_TYPES.ping]: () => this.send([FRAME_TYPES.pong]),
+    [FRAME_TYPES.pong]: () => undefined,
+    [FRAME_TYPES.goAway]: () => {
+      this.#goingAway = true;
+    },
+  };
+
+  constructor(socket: FrameSocket, options: ConnectionOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    const {signal} = this.#ended;
+    this.#context = {nodeId: options.peer.nodeId, signal};
+    this.#server = new RequestServer(this, options.handlers, this.#context);
+    socket.sink = this;
+    socket.allowLargeFrames();
+  }
+
+  /** Whether new requests and streams may start here. */
+  get usable(): boolean {
+    return !this.#socket.closed && !this.#goingAway;
+  }
+
+  /** Whether a request or stream of either side is open. */
+  get busy(): boolean {
+    const open = this.#pending.size + this.#streams.size + this.#server.running;
+    return open > 0;
+  }
+
+  /** Time of the last request, notice or stream, in milliseconds. */
+  get lastUseAt(): number {
+    return this.#lastUseAt;
+  }
+
+  /** Time of the last read, in milliseconds. */
+  get lastReadAt(): number {
+    return this.#socket.lastReadAt;
+  }
+
+  /** Sends a request; see `PeerBus.request`. */
+  async request(
+    kind: string,
+    body: unknown,
+    options: RequestOptions,
+  ): Promise<Result<unknown, MeshError>> {
+    const id = this.#nextId++;
+    const sent = this.#sendFirst([FRAME_TYPES.request, id, kind, body]);
+    if (sent.isErr) return Result.err(sent.error);
+    return this.#pending.add(id, sent.value, options);
+  }
+
+  /** Sends a notice; see `PeerBus.notify`. */
+  notify(kind: string, body: unknown): Result<number, MeshError> {
+    return this.#sendFirst([FRAME_TYPES.notice, kind, body]);
+  }
+
+  /** Opens a stream; see `PeerBus.openStream`. */
+  openStream(
+    kind: string,
+    head: unknown,
+    signal: AbortSignal | undefined,
+  ): Result<ByteStream, MeshError> {
+    const id = this.#nextId++;
+    const sent = this.#sendFirst([FRAME_TYPES.open, id, kind, head]);
+    if (sent.isErr) return Result.err(sent.error);
+    const stream = this.#addStream(id);
+    const abort = () => {
+      stream.reset(cancelled());
+    };
+    signal?.addEventListener('abort', abort, {once: true});
+    const stop = () => signal?.removeEventListener('abort', abort);
+    this.#opened.set(id, {frameNumber: sent.value, stop});
+    return Result.ok(stream);
+  }
+
+  /** Sends a ping, whose response counts as a read. */
+  ping(): void {
+    this.send([FRAME_TYPES.ping]);
+  }
+
+  /** Tells the peer to start nothing new here. */
+  goAway(): void {
+    this.#goingAway = true;
+    this.send([FRAME_TYPES.goAway]);
+  }
+
+  /** Writes what is queued and ends the connection. */
+  end(): void {
+    this.#socket.endAfterFlush();
+  }
+
+  close(err: MeshError): void {
+    this.#socket.close(err);
+  }
+
+  send(frame: Frame): void {
+    this.#socket.send(frame);
+  }
+
+  sendChunk(streamId: number, bytes: Uint8Array): void {
+    this.#socket.sendChunk(streamId, bytes);
+  }
+
+  forget(streamId: number): void {
+    this.#streams.delete(streamId);
+    this.#opened.get(streamId)?.stop();
+    this.#opened.delete(streamId);
+    this.#lastUseAt = performance.now();
+  }
+
+  onFrame(frame: Frame): void {
+    const take = this.#takers[frame[0]];
+    if (take) take(frame);
+    else this.#refuseFrame(`Frame type ${frame[0]} is not known`);
+  }
+
+  onChunk(streamId: number, bytes: Buffer): void {
+    const stream = this.#streams.get(streamId);
+    if (!stream || stream.takeChunk(bytes)) return;
+    this.#refuseFrame(`Stream ${streamId} exceeds its credit`);
+  }
+
+  onClose(err: MeshError): void {
+    log('Connection closed', {
+      peer: this.#context.nodeId,
+      code: err.code.code,
+      reason: err.message,
+    });
+    const lost = asLost(err);
+    this.#pending.failAll(lost, number => this.#socket.wasFlushed(number));
+    for (const [id, stream] of [...this.#streams]) {
+      const frameNumber = this.#opened.get(id)?.frameNumber ?? 0;
+      const sent = this.#socket.wasFlushed(frameNumber);
+      stream.takeReset(sent ? lost : notSent(err));
+    }
+    this.#ended.abort(lost);
+    this.#options.onClose(this);
+  }
+
+  /** Sends the first frame of an exchange; refuses without sending a byte. */
+  #sendFirst(frame: Frame): Result<number, MeshError> {
+    if (!this.usable) return refused('The connection is closed');
+    if (this.#socket.pendingBytes > maxPendingBytes) {
+      return refused('The peer does not read what was sent');
+    }
+    const bytes = encodeFrame(frame);
+    if (bytes.length - LENGTH_BYTES > MAX_FRAME_BYTES) {
+      return Result.err(
+        new MeshError(
+          WIRE_CODES.frameTooLarge,
+          `A frame of ${bytes.length} bytes exceeds ${MAX_FRAME_BYTES}`,
+        ),
+      );
+    }
+    this.#lastUseAt = performance.now();
+    return Result.ok(this.#socket.sendEncoded(bytes));
+  }
+
+  #settle(frame: Frame, outcome: Result<unknown, MeshError>): void {
+    if (this.#pending.settle(Number(frame[1]), outcome)) return;
+    this.#options.onUnknownResponse();
+  }
+
+  #takeNotice([, kind, body]: Frame): void {
+    this.#lastUseAt = performance.now();
+    const handler = this.#options.handlers.notices.get(String(kind));
+    try {
+      handler?.(body, this.#context);
+    } catch (err) {
+      log('Notice handler failed', {kind, err: String(err)});
+    }
+  }
+
+  #takeOpen([, id, kind, head]: Frame): void {
+    this.#lastUseAt = performance.now();
+    const {handlers} = this.#options;
+    if (typeof id !== 'number' || this.#streams.has(id)) {
+      this.#refuseFrame(`Stream id ${String(id)} cannot be opened`);
+      return;
+    }
+    const stream = this.#addStream(id);
+    const handler = handlers.streams.get(String(kind));
+    if (handlers.closing) {
+      stream.reset(new MeshError(WIRE_CODES.closing, 'The peer is closing'));
+    } else if (handler) {
+      handler(head, stream, this.#context);
+    } else {
+      stream.reset(
+        new MeshError(WIRE_CODES.unknownKind, `No handler for ${String(kind)}`),
+      );
+    }
+  }
+
+  #takeCredit(frame: Frame): void {
+    const bytes = frame[2];
+    const valid = typeof bytes === 'number' && bytes > 0;
+    if (valid) this.#stream(frame)?.takeCredit(bytes);
+    else this.#refuseFrame('Credit is not a positive number');
+  }
+
+  #addStream(id: number): MuxStream {
+    const stream = new MuxStream(id, this, this.#options.streamCreditBytes);
+    this.#streams.set(id, stream);
+    return stream;
+  }
+
+  /** Frames of a stream that was reset here still arrive; they are dropped. */
+  #stream(frame: Frame): MuxStream | undefined {
+    return this.#streams.get(Number(frame[1]));
+  }
+
+  #refuseFrame(message: string): void {
+    this.close(new MeshError(WIRE_CODES.unexpectedFrame, message));
+  }
+}
+
+function refused(message: string): Result<never, MeshError> {
+  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
+}
+
+/** Whatever ended the connection, what was sent may have been processed. */
+function asLost(err: MeshError): MeshError {
+  if (err.code === WIRE_CODES.connectionLost) return err;
+  return new MeshError(WIRE_CODES.connectionLost, err.message, {
+    cause: err.code.name,
+  });
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -3,6 +3,8 @@
  *
  * @packageDocumentation
  */
+export type {TcpPeerBusOptions, WireTls} from './bus-options.js';
+export {TcpPeerBus} from './tcp-peer-bus.js';
 export {TRAFFIC_CLASSES} from './peer-bus.js';
 export type {
   ByteCounts,
--- /dev/null
+++ b/packages/wire/src/mux-stream.ts
@@ -0,0 +1,196 @@
+import type {MeshError} from '@verbenabeam/core';
+import {FRAME_TYPES} from './frame.js';
+import type {Frame} from './frame.js';
+import type {ByteStream, StreamListener} from './peer-bus.js';
+
+/** The connection as its streams use it. @internal */
+export interface StreamLink {
+  send(frame: Frame): void;
+  sendChunk(streamId: number, bytes: Uint8Array): void;
+  /** Called when neither side sends more on the stream. */
+  forget(streamId: number): void;
+}
+
+type StreamEvent = (listener: StreamListener) => void;
+
+/** Larger writes are split, so that other streams get their turn. */
+const maxChunkBytes = 65_536;
+/** Credit is returned in steps of this share of the window. */
+const creditStepShare = 0.25;
+
+/**
+ * One stream on a connection. Events wait until a listener is set and while the
+ * stream is paused.
+ *
+ * @internal
+ */
+export class MuxStream implements ByteStream {
+  readonly id: number;
+  readonly #link: StreamLink;
+  readonly #creditStep: number;
+  #listener: StreamListener | null = null;
+  #paused = false;
+  #delivering = false;
+  #backlog: StreamEvent[] = [];
+  /** Bytes that the other side may still send. */
+  #window: number;
+  #consumed = 0;
+  /** Bytes that this side may still send. */
+  #credit: number;
+  #unsent: Uint8Array[] = [];
+  #wantsDrain = false;
+  #ending: {trailer: unknown} | null = null;
+  #sentEnd = false;
+  #gotEnd = false;
+  #closed = false;
+
+  constructor(id: number, link: StreamLink, creditBytes: number) {
+    this.id = id;
+    this.#link = link;
+    this.#window = creditBytes;
+    this.#credit = creditBytes;
+    this.#creditStep = creditBytes * creditStepShare;
+  }
+
+  sendHead(head: unknown): void {
+    if (this.#closed || this.#ending) return;
+    this.#link.send([FRAME_TYPES.head, this.id, head]);
+  }
+
+  write(chunk: Uint8Array): boolean {
+    if (this.#closed || this.#ending) return false;
+    if (chunk.length > 0) this.#unsent.push(chunk);
+    this.#pump();
+    this.#wantsDrain = this.#credit === 0 || this.#unsent.length > 0;
+    return !this.#wantsDrain;
+  }
+
+  end(trailer?: unknown): void {
+    if (this.#closed || this.#ending) return;
+    this.#ending = {trailer};
+    this.#pump();
+  }
+
+  reset(err: MeshError): void {
+    if (this.#closed) return;
+    const {code, message, details} = err;
+    this.#link.send([FRAME_TYPES.reset, this.id, code.code, message, details]);
+    this.#backlog = [];
+    this.#close();
+  }
+
+  pause(): void {
+    this.#paused = true;
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#deliverBacklog();
+  }
+
+  listen(listener: StreamListener): void {
+    this.#listener = listener;
+    this.#deliverBacklog();
+  }
+
+  /** Takes the head that the other side sent. */
+  takeHead(head: unknown): void {
+    this.#deliver(l => l.onHead?.(head));
+  }
+
+  /** Takes bytes; false if the other side exceeded its credit. */
+  takeChunk(bytes: Buffer): boolean {
+    this.#window -= bytes.length;
+    if (this.#window < 0 || this.#gotEnd) return false;
+    this.#deliver(l => {
+      this.#returnCredit(bytes.length);
+      l.onChunk(bytes);
+    });
+    return true;
+  }
+
+  /** Takes the end of the other side. */
+  takeEnd(trailer: unknown): void {
+    this.#gotEnd = true;
+    this.#deliver(l => {
+      l.onEnd(trailer);
+    });
+    this.#closeIfEnded();
+  }
+
+  /** Takes more credit for this side. */
+  takeCredit(bytes: number): void {
+    this.#credit += bytes;
+    this.#pump();
+    if (!this.#wantsDrain || this.#unsent.length > 0 || this.#closed) return;
+    this.#wantsDrain = false;
+    this.#listener?.onDrain?.();
+  }
+
+  /**
+   * Takes a reset, or the loss of the connection. After the other side's end
+   * nothing is missing, so the listener is not told.
+   */
+  takeReset(err: MeshError): void {
+    if (this.#closed) return;
+    this.#close();
+    if (this.#gotEnd) return;
+    this.#backlog = [];
+    if (this.#listener) this.#listener.onReset(err);
+    else this.#backlog.push(l => l.onReset(err));
+  }
+
+  #pump(): void {
+    while (this.#unsent.length > 0 && this.#credit > 0) {
+      const chunk = this.#unsent[0] as Uint8Array;
+      const size = Math.min(chunk.length, this.#credit, maxChunkBytes);
+      this.#credit -= size;
+      this.#link.sendChunk(this.id, chunk.subarray(0, size));
+      if (size === chunk.length) this.#unsent.shift();
+      else this.#unsent[0] = chunk.subarray(size);
+    }
+    if (this.#ending && !this.#sentEnd && this.#unsent.length === 0) {
+      this.#sentEnd = true;
+      this.#link.send([FRAME_TYPES.end, this.id, this.#ending.trailer]);
+      this.#closeIfEnded();
+    }
+  }
+
+  #returnCredit(bytes: number): void {
+    this.#consumed += bytes;
+    if (this.#consumed < this.#creditStep || this.#closed) return;
+    this.#window += this.#consumed;
+    this.#link.send([FRAME_TYPES.credit, this.id, this.#consumed]);
+    this.#consumed = 0;
+  }
+
+  #deliver(event: StreamEvent): void {
+    const direct =
+      this.#listener &&
+      !this.#paused &&
+      !this.#delivering &&
+      this.#backlog.length === 0;
+    if (direct && this.#listener) event(this.#listener);
+    else this.#backlog.push(event);
+  }
+
+  #deliverBacklog(): void {
+    if (this.#delivering) return;
+    this.#delivering = true;
+    while (this.#listener && !this.#paused && this.#backlog.length > 0) {
+      this.#backlog.shift()?.(this.#listener);
+    }
+    this.#delivering = false;
+  }
+
+  #closeIfEnded(): void {
+    if (this.#sentEnd && this.#gotEnd) this.#close();
+  }
+
+  #close(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#unsent = [];
+    this.#link.forget(this.id);
+  }
+}
--- /dev/null
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -0,0 +1,258 @@
+import {once} from 'node:events';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Result} from 'true-myth';
+import {logger, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import {busSettings, parseAddress} from './bus-options.js';
+import type {BusSettings, TcpPeerBusOptions} from './bus-options.js';
+import {Connection} from './connection.js';
+import {ConnectionPool} from './connection-pool.js';
+import {FrameSocket} from './frame-socket.js';
+import {handshakeAsServer} from './handshake.js';
+import type {ChannelBinding, PeerIdentity} from './handshake.js';
+import {HandlerTable} from './handler-table.js';
+import {TRAFFIC_CLASSES} from './peer-bus.js';
+import type {
+  ByteCounts,
+  ByteStream,
+  NoticeHandler,
+  PeerAddress,
+  PeerBus,
+  RequestHandler,
+  RequestOptions,
+  StreamHandler,
+} from './peer-bus.js';
+import {createServer} from './transport.js';
+import {cancelled} from './wire-errors.js';
+
+/** Time in which refusals reach peers that sent before they saw the close. */
+const closeGraceMs = 50;
+const sweepMs = 1000;
+const log = logger('wire');
+
+/** {@link PeerBus} over TCP, optionally with TLS. @public */
+export class TcpPeerBus implements PeerBus {
+  readonly #settings: BusSettings;
+  readonly #handlers = new HandlerTable();
+  readonly #counters = {
+    control: {sent: 0, received: 0},
+    call: {sent: 0, received: 0},
+  };
+  readonly #pool: ConnectionPool;
+  readonly #accepted = new Set<Connection>();
+  readonly #handshaking = new Set<Socket>();
+  #server: Server | null = null;
+  #sweeper: NodeJS.Timeout | null = null;
+  #unknownResponses = 0;
+  #closed = false;
+
+  constructor(options: TcpPeerBusOptions) {
+    this.#settings = busSettings(options);
+    this.#pool = new ConnectionPool({
+      settings: this.#settings,
+      counters: this.#counters,
+      connect: (socket, peer, onClose) =>
+        new Connection(socket, this.#connectionOptions(peer, onClose)),
+    });
+  }
+
+  /** Responses that were dropped because their request is not known. */
+  get unknownResponses(): number {
+    return this.#unknownResponses;
+  }
+
+  /**
+   * Listens on `ip:port`; port 0 chooses a free one. An abort of the signal
+   * closes the bus.
+   *
+   * @returns the address with the actual port, or `wire.listenFailed`.
+   */
+  async start(
+    listenAddress: PeerAddress,
+    signal?: AbortSignal,
+  ): Promise<Result<PeerAddress, MeshError>> {
+    const server = createServer(this.#settings.tls, (socket, binding) => {
+      this.#accept(socket, binding);
+    });
+    const target = parseAddress(listenAddress);
+    try {
+      server.listen(target);
+      await once(server, 'listening');
+    } catch (err) {
+      return Result.err(
+        new MeshError(WIRE_CODES.listenFailed, String(err), {listenAddress}),
+      );
+    }
+    this.#server = server;
+    server.on('error', err => {
+      log('Listener failed', {err: err.message});
+    });
+    this.#sweeper = setInterval(() => {
+      this.#sweep();
+    }, sweepMs).unref();
+    signal?.addEventListener('abort', () => void this.close(), {once: true});
+    const {port} = server.address() as AddressInfo;
+    return Result.ok(`${target.host}:${port}`);
+  }
+
+  /**
+   * Refuses what is new, then closes every connection. Exchanges in flight are
+   * lost; the owner ends them first.
+   */
+  async close(): Promise<void> {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#handlers.closing = true;
+    this.#server?.close();
+    for (const connection of this.#accepted) connection.goAway();
+    if (this.#accepted.size > 0) await sleep(closeGraceMs);
+    if (this.#sweeper) clearInterval(this.#sweeper);
+    const err = new MeshError(WIRE_CODES.connectionLost, 'The bus is closed');
+    for (const socket of this.#handshaking) socket.destroy();
+    for (const connection of [...this.#accepted]) connection.close(err);
+    this.#pool.close(err);
+  }
+
+  async request(
+    peer: PeerAddress,
+    kind: string,
+    body: unknown,
+    options: RequestOptions,
+  ): Promise<Result<unknown, MeshError>> {
+    const startAt = performance.now();
+    const found = await this.#connection(peer, 'control', options);
+    if (found.isErr) return Result.err(found.error);
+    const timeoutMs = options.timeoutMs - (performance.now() - startAt);
+    return found.value.request(kind, body, {...options, timeoutMs});
+  }
+
+  notify(peer: PeerAddress, kind: string, body: unknown): void {
+    const open = this.#pool.open(peer, TRAFFIC_CLASSES.control);
+    if (open) {
+      open.notify(kind, body);
+      return;
+    }
+    void this.#pool.get(peer, TRAFFIC_CLASSES.control).then(found => {
+      if (found.isOk) found.value.notify(kind, body);
+    });
+  }
+
+  async openStream(
+    peer: PeerAddress,
+    kind: string,
+    head: unknown,
+    options: RequestOptions,
+  ): Promise<Result<ByteStream, MeshError>> {
+    const open = this.#pool.open(peer, TRAFFIC_CLASSES.call);
+    if (open && !options.signal?.aborted) {
+      return open.openStream(kind, head, options.signal);
+    }
+    const found = await this.#connection(peer, 'call', options);
+    if (found.isErr) return Result.err(found.error);
+    return found.value.openStream(kind, head, options.signal);
+  }
+
+  onRequest(kind: string, handler: RequestHandler): void {
+    this.#handlers.requests.set(kind, handler);
+  }
+
+  onNotice(kind: string, handler: NoticeHandler): void {
+    this.#handlers.notices.set(kind, handler);
+  }
+
+  onStream(kind: string, handler: StreamHandler): void {
+    this.#handlers.streams.set(kind, handler);
+  }
+
+  bytes(): ByteCounts {
+    const {control, call} = this.#counters;
+    return {control: {...control}, call: {...call}};
+  }
+
+  /** Gets a connection within the time limit and unless aborted. */
+  async #connection(
+    peer: PeerAddress,
+    trafficClass: 'control' | 'call',
+    {timeoutMs, signal}: RequestOptions,
+  ): Promise<Result<Connection, MeshError>> {
+    if (signal?.aborted) return Result.err(cancelled());
+    const limit = new AbortController();
+    const timer = setTimeout(() => {
+      limit.abort();
+    }, timeoutMs);
+    const stop = AbortSignal.any(
+      signal ? [limit.signal, signal] : [limit.signal],
+    );
+    const stopped = new Promise<Result<Connection, MeshError>>(resolve => {
+      stop.addEventListener('abort', () => {
+        const message = `No connection within ${timeoutMs} ms`;
+        resolve(
+          Result.err(
+            signal?.aborted
+              ? cancelled()
+              : new MeshError(WIRE_CODES.unreachable, message, {peer}),
+          ),
+        );
+      });
+    });
+    const found = await Promise.race([
+      this.#pool.get(peer, trafficClass),
+      stopped,
+    ]);
+    clearTimeout(timer);
+    return found;
+  }
+
+  #connectionOptions(
+    peer: PeerIdentity,
+    onClose: (connection: Connection) => void,
+  ) {
+    return {
+      peer,
+      handlers: this.#handlers,
+      streamCreditBytes: this.#settings.streamCreditBytes,
+      onUnknownResponse: () => {
+        this.#unknownResponses++;
+      },
+      onClose,
+    };
+  }
+
+  #accept(raw: Socket, binding: ChannelBinding): void {
+    if (this.#closed) {
+      raw.destroy();
+      return;
+    }
+    this.#handshaking.add(raw);
+    const timer = setTimeout(
+      () => raw.destroy(),
+      this.#settings.connectTimeoutMs,
+    );
+    // The traffic class is known only after the hello; until then the few
+    // handshake bytes count as control.
+    const socket = new FrameSocket(raw, this.#counters.control);
+    handshakeAsServer(socket, this.#settings, binding, result => {
+      clearTimeout(timer);
+      this.#handshaking.delete(raw);
+      if (result.isErr) {
+        log('Handshake failed', {code: result.error.code.code});
+        return;
+      }
+      const peer = result.value;
+      socket.counter = this.#counters[peer.trafficClass];
+      const options = this.#connectionOptions(peer, connection => {
+        this.#accepted.delete(connection);
+      });
+      this.#accepted.add(new Connection(socket, options));
+    });
+  }
+
+  /** Closes idle and silent connections. The opener closes idle ones first. */
+  #sweep(): void {
+    const {idleMs} = this.#settings;
+    this.#pool.sweep(idleMs);
+    for (const connection of [...this.#accepted]) {
+      this.#pool.sweepOne(connection, 2 * idleMs);
+    }
+  }
+}
