Add distribution logic, drivers and a simulated fleet

Cause: nodes need one place that decides which version may be applied, and pushes, pulls, relays and acceptance around it.

--- /dev/null
+++ b/packages/distribution/src/distributor.ts
@@ -0,0 +1,327 @@
+import {Result} from 'true-myth';
+import {MeshError, VERSION_CODES} from '@verbenabeam/core';
+import type {RandomSource} from '@verbenabeam/core';
+import {applyDelta} from '@verbenabeam/document';
+import type {Snapshot} from '@verbenabeam/document';
+import type {Effect} from './effect.js';
+import type {FullTextCap} from './full-text-cap.js';
+import type {VersionContent} from './messages/config-content.js';
+import type {ConfigDigest} from './messages/config-digest.js';
+import type {
+  ConfigPullRequest,
+  ConfigPullResponse,
+} from './messages/config-pull.js';
+import type {ConfigPush} from './messages/config-push.js';
+import {Puller} from './puller.js';
+import type {PushPlanner} from './push-planner.js';
+import {fullText, RecentVersions} from './recent-versions.js';
+import {StartInquiry} from './start-inquiry.js';
+import {verifyText} from './verify-text.js';
+import type {Candidate, VersionTracker} from './version-tracker.js';
+
+/** Parts and identity of a {@link Distributor}. @public */
+export interface DistributorOptions {
+  readonly tracker: VersionTracker;
+  readonly planner: PushPlanner;
+  readonly cap: FullTextCap;
+  readonly random: RandomSource;
+}
+
+/** The highest version that a node knows of. @public */
+export interface FleetView {
+  readonly version: number;
+  /** Hash of the active version. */
+  readonly active: ConfigDigest;
+}
+
+/** Peers asked at once by a starting node. */
+const startPeers = 3;
+/** A starting node repeats its questions after 1 to 2 of these. */
+const startRetryMs = 1_000;
+
+/**
+ * Distribution on one node, without I/O: takes messages and times, returns the
+ * effects that the driver carries out.
+ *
+ * @public
+ */
+export class Distributor {
+  readonly #tracker: VersionTracker;
+  readonly #planner: PushPlanner;
+  readonly #cap: FullTextCap;
+  readonly #random: RandomSource;
+  readonly #recent = new RecentVersions();
+  readonly #puller = new Puller();
+  readonly #inquiry = new StartInquiry();
+  #forwarded = new Set<string>();
+  #ready = false;
+  #highestSeen = 0;
+  #askAgainAt = 0;
+
+  constructor(options: DistributorOptions) {
+    this.#tracker = options.tracker;
+    this.#planner = options.planner;
+    this.#cap = options.cap;
+    this.#random = options.random;
+  }
+
+  /** True once the node may serve calls; it stays true. */
+  get ready(): boolean {
+    return this.#ready;
+  }
+
+  get digest(): ConfigDigest {
+    return this.#tracker.digest;
+  }
+
+  /** Null until the start inquiry is complete. */
+  get fleetView(): FleetView | null {
+    const known = this.#ready || this.#inquiry.isComplete(this.#planner.peers);
+    if (!known) return null;
+    const version = Math.max(this.#highestSeen, this.digest.version);
+    return {version, active: this.digest};
+  }
+
+  /** Takes a push; forwards it once for each root. */
+  onPush(from: string, push: ConfigPush, now: number): readonly Effect[] {
+    if (push.environment !== this.digest.environment) return [];
+    const effects: Effect[] = [];
+    if (push.moves.length > 0) effects.push({type: 'moves', moves: push.moves});
+    effects.push(...this.#takePush(from, push, now));
+    const {version, hash} = this.digest;
+    const isOld =
+      push.version < version ||
+      (push.version === version && push.hash !== hash);
+    if (isOld) return effects;
+    return [...effects, ...this.#forward(push), ...this.#pullIfDue(now)];
+  }
+
+  /** Takes the digest on a probe or probe response. */
+  onDigest(from: string, seen: ConfigDigest, now: number): readonly Effect[] {
+    if (seen.environment !== this.digest.environment) return [];
+    this.#inquiry.peerShows(from, seen);
+    this.#see(seen.version);
+    if (seen.version > 0) this.#tracker.observePeer(seen);
+    if (seen.version > this.digest.version) this.#puller.noteNewer(from, seen);
+    this.#updateReady();
+    return this.#pullIfDue(now);
+  }
+
+  /** A peer did not respond to a question for its digest. */
+  onDigestFailed(from: string): void {
+    this.#inquiry.peerFailed(from);
+    this.#updateReady();
+  }
+
+  /** Answers a peer that asks for a newer version. */
+  onPullRequest(req: ConfigPullRequest, now: number): ConfigPullResponse {
+    const active = this.#tracker.current;
+    const isNewer = active !== null && active.version > req.newerThan;
+    if (!isNewer || req.environment !== active.environment) {
+      return {status: 'none'};
+    }
+    const small = this.#recent.deltaFrom(req.have);
+    if (small) return {status: 'version', value: describe(active, small)};
+    const retryAfterMs = this.#cap.tryServe(now, this.#random);
+    if (retryAfterMs > 0) return {status: 'busy', retryAfterMs};
+    return {status: 'version', value: describe(active, fullText(active))};
+  }
+
+  /** Takes the answer to a pull. */
+  onPullResponse(res: ConfigPullResponse, now: number): readonly Effect[] {
+    if (res.status === 'busy') this.#puller.busy(res.retryAfterMs, now);
+    if (res.status === 'none') this.#puller.failed();
+    if (res.status !== 'version') return [];
+    this.#puller.done();
+    const applied = this.#apply(res.value, now);
+    const isUnusable = applied.isErr && isDeltaError(applied.error);
+    if (isUnusable) this.#puller.deltaUnusable();
+    return [...effectsOf(applied), ...this.#pullIfDue(now)];
+  }
+
+  /** A pull got no response. */
+  onPullFailed(): void {
+    this.#puller.failed();
+  }
+
+  /**
+   * Takes the store's head; null means that it has none. A head that is not
+   * newer is compared and never followed.
+   */
+  onStoreHead(head: {version: number; hash: string} | null): readonly Effect[] {
+    const seen = head ?? {version: 0, hash: ''};
+    this.#inquiry.storeShows(seen);
+    this.#see(seen.version);
+    this.#tracker.observeStoreHead(head);
+    this.#updateReady();
+    if (seen.version <= this.digest.version) return [];
+    return [{type: 'readVersion', version: seen.version}];
+  }
+
+  /** Takes a version that was read from the store. A relay also pushes it. */
+  onStoreVersion(
+    candidate: Candidate,
+    isRelay: boolean,
+    now: number,
+  ): readonly Effect[] {
+    const applied = this.#offer(candidate, now);
+    if (!isRelay || applied.isErr) return effectsOf(applied);
+    return [...effectsOf(applied), ...this.#pushAsRoot(applied.value)];
+  }
+
+  /**
+   * Takes a version that this node's operator got accepted, and pushes it.
+   * Error 1204: the fleet has another text under this number, because the store
+   * was restored; the accepted text does not become active.
+   */
+  onAccepted(
+    candidate: Candidate,
+    now: number,
+  ): Result<readonly Effect[], MeshError> {
+    const applied = this.#offer(candidate, now);
+    if (applied.isErr && applied.error.code === VERSION_CODES.hashMismatch) {
+      return Result.err(applied.error);
+    }
+    const {version, hash} = candidate;
+    this.#tracker.confirmAccepted({version, hash});
+    // A newer version may have arrived while the store's response was awaited.
+    if (applied.isErr) return Result.ok([]);
+    return Result.ok([
+      ...effectsOf(applied),
+      ...this.#pushAsRoot(applied.value),
+      ...this.#pushToOtherCentres(applied.value),
+    ]);
+  }
+
+  /** Repeats pulls and, on a starting node, questions. */
+  tick(now: number): readonly Effect[] {
+    return [...this.#askIfStarting(now), ...this.#pullIfDue(now)];
+  }
+
+  #askIfStarting(now: number): readonly Effect[] {
+    if (this.#ready || now < this.#askAgainAt) return [];
+    this.#askAgainAt = now + startRetryMs * (1 + this.#random.float());
+    const open = this.#inquiry.unasked(this.#planner.peers);
+    const chosen = this.#random.shuffle(open).slice(0, startPeers);
+    const message = this.digest;
+    const questions = chosen.map((to): Effect => ({
+      type: 'askDigest',
+      to,
+      message,
+    }));
+    const behind = this.#inquiry.highest > this.digest.version;
+    const askStore = this.#inquiry.needsStore || behind;
+    return askStore ? [{type: 'readHead'}, ...questions] : questions;
+  }
+
+  #takePush(from: string, push: ConfigPush, now: number): readonly Effect[] {
+    this.#see(push.version);
+    if (push.version <= this.digest.version) {
+      this.#tracker.observePeer(push);
+      return [];
+    }
+    const applied = this.#apply(push, now);
+    if (applied.isErr && isDeltaError(applied.error)) {
+      this.#puller.noteNewer(from, push);
+    }
+    return effectsOf(applied);
+  }
+
+  #apply(value: VersionContent, now: number): Result<Snapshot, MeshError> {
+    return this.#textOf(value).andThen(text => {
+      const {environment, version, hash, acceptedAt} = value;
+      const candidate = {environment, version, hash, acceptedAt, text};
+      return this.#offer(candidate, now);
+    });
+  }
+
+  #textOf({content}: VersionContent): Result<string, MeshError> {
+    if ('text' in content) return verifyText(content);
+    const active = this.#tracker.current;
+    if (active) return applyDelta(active.document.text, content.delta);
+    const details = {base: content.base, active: 0};
+    const code = VERSION_CODES.textMismatch;
+    return Result.err(new MeshError(code, 'the delta has no base', details));
+  }
+
+  #offer(candidate: Candidate, now: number): Result<Snapshot, MeshError> {
+    this.#see(candidate.version);
+    const offered = this.#tracker.offer(candidate, now);
+    if (offered.isOk) this.#onSwap(offered.value);
+    else if (isLasting(offered.error)) {
+      this.#puller.refused(candidate.version, candidate.hash, now);
+    }
+    return offered;
+  }
+
+  #onSwap(snapshot: Snapshot): void {
+    this.#recent.add(snapshot);
+    this.#forwarded = new Set();
+    this.#updateReady();
+  }
+
+  #updateReady(): void {
+    if (this.#ready || this.digest.version === 0) return;
+    const isComplete = this.#inquiry.isComplete(this.#planner.peers);
+    const isHighest = this.digest.version >= this.#inquiry.highest;
+    this.#ready = isComplete && isHighest;
+  }
+
+  #forward(push: ConfigPush): readonly Effect[] {
+    const key = `${push.version}/${push.hash}/${push.root}`;
+    if (this.#forwarded.has(key)) return [];
+    this.#forwarded.add(key);
+    return this.#planner.forward(push);
+  }
+
+  #pushAsRoot(snapshot: Snapshot): readonly Effect[] {
+    return this.#planner.toTree(this.#describeForPush(snapshot));
+  }
+
+  #pushToOtherCentres(snapshot: Snapshot): readonly Effect[] {
+    const value = this.#describeForPush(snapshot);
+    return this.#planner.toOtherCentres(value, this.#random);
+  }
+
+  #describeForPush(snapshot: Snapshot): VersionContent {
+    const {previous} = this.#recent;
+    const small = previous && this.#recent.deltaFrom(previous);
+    return describe(snapshot, small ?? fullText(snapshot));
+  }
+
+  #pullIfDue(now: number): readonly Effect[] {
+    const pull = this.#puller.next(this.digest, now);
+    return pull ? [{type: 'pull', ...pull}] : [];
+  }
+
+  #see(version: number): void {
+    this.#highestSeen = Math.max(this.#highestSeen, version);
+  }
+}
+
+function describe(
+  snapshot: Snapshot,
+  content: VersionContent['content'],
+): VersionContent {
+  const {environment, version, hash, acceptedAt} = snapshot;
+  return {environment, version, hash, acceptedAt, content};
+}
+
+function effectsOf(applied: Result<Snapshot, MeshError>): readonly Effect[] {
+  return applied.isOk ? [{type: 'applied', snapshot: applied.value}] : [];
+}
+
+/** A delta or text that does not fit says nothing about the version itself. */
+function isDeltaError(err: MeshError): boolean {
+  return err.code.name !== 'versions.cannotCompile' && !isStale(err);
+}
+
+function isStale(err: MeshError): boolean {
+  const {notNewer, hashMismatch, otherEnvironment} = VERSION_CODES;
+  const stale = [notNewer, hashMismatch, otherEnvironment];
+  return stale.includes(err.code);
+}
+
+function isLasting(err: MeshError): boolean {
+  return err.code === VERSION_CODES.cannotCompile;
+}
--- /dev/null
+++ b/packages/distribution/src/fleet.feature
@@ -0,0 +1,7 @@
+@distribution
+Feature: Versions in a fleet with faults
+  Guards against a node that goes back, a version that is applied in part, a
+  fleet that does not converge, and operators who are told something untrue.
+
+  Scenario: Randomised runs keep the guarantees of versions
+    Then the distribution guarantees hold in randomised runs of a small fleet
--- /dev/null
+++ b/packages/distribution/src/recent-versions.ts
@@ -0,0 +1,77 @@
+import {hashText} from '@verbenabeam/core';
+import {delta} from '@verbenabeam/document';
+import type {Delta, Snapshot} from '@verbenabeam/document';
+import type {ConfigContent} from './messages/config-content.js';
+
+/** Peers that are further behind get the full text. */
+const maxVersions = 8;
+/** Keeps eight texts of 1 MB from filling the memory of a node. */
+const maxCharacters = 4_000_000;
+/** A delta above this share of the text saves too little to risk a mismatch. */
+const maxDeltaShare = 0.5;
+/** Estimated bytes of a copy step on the wire. */
+const copyStepBytes = 12;
+
+/** Keeps recent texts and makes the smallest content for a peer. @internal */
+export class RecentVersions {
+  #kept: readonly Snapshot[] = [];
+  readonly #deltas = new Map<string, ConfigContent | null>();
+
+  /** Adds the version that has become active. */
+  add(snapshot: Snapshot): void {
+    this.#deltas.clear();
+    const kept = [...this.#kept, snapshot].slice(-maxVersions);
+    while (kept.length > 1 && countCharacters(kept) > maxCharacters) {
+      kept.shift();
+    }
+    this.#kept = kept;
+  }
+
+  /** The newest version that is older than the active one. */
+  get previous(): Snapshot | null {
+    return this.#kept.at(-2) ?? null;
+  }
+
+  /** Returns null if no small delta from this base can be made. */
+  deltaFrom(have: {version: number; hash: string}): ConfigContent | null {
+    const key = `${have.version}/${have.hash}`;
+    const known = this.#deltas.get(key);
+    if (known !== undefined) return known;
+    const content = this.#makeDelta(have);
+    this.#deltas.set(key, content);
+    return content;
+  }
+
+  #makeDelta(have: {version: number; hash: string}): ConfigContent | null {
+    const base = this.#kept.find(
+      row => row.version === have.version && row.hash === have.hash,
+    );
+    const active = this.#kept.at(-1);
+    if (!base || !active) return null;
+    const {text} = active.document;
+    const change = delta(base.document.text, text);
+    if (estimateBytes(change) > text.length * maxDeltaShare) return null;
+    return {base: base.version, delta: mutableDelta(change)};
+  }
+}
+
+/** The whole text of a version as content. @internal */
+export function fullText(snapshot: Snapshot): ConfigContent {
+  const {text} = snapshot.document;
+  return {text, textHash: hashText(text)};
+}
+
+function mutableDelta(change: Delta) {
+  return {...change, steps: [...change.steps]};
+}
+
+function estimateBytes(change: Delta): number {
+  const sizes = change.steps.map(step =>
+    typeof step === 'string' ? step.length : copyStepBytes,
+  );
+  return sizes.reduce((sum, size) => sum + size, 0);
+}
+
+function countCharacters(kept: readonly Snapshot[]): number {
+  return kept.reduce((sum, row) => sum + row.document.text.length, 0);
+}
--- /dev/null
+++ b/packages/distribution/src/start-inquiry.ts
@@ -0,0 +1,72 @@
+import type {ConfigDigest} from './messages/config-digest.js';
+
+type Version = Pick<ConfigDigest, 'version' | 'hash'>;
+
+/** Peers that a starting node asks at once, and that must agree in an outage. */
+const wantedPeers = 3;
+
+/**
+ * Collects what the store and the peers show to a node that starts empty. The
+ * node must not serve before it holds the highest version among the answers.
+ *
+ * @public
+ */
+export class StartInquiry {
+  #store: Version | null = null;
+  readonly #answers = new Map<string, Version>();
+  readonly #unreachable = new Set<string>();
+
+  /** Notes the store's head; version 0 means that it has none. */
+  storeShows(head: Version): void {
+    this.#store = head;
+  }
+
+  /** Notes a peer's digest. */
+  peerShows(peer: string, digest: Version): void {
+    this.#answers.set(peer, digest);
+    this.#unreachable.delete(peer);
+  }
+
+  /** Notes a peer that did not respond. */
+  peerFailed(peer: string): void {
+    if (!this.#answers.has(peer)) this.#unreachable.add(peer);
+  }
+
+  /** True until the store has shown its head. */
+  get needsStore(): boolean {
+    return this.#store === null;
+  }
+
+  /** Peers that have not answered yet; those not tried come first. */
+  unasked(peers: readonly string[]): readonly string[] {
+    const open = peers.filter(peer => !this.#answers.has(peer));
+    const untried = open.filter(peer => !this.#unreachable.has(peer));
+    return untried.length > 0 ? untried : open;
+  }
+
+  /** The highest version that any answer showed. */
+  get highest(): number {
+    const shown = [...this.#answers.values()].map(row => row.version);
+    return Math.max(0, this.#store?.version ?? 0, ...shown);
+  }
+
+  /** True if the answers suffice to know the highest version. */
+  isComplete(peers: readonly string[]): boolean {
+    const allReachable = peers.every(
+      peer => this.#answers.has(peer) || this.#unreachable.has(peer),
+    );
+    if (this.#store) return allReachable || this.#answers.size >= wantedPeers;
+    if (this.#answers.size === 0) return false;
+    return allReachable || this.#countAgreeing() >= wantedPeers;
+  }
+
+  /** Counts the peers on the most common of the highest versions. */
+  #countAgreeing(): number {
+    const counts = new Map<string, number>();
+    for (const row of this.#answers.values()) {
+      if (row.version === 0 || row.version !== this.highest) continue;
+      counts.set(row.hash, (counts.get(row.hash) ?? 0) + 1);
+    }
+    return Math.max(0, ...counts.values());
+  }
+}
