Complete a start only after the store responded or failed

Cause: a starting node counted three agreeing peers as enough while its read of the store's head was still pending; such peers may lag behind the store.

StartInquiry now tells a pending store from a failed one. The fleet run checks that a restarted node does not serve an older version than its earlier processes while the store responds without interruption.

--- a/packages/distribution/src/distribution-driver.ts
+++ b/packages/distribution/src/distribution-driver.ts
@@ -106,11 +106,12 @@
     });
   }
 
-  /** Reads the store's head; an outage changes nothing. */
+  /** Reads the store's head. */
   async readHead(): Promise<void> {
     const key = STORE_KEYS.head(this.#options.environment);
     const got = await this.#options.store.get(key);
     if (got.isOk) this.handleHead(got.value);
+    else this.#distributor.onStoreFailed();
   }
 
   /** Handles a head entry that was read or watched. */
--- a/packages/distribution/src/distributor.ts
+++ b/packages/distribution/src/distributor.ts
@@ -158,6 +158,12 @@
     return [{type: 'readVersion', version: seen.version}];
   }
 
+  /** The store did not respond to a read of its head. */
+  onStoreFailed(): void {
+    this.#inquiry.storeFailed();
+    this.#updateReady();
+  }
+
   /** Takes a version that was read from the store. A relay also pushes it. */
   onStoreVersion(
     candidate: Candidate,
--- a/packages/distribution/src/fakes/fleet-run.ts
+++ b/packages/distribution/src/fakes/fleet-run.ts
@@ -195,8 +195,10 @@
 
   /** Observes from outside what the invariants check from inside. */
   #observe(): void {
-    for (const {nodeId, process} of this.nodes) {
+    for (const node of this.nodes) {
+      const {nodeId, process} = node;
       const {current} = process.tracker;
+      this.#observeServing(node);
       const version = current?.version ?? 0;
       if (version === process.observedVersion) continue;
       if (version < process.observedVersion) {
@@ -217,6 +219,24 @@
     }
   }
 
+  /**
+   * A node that restarts while the store responds must not serve an older
+   * version than its earlier processes did.
+   */
+  #observeServing(node: SimNode): void {
+    const {process, nodeId} = node;
+    const {version} = process.tracker.digest;
+    if (!process.distributor.ready) return;
+    const isCertain =
+      this.store.restores === 0 &&
+      this.store.outages !== null &&
+      this.store.outages === process.outagesBefore;
+    if (isCertain && version < node.servedVersion) {
+      this.#fault(`${nodeId} serves ${version} after ${node.servedVersion}`);
+    }
+    node.servedVersion = Math.max(node.servedVersion, version);
+  }
+
   #fault(text: string): void {
     this.faults.push(`at ${Math.round(this.scheduler.now())} ms: ${text}`);
   }
--- a/packages/distribution/src/fakes/sim-node.ts
+++ b/packages/distribution/src/fakes/sim-node.ts
@@ -40,11 +40,14 @@
   readonly acceptance: Acceptance;
   /** Version of the last observation, for the checks of the run. */
   observedVersion = 0;
+  /** Outages of the store before this process started; null within one. */
+  readonly outagesBefore: number | null;
 
   constructor(world: SimWorld, node: SimNode) {
     const {environment, scheduler, link} = world;
     const {nodeId, dataCentre} = node;
     const random = seededRandom(world.random.below(maxSeed));
+    this.outagesBefore = world.store.outages;
     const store = gatedStore(world.store, () => node.whenRunning());
     const invariants = new Invariants(false);
     invariants.onBroken(code => world.onBroken(code));
@@ -106,6 +109,8 @@
 export class SimNode {
   readonly nodeId: string;
   readonly dataCentre: string;
+  /** Highest version that any process of this node served. */
+  servedVersion = 0;
   readonly #world: SimWorld;
   #process: SimProcess;
   #isPaused = false;
--- a/packages/distribution/src/fakes/sim-store.ts
+++ b/packages/distribution/src/fakes/sim-store.ts
@@ -40,6 +40,7 @@
   #leaseCount = 0;
   #isDown = false;
   #restores = 0;
+  #outages = 0;
 
   constructor(
     scheduler: SimScheduler,
@@ -55,7 +56,13 @@
     return this.#restores;
   }
 
+  /** Outages so far; null while the store is down. */
+  get outages(): number | null {
+    return this.#isDown ? null : this.#outages;
+  }
+
   setDown(isDown: boolean): void {
+    if (isDown) this.#outages++;
     this.#isDown = isDown;
     if (isDown) this.#dropWatches();
   }
--- a/packages/distribution/src/start-inquiry.ts
+++ b/packages/distribution/src/start-inquiry.ts
@@ -12,7 +12,7 @@
  * @public
  */
 export class StartInquiry {
-  #store: Version | null = null;
+  #store: Version | 'pending' | 'down' = 'pending';
   readonly #answers = new Map<string, Version>();
   readonly #unreachable = new Set<string>();
 
@@ -21,6 +21,11 @@
     this.#store = head;
   }
 
+  /** Notes that the store did not respond; its earlier answer stays. */
+  storeFailed(): void {
+    if (this.#store === 'pending') this.#store = 'down';
+  }
+
   /** Notes a peer's digest. */
   peerShows(peer: string, digest: Version): void {
     this.#answers.set(peer, digest);
@@ -34,7 +39,7 @@
 
   /** True until the store has shown its head. */
   get needsStore(): boolean {
-    return this.#store === null;
+    return typeof this.#store === 'string';
   }
 
   /** Peers that have not answered yet; those not tried come first. */
@@ -47,15 +52,21 @@
   /** The highest version that any answer showed. */
   get highest(): number {
     const shown = [...this.#answers.values()].map(row => row.version);
-    return Math.max(0, this.#store?.version ?? 0, ...shown);
+    const stored = typeof this.#store === 'string' ? 0 : this.#store.version;
+    return Math.max(0, stored, ...shown);
   }
 
-  /** True if the answers suffice to know the highest version. */
+  /**
+   * True if the answers suffice to know the highest version. Peers alone suffice
+   * only once the store has failed to respond: they may lag behind it.
+   */
   isComplete(peers: readonly string[]): boolean {
+    if (this.#store === 'pending') return false;
     const allReachable = peers.every(
       peer => this.#answers.has(peer) || this.#unreachable.has(peer),
     );
-    if (this.#store) return allReachable || this.#answers.size >= wantedPeers;
+    if (this.#store !== 'down')
+      return allReachable || this.#answers.size >= wantedPeers;
     if (this.#answers.size === 0) return false;
     return allReachable || this.#countAgreeing() >= wantedPeers;
   }
--- a/packages/distribution/src/version-tracker.ts
+++ b/packages/distribution/src/version-tracker.ts
@@ -38,14 +38,21 @@
 export class VersionTracker {
   readonly #environment: string;
   readonly #invariants: Invariants;
+  readonly #compiler: typeof compile;
   #current: Snapshot | null = null;
   #appliedAt = 0;
   #problem: MeshError | null = null;
   #accepted: Version = nothing;
 
-  constructor(environment: string, invariants: Invariants) {
+  /** @param compiler - Tests replace it to break the guarantees. */
+  constructor(
+    environment: string,
+    invariants: Invariants,
+    compiler: typeof compile = compile,
+  ) {
     this.#environment = environment;
     this.#invariants = invariants;
+    this.#compiler = compiler;
   }
 
   /** The complete active version, or null after an empty start. */
@@ -127,7 +134,7 @@
 
   #compile(candidate: Candidate): Result<CompiledDocument, MeshError> {
     const {version, hash} = candidate;
-    return compile(candidate.text)
+    return this.#compiler(candidate.text)
       .mapErr(err => {
         const cause = err.code.code;
         const details = {version, cause, reason: err.message};
