--- /dev/null
+++ b/packages/moves/src/fakes/move-trial.ts
@@ -0,0 +1,315 @@
+import {Invariants, seededRandom} from '@verbenabeam/core';
+import type {RandomSource} from '@verbenabeam/core';
+import {packEvidence, unpackEvidence} from '../evidence-codec.js';
+import type {Evidence} from '../evidence.js';
+import {EvidenceAggregator} from '../evidence-tree.js';
+import {MoveController} from '../move-controller.js';
+import {MoveGate} from '../move-gate.js';
+import {localAlphaPart} from '../move-judge.js';
+import type {MovePlan} from '../move-machine.js';
+import type {MoveRecord} from '../move-record.js';
+import type {MoveStop} from '../move-stop.js';
+import {capacityShare} from '../capacity-share.js';
+import {CrashingCaller} from './crashing-caller.js';
+import {FakeStore} from './fake-store.js';
+import {FixedStepController} from './fixed-step-controller.js';
+import {weightedIndex} from './random-draws.js';
+import type {TrialConfig} from './trial-config.js';
+import {TRIAL_ROUTES, UpstreamFleet, nextGapMs} from './upstream-fleet.js';
+
+/** What a trial measured. Times in milliseconds since the start. @internal */
+export interface TrialResult {
+  readonly record: MoveRecord;
+  readonly endedAt: number;
+  /** Done at or before the deadline. */
+  readonly onTime: boolean;
+  /** Calls of the service since the first share. */
+  readonly allCalls: number;
+  /** Of these, calls to the new version. */
+  readonly newCalls: number;
+  /** Of these, calls at or after the onset of the fault. */
+  readonly badCalls: number;
+  /** Calls of the service since the onset. */
+  readonly callsSinceOnset: number;
+  readonly onsetAt: number;
+  readonly stopDecidedAt: number;
+  /** Last call to the new version after the stop was decided; 0 if none. */
+  readonly lateMs: number;
+}
+
+const service = 'redelivery';
+const secondMs = 1_000;
+/** Calls are watched for this long after a decision. */
+const afterMs = 8_000;
+/** Distinct requests per route; shared strings keep their hash. */
+const fingerprintsPerRoute = 1_000;
+const fingerprints = TRIAL_ROUTES.map(route =>
+  Array.from(
+    {length: fingerprintsPerRoute},
+    (_, i) => `${route.name}.${String(i)}`,
+  ),
+);
+const routeWeights = TRIAL_ROUTES.map(r => r.weight);
+const recordPollMs = 5_000;
+
+interface Entry {
+  readonly gate: MoveGate;
+  /** Reports to the gate, by the second in which the call ends. */
+  readonly ended: Map<number, (() => void)[]>;
+}
+
+interface Message {
+  readonly at: number;
+  readonly deliver: () => void;
+}
+
+/** Runs one seeded move from its start to its decision. @internal */
+export class MoveTrial {
+  readonly #config: TrialConfig;
+  readonly #rng: RandomSource;
+  readonly #fleet: UpstreamFleet;
+  readonly #entries: readonly Entry[];
+  readonly #controller: MoveController | FixedStepController;
+  readonly #plan: MovePlan;
+  readonly #caller: CrashingCaller | null;
+  #messages: Message[] = [];
+  #record: MoveRecord | null = null;
+  #nextCallAt = 0;
+  #callNumber = 0;
+  #counts = {allCalls: 0, newCalls: 0, badCalls: 0, callsSinceOnset: 0};
+  #stopDecidedAt = Infinity;
+  #lateMs = 0;
+
+  constructor(config: TrialConfig) {
+    this.#config = config;
+    this.#rng = seededRandom(config.seed);
+    this.#fleet = new UpstreamFleet(config, this.#rng);
+    this.#plan = {
+      moveId: 'm1',
+      service,
+      from: 'v1',
+      to: 'v2',
+      startAt: null,
+      deadlineAt: config.deadlineMs,
+      routes: TRIAL_ROUTES.map(r => r.name),
+    };
+    this.#entries = Array.from({length: config.entryNodes}, (_, i) =>
+      this.#newEntry(i),
+    );
+    this.#controller = config.baseline
+      ? new FixedStepController()
+      : this.#newController();
+    this.#caller =
+      config.good === 'crashingRequest' ? new CrashingCaller(this.#rng) : null;
+  }
+
+  async run(): Promise<TrialResult> {
+    let endAt = this.#config.deadlineMs + afterMs;
+    for (let now = 0; now < endAt; now += secondMs) {
+      await this.#tick(now);
+      this.#fleet.startSecond(now);
+      this.#runSecond(now);
+      const state = this.#record?.state;
+      const decided = state === 'done' || state === 'takenBack';
+      if (decided) endAt = Math.min(endAt, this.#decidedAt() + afterMs);
+    }
+    return {
+      record: this.#record as MoveRecord,
+      endedAt: this.#decidedAt(),
+      onTime:
+        this.#record?.state === 'done' &&
+        this.#decidedAt() <= this.#config.deadlineMs,
+      ...this.#counts,
+      onsetAt: this.#fleet.onsetAt,
+      stopDecidedAt: this.#stopDecidedAt,
+      lateMs: this.#lateMs,
+    };
+  }
+
+  async #tick(now: number): Promise<void> {
+    for (const entry of this.#entries) this.#flush(entry, now);
+    const output = await this.#controller.tick({
+      now,
+      wallTime: now,
+      plans: [this.#plan],
+      capacityShare: () => this.#capacity(now),
+    });
+    for (const stop of output.stops) this.#spreadStop(stop, null, now);
+    for (const record of output.records) this.#spreadRecord(record, now);
+  }
+
+  #spreadRecord(record: MoveRecord, now: number): void {
+    this.#record = record;
+    // Without the push, a node finds a terminal record with its next poll.
+    const polled =
+      record.state === 'takenBack' && !this.#config.mechanisms.stopPush;
+    for (const {gate} of this.#entries) {
+      const delay = polled ? recordPollMs * this.#rng.float() : this.#pushMs();
+      this.#send(now + delay, () => gate.offerRecord(record));
+    }
+  }
+
+  #spreadStop(stop: MoveStop, source: Entry | null, now: number): void {
+    this.#stopDecidedAt = Math.min(this.#stopDecidedAt, now);
+    if (this.#config.mechanisms.stopPush) {
+      for (const entry of this.#entries) {
+        if (entry === source) continue;
+        this.#send(now + this.#pushMs(), () => entry.gate.offerStops([stop]));
+      }
+    }
+    if (source === null) return;
+    this.#send(now + this.#pushMs(), () => {
+      this.#controller.addStops([stop]);
+    });
+  }
+
+  #flush(entry: Entry, now: number): void {
+    const second = now / secondMs - 1;
+    const ended = entry.ended.get(second) ?? [];
+    entry.ended.delete(second);
+    for (const report of ended) report();
+    const {evidence, stops} = entry.gate.flush(now, now);
+    for (const stop of stops) this.#spreadStop(stop, entry, now);
+    if (evidence.length === 0) return;
+    // The way up the tree takes about 1 s.
+    const delay = 600 + 800 * this.#rng.float();
+    const tree = new EvidenceAggregator();
+    tree.add(evidence.map(e => this.#overTheWire(e)));
+    this.#send(now + delay, () => {
+      this.#controller.addEvidence(tree.take(), now);
+    });
+  }
+
+  #overTheWire(evidence: Evidence): Evidence {
+    const received = unpackEvidence(packEvidence(evidence)) as Evidence;
+    if (this.#config.mechanisms.crashLedger) return received;
+    const crashes = received.crashes.map(c => ({...c, fingerprints: []}));
+    return {...received, crashes};
+  }
+
+  #runSecond(start: number): void {
+    const end = start + secondMs;
+    for (;;) {
+      const crashingAt = this.#caller?.nextAt ?? Infinity;
+      const at = Math.min(this.#nextCallAt, crashingAt);
+      this.#deliverUntil(Math.min(at, end));
+      if (at >= end) return;
+      if (at === crashingAt) this.#sendCrashing(at);
+      else this.#sendCall(at);
+    }
+  }
+
+  #sendCall(now: number): void {
+    this.#nextCallAt = now + nextGapMs(this.#rng, this.#config.callsPerSecond);
+    const entry = this.#rng.pick(this.#entries);
+    const route = weightedIndex(this.#rng, routeWeights);
+    const callId = `${String(this.#config.seed)}.${String(this.#callNumber++)}`;
+    const fingerprint = this.#rng.pick(fingerprints[route] ?? ['']);
+    this.#dispatch({entry, route, callId, fingerprint, now, crashes: false});
+  }
+
+  #sendCrashing(now: number): void {
+    const caller = this.#caller as CrashingCaller;
+    const callId = caller.send(now);
+    const entry = this.#rng.pick(this.#entries);
+    const fingerprint = 'crashing';
+    this.#dispatch({entry, route: 0, callId, fingerprint, now, crashes: true});
+  }
+
+  #dispatch(req: {
+    entry: Entry;
+    route: number;
+    callId: string;
+    fingerprint: string;
+    now: number;
+    crashes: boolean;
+  }): void {
+    const {entry, route, callId, fingerprint, now} = req;
+    const isReady = (v: string) =>
+      this.#fleet.ready(v === 'v2', now).length > 0;
+    const version = entry.gate.choose(service, callId, 'v1', isReady);
+    const isNew = version === 'v2';
+    const ready = this.#fleet.ready(isNew, now);
+    if (ready.length === 0) return;
+    entry.gate.onSent(service, version);
+    this.#count(isNew, now);
+    const instance = this.#rng.pick(ready);
+    const call = this.#fleet.run(instance, route, now);
+    if (req.crashes) this.#fleet.crash(instance, now);
+    const second = Math.floor(call.endAt / secondMs);
+    const ended = entry.ended.get(second) ?? [];
+    entry.ended.set(second, ended);
+    const routeName = (TRIAL_ROUTES[route] ?? TRIAL_ROUTES[0]).name;
+    const report = () => {
+      const {kind, latencyMs, cold, crashId} = call;
+      const at = {service, route: routeName, version, fingerprint};
+      entry.gate.record({...at, kind, latencyMs, cold, crashId});
+    };
+    ended.push(report);
+  }
+
+  #count(isNew: boolean, now: number): void {
+    if ((this.#record?.step ?? 0) === 0) return;
+    if (now <= this.#stopDecidedAt + secondMs) {
+      const faulty = now >= this.#fleet.onsetAt || this.#fleet.onsetAt === 0;
+      this.#counts.allCalls += 1;
+      if (faulty) this.#counts.callsSinceOnset += 1;
+      if (isNew) this.#counts.newCalls += 1;
+      if (isNew && faulty) this.#counts.badCalls += 1;
+    }
+    if (isNew && now > this.#stopDecidedAt) {
+      this.#lateMs = Math.max(this.#lateMs, now - this.#stopDecidedAt);
+    }
+  }
+
+  #decidedAt(): number {
+    return this.#record?.changedAt ?? Infinity;
+  }
+
+  #capacity(now: number): number {
+    const slotsPerInstance = 12;
+    const readySlots = this.#fleet.ready(true, now).length * slotsPerInstance;
+    const {callsPerSecond} = this.#config;
+    return capacityShare({readySlots, callsPerSecond, serviceMs: 50});
+  }
+
+  /** One way down the push tree. */
+  #pushMs(): number {
+    return 20 + 380 * this.#rng.float();
+  }
+
+  #send(at: number, deliver: () => void): void {
+    this.#messages.push({at, deliver});
+    this.#messages.sort((a, b) => a.at - b.at);
+  }
+
+  #deliverUntil(now: number): void {
+    while ((this.#messages[0]?.at ?? Infinity) <= now) {
+      this.#messages.shift()?.deliver();
+    }
+  }
+
+  #newEntry(nth: number): Entry {
+    const {policy, entryNodes, mechanisms, baseline} = this.#config;
+    const alphaPart = localAlphaPart(entryNodes);
+    const routes = TRIAL_ROUTES.length;
+    const tests = mechanisms.localStop && !baseline;
+    const gate = new MoveGate({
+      nodeId: `n${String(nth)}`,
+      invariants: new Invariants(true),
+      judgeOptions: () => (tests ? {policy, routes, alphaPart} : null),
+    });
+    return {gate, ended: new Map()};
+  }
+
+  #newController(): MoveController {
+    let operation = 0;
+    return new MoveController({
+      store: new FakeStore(),
+      environment: 'trial',
+      nodeId: 'n0',
+      newId: () => `op${String(operation++).padStart(6, '0')}`,
+      policy: this.#config.policy,
+    });
+  }
+}
--- /dev/null
+++ b/packages/moves/src/fakes/trial-config.ts
@@ -0,0 +1,96 @@
+import {MOVE_POLICIES} from '../move-policy.js';
+import type {MovePolicy} from '../move-policy.js';
+
+/** When and where a bad version fails. @internal */
+export const FAULT_KINDS = [
+  'atOnce',
+  'later',
+  'underLoad',
+  'oneRoute',
+] as const;
+/** One of {@link FAULT_KINDS}. @internal */
+export type FaultKind = (typeof FAULT_KINDS)[number];
+
+/** What a bad version does. @internal */
+export const FAULT_EFFECTS = ['errors', 'slowness', 'crashes'] as const;
+/** One of {@link FAULT_EFFECTS}. @internal */
+export type FaultEffect = (typeof FAULT_EFFECTS)[number];
+
+/** A fault; `size` is an error rate, a crash rate or a slowdown factor. */
+export interface Fault {
+  readonly kind: FaultKind;
+  readonly effect: FaultEffect;
+  readonly size: number;
+}
+
+/** Difficulties of a good version. @internal */
+export const GOOD_KINDS = [
+  'slowStart',
+  'noisy',
+  'lowTraffic',
+  'crashingRequest',
+] as const;
+/** One of {@link GOOD_KINDS}. @internal */
+export type GoodKind = (typeof GOOD_KINDS)[number];
+
+/** Mechanisms that a trial may turn off, to show that a proof can fail. */
+export interface Mechanisms {
+  /** Entry nodes test their own evidence. */
+  readonly localStop: boolean;
+  /** Stops are pushed; otherwise nodes only see records, with the 5 s poll. */
+  readonly stopPush: boolean;
+  /** Repeated crashes are blamed on the request. */
+  readonly crashLedger: boolean;
+  /** Latencies of cold instances do not count. */
+  readonly coldFilter: boolean;
+}
+
+/** All settings of one trial. @internal */
+export interface TrialConfig {
+  readonly seed: number;
+  readonly callsPerSecond: number;
+  readonly deadlineMs: number;
+  readonly entryNodes: number;
+  readonly policy: MovePolicy;
+  readonly fault: Fault | null;
+  readonly good: GoodKind | null;
+  readonly mechanisms: Mechanisms;
+  /** The fixed-step controller in place of this package's one. */
+  readonly baseline: boolean;
+}
+
+/** Fault sizes of the proofs. @internal */
+export const FAULT_SIZES: Readonly<Record<FaultEffect, number>> = {
+  errors: 0.2,
+  slowness: 2,
+  crashes: 0.2,
+};
+
+/** Everything on. @internal */
+export const allMechanisms: Mechanisms = {
+  localStop: true,
+  stopPush: true,
+  crashLedger: true,
+  coldFilter: true,
+};
+
+/** Defaults of a trial, without its kind. @internal */
+export const trialDefaults = {
+  deadlineMs: 30 * 60_000,
+  entryNodes: 4,
+  policy: MOVE_POLICIES.careful,
+  fault: null,
+  good: null,
+  mechanisms: allMechanisms,
+  baseline: false,
+};
+
+/** Low traffic has a later deadline, as an operator would plan it. @internal */
+export const lowTraffic = {callsPerSecond: 1, deadlineMs: 60 * 60_000};
+
+/** A rate between 20 and 200 calls/s, uniform in its logarithm. @internal */
+export function rateOf(uniform: number): number {
+  const lowest = 20;
+  const highest = 200;
+  return lowest * (highest / lowest) ** uniform;
+}
--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -92,7 +92,7 @@
   #route(name: string): RouteJudge {
     const known = this.#routes.get(name);
     if (known) return known;
-    const judge = new RouteJudge(this.#options.policy.toleratedOddsRatio);
+    const judge = new RouteJudge(this.#options.policy);
     this.#routes.set(name, judge);
     return judge;
   }
--- a/packages/moves/src/move-machine.ts
+++ b/packages/moves/src/move-machine.ts
@@ -32,6 +32,7 @@
     to: plan.to,
     step: 0,
     share: 0,
+    reached: 0,
     state: MOVE_STATES.waiting,
     reason: 'waits for its start time and a ready instance of the new version',
     deadline: plan.deadlineAt,
@@ -90,7 +91,8 @@
   fields: Partial<MoveRecord>,
 ): MoveRecord {
   const step = record.step + 1;
-  return {...record, ...fields, step, ...stampFields(stamp)};
+  const changed = {...record, ...fields, step, ...stampFields(stamp)};
+  return {...changed, reached: Math.max(record.reached, changed.share)};
 }
 
 function stampFields(stamp: ChangeStamp) {
--- a/packages/moves/src/move-pilot.ts
+++ b/packages/moves/src/move-pilot.ts
@@ -7,16 +7,23 @@
 import type {Plan} from './share-planner.js';
 import type {Verdict} from './verdict.js';
 
-/** New and all calls at the present share. */
-interface StepCounts {
-  step: number;
-  /** Monotonic time at which this controller first saw the step. */
-  seenAt: number;
+/** Calls and time at one share, summed over all steps with this share. */
+interface ShareCounts {
+  spentMs: number;
   newCalls: number;
   allCalls: number;
   readonly newByRoute: Map<string, number>;
 }
 
+/**
+ * A shortage of ready capacity lowers the share after this time. A process
+ * that restarts takes about 3 s; meanwhile the gates send calls to the old
+ * version if no instance is ready, and admission refuses what is too much.
+ * Without the wait, moves under repeated restarts lost so much time on the way
+ * back that 1 in 10 missed the deadline.
+ */
+const shortageMs = 5_000;
+
 /** Facts of one decision. Times in milliseconds. @public */
 export interface PilotInput {
   readonly record: MoveRecord;
@@ -35,7 +42,13 @@
   readonly #plan: MovePlan;
   readonly #policy: MovePolicy;
   readonly #judge: MoveJudge;
-  #counts = emptyStep(-1, 0);
+  readonly #byShare = new Map<number, ShareCounts>();
+  #counts = emptyCounts();
+  #step = -1;
+  /** Monotonic time at which this controller first saw the step. */
+  #seenAt = 0;
+  /** Start of the present shortage of capacity; null while there is none. */
+  #shortSince: number | null = null;
 
   constructor(plan: MovePlan, policy: MovePolicy) {
     this.#plan = plan;
@@ -49,7 +62,7 @@
 
   /** Adds evidence that was counted under `record`. */
   addEvidence(evidence: Evidence, record: MoveRecord, now: number): void {
-    this.#startStep(record.step, now);
+    this.#startStep(record, now);
     this.#judge.add(evidence, record.share, now);
     if (evidence.step !== record.step) return;
     const counts = this.#counts;
@@ -68,7 +81,7 @@
 
   decide(input: PilotInput): Plan {
     const {record, now, wallTime} = input;
-    this.#startStep(record.step, now);
+    this.#startStep(record, now);
     const verdict = this.verdict(now);
     if (verdict.kind === 'stop') {
       return {kind: 'takeBack', reason: verdict.reason};
@@ -77,29 +90,47 @@
     return planShare(
       {
         share: record.share,
-        atShareMs: now - counts.seenAt,
+        reached: record.reached,
+        atShareMs: counts.spentMs + now - this.#seenAt,
+        sinceChangeMs: now - this.#seenAt,
         toDeadlineMs: record.deadline - wallTime,
         clean: verdict.kind === 'clean',
         fewestRouteCalls: this.#fewestRouteCalls(),
         newCalls: counts.newCalls,
         allCalls: counts.allCalls,
-        capacityShare: input.capacityShare,
+        capacityShare: this.#lastingCapacity(input),
       },
       this.#policy,
     );
   }
 
+  /** The capacity, or the present share during a short loss of capacity. */
+  #lastingCapacity({record, now, capacityShare}: PilotInput): number {
+    if (capacityShare >= record.share) {
+      this.#shortSince = null;
+      return capacityShare;
+    }
+    this.#shortSince ??= now;
+    const lasts = now - this.#shortSince >= shortageMs;
+    return lasts ? capacityShare : record.share;
+  }
+
   #fewestRouteCalls(): number {
     const {newByRoute} = this.#counts;
     const calls = this.#plan.routes.map(route => newByRoute.get(route) ?? 0);
     return Math.min(...calls);
   }
 
-  #startStep(step: number, now: number): void {
-    if (step !== this.#counts.step) this.#counts = emptyStep(step, now);
+  #startStep(record: MoveRecord, now: number): void {
+    if (record.step === this.#step) return;
+    this.#counts.spentMs += now - this.#seenAt;
+    this.#counts = this.#byShare.get(record.share) ?? emptyCounts();
+    this.#byShare.set(record.share, this.#counts);
+    this.#step = record.step;
+    this.#seenAt = now;
   }
 }
 
-function emptyStep(step: number, now: number): StepCounts {
-  return {step, seenAt: now, newCalls: 0, allCalls: 0, newByRoute: new Map()};
+function emptyCounts(): ShareCounts {
+  return {spentMs: 0, newCalls: 0, allCalls: 0, newByRoute: new Map()};
 }
--- a/packages/moves/src/move-policy.ts
+++ b/packages/moves/src/move-policy.ts
@@ -4,8 +4,14 @@
 export interface MovePolicy {
   /** Probability of a false stop over all tests of one move. */
   readonly alpha: number;
-  /** Odds ratio, new to old, up to which a difference is accepted. */
-  readonly toleratedOddsRatio: number;
+  /** Odds ratio of failures, new to old, up to which a move goes on. */
+  readonly failureOddsRatio: number;
+  /**
+   * The same for latencies over the old p90 and p99. A machine that is 10%
+   * slower raises the odds over p99 by half when the latencies are log-normal
+   * with sigma 0.5, so a ratio near 1 would judge machines, not versions.
+   */
+  readonly slowOddsRatio: number;
   /** New calls that each route needs before a step forward. */
   readonly callsPerStep: number;
   /** Shortest time at one share, in milliseconds. */
@@ -22,7 +28,8 @@
 export const MOVE_POLICIES: Readonly<Record<Strictness, MovePolicy>> = {
   careful: {
     alpha,
-    toleratedOddsRatio: 1.2,
+    failureOddsRatio: 1.5,
+    slowOddsRatio: 2,
     callsPerStep: 120,
     minStepMs: 20_000,
     soakMs: 60_000,
@@ -30,7 +37,8 @@
   },
   balanced: {
     alpha,
-    toleratedOddsRatio: 1.4,
+    failureOddsRatio: 1.75,
+    slowOddsRatio: 2.5,
     callsPerStep: 80,
     minStepMs: 15_000,
     soakMs: 45_000,
@@ -38,7 +46,8 @@
   },
   fast: {
     alpha,
-    toleratedOddsRatio: 1.7,
+    failureOddsRatio: 2,
+    slowOddsRatio: 3,
     callsPerStep: 40,
     minStepMs: 10_000,
     soakMs: 30_000,
--- a/packages/moves/src/move-record.ts
+++ b/packages/moves/src/move-record.ts
@@ -19,6 +19,7 @@
   to: z.string().min(1),
   step: z.number().int().nonnegative(),
   share: z.number().min(0).max(1),
+  reached: z.number().min(0).max(1),
   state: z.enum(MOVE_STATES),
   reason: z.string(),
   deadline: z.number(),
@@ -29,7 +30,9 @@
 
 /**
  * The durable state of a move. `deadline` and `changedAt` are milliseconds
- * since the Unix epoch; `share` is the part of calls for `to`, 0 to 1; `reason`
+ * since the Unix epoch; `share` is the part of calls for `to`, 0 to 1; `reached`
+ * is the highest share so far, which may exceed `share` after a loss of ready
+ * capacity; `reason`
  * is text for operators; `decidedBy` is a node id or an operator.
  *
  * @public
--- a/packages/moves/src/route-judge.ts
+++ b/packages/moves/src/route-judge.ts
@@ -1,4 +1,5 @@
 import type {EvidenceCell} from './evidence.js';
+import type {MovePolicy} from './move-policy.js';
 import {MixtureTest} from './mixture-test.js';
 import {Stratum} from './stratum.js';
 import type {CellContext, SlowBlock} from './stratum.js';
@@ -22,10 +23,10 @@
   #slowEdgeMs = 0;
   #lastLevel = 0;
 
-  constructor(toleratedOddsRatio: number) {
-    this.#failures = new MixtureTest(toleratedOddsRatio);
-    this.#overP90 = new MixtureTest(toleratedOddsRatio);
-    this.#overP99 = new MixtureTest(toleratedOddsRatio);
+  constructor(policy: MovePolicy) {
+    this.#failures = new MixtureTest(policy.failureOddsRatio);
+    this.#overP90 = new MixtureTest(policy.slowOddsRatio);
+    this.#overP99 = new MixtureTest(policy.slowOddsRatio);
   }
 
   add(cell: EvidenceCell, context: CellContext): void {
--- a/packages/moves/src/share-planner.ts
+++ b/packages/moves/src/share-planner.ts
@@ -6,14 +6,21 @@
 /** A share may at most double in one step. */
 const maxFactor = 2;
 
+/** Time between steps on the way back to a share that was reached. */
+const returnStepMs = 2_000;
+
 /** Calls that a share must have brought if the gates work at all. */
 const expectedCallsForDoubt = 10;
 
 /** What the planner knows of a running move. Times in milliseconds. @public */
 export interface PlannerInput {
   readonly share: number;
-  /** Time since the present share was set. */
+  /** Highest share of the move so far. */
+  readonly reached: number;
+  /** Time spent at the present share, also before a loss of capacity. */
   readonly atShareMs: number;
+  /** Time since the last change of the share. */
+  readonly sinceChangeMs: number;
   /** Time to the deadline; negative after it. */
   readonly toDeadlineMs: number;
   /** False while a test has some evidence against the new version. */
@@ -45,9 +52,6 @@
     };
   }
   if (input.share >= 1) return planSoak(input, policy);
-  if (input.share < firstShare && input.capacityShare >= firstShare) {
-    return {kind: 'setShare', share: firstShare, reason: 'ready again'};
-  }
   if (isTooLate(input, policy)) {
     return {
       kind: 'takeBack',
@@ -56,9 +60,28 @@
         `at a safe pace from ${percent(input.share)}`,
     };
   }
+  if (input.share < Math.min(input.reached, input.capacityShare)) {
+    return planReturn(input);
+  }
   return planStep(input, policy);
 }
 
+/**
+ * Climbs back after a loss of ready capacity. The shares up to the one that
+ * was reached had their evidence before; asking for it again would let an
+ * instance that restarts now and then use up the time to the deadline.
+ */
+function planReturn(input: PlannerInput): Plan {
+  if (!input.clean) return hold('some evidence against the new version');
+  if (input.sinceChangeMs < returnStepMs) return hold('returning in steps');
+  const limit = Math.min(input.reached, input.capacityShare);
+  return {
+    kind: 'setShare',
+    share: Math.min(nextShare(input.share), limit),
+    reason: 'ready capacity of the new version is back',
+  };
+}
+
 function planSoak(input: PlannerInput, policy: MovePolicy): Plan {
   if (input.atShareMs < policy.soakMs) return hold('soak time at 100%');
   if (!input.clean) return hold('some evidence against the new version');
@@ -92,11 +115,12 @@
 
 /**
  * Time for the present share when the deadline sets the pace. It is weighted
- * by 1/sqrt(share): a small share brings calls slowly, and time there exposes
- * the fewest calls to a bad version.
+ * by 1/share, so that every share gets the same number of new calls. Weights of
+ * 1/sqrt(share) spent so much time near 8% that a version which is slow under
+ * load got 2.5% of the calls before the stop.
  */
 function allottedMs(input: PlannerInput, policy: MovePolicy): number {
-  const weights = sharesFrom(input.share).map(s => 1 / Math.sqrt(s));
+  const weights = sharesFrom(input.share).map(s => 1 / s);
   const sum = weights.reduce((a, b) => a + b, 0);
   // The time already spent at this share belongs to the plan of this share.
   const total =
@@ -107,9 +131,12 @@
 
 /** True when even the shortest steps and the soak end after the deadline. */
 function isTooLate(input: PlannerInput, policy: MovePolicy): boolean {
-  const later = sharesFrom(input.share).length - 1;
-  const rest = Math.max(0, policy.minStepMs - input.atShareMs);
-  const needed = rest + later * policy.minStepMs + policy.soakMs;
+  const present = Math.max(0, policy.minStepMs - input.atShareMs);
+  const later = sharesFrom(input.share)
+    .slice(1)
+    .map(s => (s < input.reached ? returnStepMs : policy.minStepMs));
+  const steps = later.reduce((sum, ms) => sum + ms, present);
+  const needed = steps + policy.soakMs;
   return needed > input.toDeadlineMs;
 }
 
