--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -35,6 +35,7 @@
   DEFAULT_RETRIES,
   MAX_RETRIES,
   parseRetriesLeft,
+  retriesToReport,
   RetryBudget,
 } from './retry-budget.js';
 export type {
--- a/packages/routing/src/instance-stats.ts
+++ b/packages/routing/src/instance-stats.ts
@@ -60,15 +60,15 @@
   /**
    * Expected time to the answer in milliseconds. A report can only raise it
    * above what was observed here: a false report of no load attracts no calls
-   * beyond those whose answers disprove it.
+   * beyond those whose answers disprove it. An untried instance costs only its
+   * own calls in flight, so it is tried before the known ones.
    */
   cost(announcedSlots: number, pool: PoolPriors, now: number): number {
     const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
-    const fresh = halfLife(now - this.#reportAt, reportHalfLifeMs);
-    const others =
-      fresh * this.#othersAtReport() + (1 - fresh) * pool.othersPerSlot * slots;
+    const others = this.#others(slots, pool, now);
     const serviceMs = this.#serviceMs(pool);
     const waitMs = ((this.inFlight + others) * serviceMs) / slots;
+    if (!this.#report && this.#latency.count === 0) return waitMs;
     const observedMs = this.#observed(pool, now);
     const success = Math.max(lowestSuccessShare, 1 - this.failureShare);
     return Math.max(waitMs + serviceMs, observedMs + waitMs) / success;
@@ -124,6 +124,14 @@
     this.#ownAtReport = this.inFlight;
   }
 
+  /** Calls of other entry nodes there; no report at all counts as idle. */
+  #others(slots: number, pool: PoolPriors, now: number): number {
+    if (!this.#report) return 0;
+    const fresh = halfLife(now - this.#reportAt, reportHalfLifeMs);
+    const usual = pool.othersPerSlot * slots;
+    return fresh * this.#othersAtReport() + (1 - fresh) * usual;
+  }
+
   #othersAtReport(): number {
     if (!this.#report) return 0;
     const total = this.#report.inFlight + this.#report.queued;
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -93,3 +93,13 @@
   if (text === undefined || !/^\d{1,3}$/.test(text)) return DEFAULT_RETRIES;
   return Math.min(MAX_RETRIES, Number(text));
 }
+
+/**
+ * Retries to report to the calling node. An exhausted budget means that many
+ * calls of the service fail, so the levels above must not retry either.
+ *
+ * @public
+ */
+export function retriesToReport(last: RetryDecision, left: number): number {
+  return last === 'budget' ? 0 : left;
+}
--- /dev/null
+++ b/packages/routing/src/routing-rules.test.ts
@@ -0,0 +1,290 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {DataTable} from '@cucumber/cucumber';
+import {seededRandom} from '@verbenabeam/core';
+import {testSeed} from '@verbenabeam/testing';
+import {Admission} from './admission.js';
+import type {AdmissionDecision} from './admission-types.js';
+import {Deadline} from './deadline.js';
+import {InstancePicker} from './instance-picker.js';
+import type {CallOutcome, Candidate} from './picker-types.js';
+import {RetryBudget} from './retry-budget.js';
+
+interface World {
+  picker: InstancePicker;
+  candidates: Candidate[];
+  decided: Map<string, string[]>;
+  late: number;
+}
+
+const rng = seededRandom(testSeed());
+const idle = {inFlight: 0, queued: 0, slots: 12, serviceMs: 2};
+const far = new Deadline(Infinity);
+const codeOf = (d: AdmissionDecision | undefined) =>
+  d?.kind === 'refused' ? d.code.code : d?.kind;
+
+Given(
+  'a routing picker with {int} instances',
+  function (this: World, count: number) {
+    this.picker = new InstancePicker({dataCentre: 'a'});
+    this.candidates = Array.from({length: count}, (_, i) => ({
+      nodeId: String(i),
+      dataCentre: i < count / 2 ? 'a' : 'b',
+      slots: 12,
+      readySince: -Infinity,
+    }));
+  },
+);
+
+function pickMany(world: World, now: number, count: number, load = idle) {
+  const {picker, candidates} = world;
+  const chosen = new Map<string, number>();
+  for (let i = 0; i < count; i++) {
+    const picked = picker.pick('s', 'v', candidates, now, rng);
+    const {nodeId} = picked.unwrapOr(candidates[0]!);
+    chosen.set(nodeId, (chosen.get(nodeId) ?? 0) + 1);
+    const report = {nodeId, outcome: 'ok', latencyMs: 2, load} as const;
+    picker.report(report, now);
+  }
+  return chosen;
+}
+
+function reportTo(world: World, id: string, outcome: CallOutcome, now: number) {
+  world.picker.report({nodeId: id, outcome, latencyMs: 1}, now);
+}
+
+When('routing sees each instance unreachable', function (this: World) {
+  for (const c of this.candidates) reportTo(this, c.nodeId, 'unreachable', 0);
+});
+
+// Guards against ejecting a whole service when the network is at fault.
+Then(
+  'routing still chooses among {int} instances',
+  function (this: World, count: number) {
+    assert.equal(pickMany(this, 1, 200).size, count);
+  },
+);
+
+Then(
+  'routing ejects instance {string} for 1000, 2000, 4000 and 8000 ms in turn',
+  function (this: World, id: string) {
+    let now = 0;
+    const untilOf = () =>
+      this.picker.view(this.candidates, now).find(v => v.nodeId === id)!
+        .ejectedUntil;
+    for (const length of [1000, 2000, 4000, 8000]) {
+      assert.equal(untilOf() - now, length);
+      now = untilOf();
+      reportTo(this, id, 'unreachable', now);
+    }
+  },
+);
+
+Then(
+  'routing chooses the own data centre while it is idle',
+  function (this: World) {
+    const chosen = pickMany(this, 0, 200);
+    assert.deepEqual([...chosen.keys()].sort(), ['0', '1']);
+  },
+);
+
+// Guards against queueing locally while the neighbour is idle.
+Then(
+  'routing chooses the other data centre when the own one is busy',
+  function (this: World) {
+    const busy = {inFlight: 12, queued: 60, slots: 12, serviceMs: 10};
+    for (const nodeId of ['0', '1']) {
+      const report = {
+        nodeId,
+        outcome: 'ok',
+        latencyMs: 60,
+        load: busy,
+      } as const;
+      this.picker.report(report, 1);
+    }
+    const chosen = pickMany(this, 1, 100);
+    assert.deepEqual([...chosen.keys()].sort(), ['2', '3']);
+  },
+);
+
+// Guards against a cold instance that gets a full share at once.
+Then(
+  'routing sends a new instance under half of a full share in 1 s',
+  function (this: World) {
+    this.candidates = this.candidates.map(c => ({...c, dataCentre: 'a'}));
+    this.candidates[0] = {...this.candidates[0]!, readySince: 0};
+    const count = 4000;
+    const share = (pickMany(this, 1000, count).get('0') ?? 0) / count;
+    assert.ok(share > 0 && share < 0.125, `share ${share}`);
+    const later = (pickMany(this, 20_000, count).get('0') ?? 0) / count;
+    assert.ok(later > 0.2, `share after the slow start ${later}`);
+  },
+);
+
+When(
+  'routing admission runs {int} random histories',
+  function (this: World, histories: number) {
+    this.decided = new Map();
+    this.late = 0;
+    for (let h = 0; h < histories; h++) runHistory(this, h);
+  },
+);
+
+function runHistory(world: World, history: number) {
+  const slots = 1 + rng.below(4);
+  const admission = new Admission({slots});
+  const deadlines = new Map<string, number>();
+  const running = new Set<string>();
+  let now = 0;
+  const note = (decisions: AdmissionDecision[]) => {
+    for (const {kind, callId} of decisions) {
+      if (kind === 'queued') continue;
+      const seen = world.decided.get(callId) ?? [];
+      world.decided.set(callId, [...seen, kind]);
+      if (kind !== 'admitted') continue;
+      running.add(callId);
+      if (now >= deadlines.get(callId)!) world.late++;
+      assert.ok(!admission.draining && running.size <= slots);
+    }
+  };
+  for (let i = 0; i < 60; i++) {
+    now += rng.below(20);
+    const id = `${history}/${i}`;
+    deadlines.set(id, now + rng.below(120));
+    const deadline = new Deadline(deadlines.get(id)!);
+    note([admission.tryEnter({id, deadline}, now)]);
+    if (rng.below(4) === 0) note(admission.expire(now));
+    if (rng.below(10) === 0 && admission.cancel(id)) {
+      world.decided.set(id, ['cancelled']);
+    }
+    const [first] = running;
+    if (first !== undefined && rng.below(2) === 0) {
+      running.delete(first);
+      note(admission.finish(first, now));
+      assert.deepEqual(admission.finish(first, now), []);
+    }
+  }
+  note(admission.drain());
+  for (const id of running) note(admission.finish(id, now));
+  assert.ok(admission.drained);
+  for (const id of deadlines.keys()) assert.ok(world.decided.has(id));
+}
+
+// Guards against a call that gets no answer, two answers, or runs too late.
+Then(
+  'routing admission decided each call once and ran none too late',
+  function (this: World) {
+    for (const [id, kinds] of this.decided) assert.equal(kinds.length, 1, id);
+    assert.equal(this.late, 0);
+  },
+);
+
+/** An admission with one slot, taken by call `a`, and 10 ms per call. */
+function busyAdmission(): Admission {
+  const admission = new Admission({slots: 1});
+  for (let i = 0; i < 20; i++) {
+    admission.tryEnter({id: `w${i}`, deadline: far}, i * 10);
+    admission.finish(`w${i}`, i * 10 + 10);
+  }
+  admission.tryEnter({id: 'a', deadline: far}, 1000);
+  return admission;
+}
+
+Then(
+  'routing admission refuses with 1606 a call that cannot end in time',
+  () => {
+    const admission = busyAdmission();
+    const enter = (ms: number) =>
+      admission.tryEnter(
+        {id: `d${ms}`, deadline: new Deadline(1000 + ms)},
+        1000,
+      );
+    assert.equal(codeOf(enter(15)), 1606);
+    assert.equal(codeOf(enter(40)), 'queued');
+    assert.deepEqual(admission.expire(1029), []);
+    assert.deepEqual(admission.expire(1031).map(codeOf), [1606]);
+  },
+);
+
+Then(
+  'routing admission refuses with 1605 queued and new calls on drain',
+  () => {
+    const admission = busyAdmission();
+    admission.tryEnter({id: 'b', deadline: far}, 1000);
+    assert.deepEqual(admission.drain().map(codeOf), [1605]);
+    assert.equal(
+      codeOf(admission.tryEnter({id: 'c', deadline: far}, 1001)),
+      1605,
+    );
+    assert.ok(!admission.drained);
+    admission.finish('a', 1002);
+    assert.ok(admission.drained);
+  },
+);
+
+Then('routing admission forgets a queued call that was cancelled', () => {
+  const admission = busyAdmission();
+  admission.tryEnter({id: 'b', deadline: far}, 1000);
+  assert.ok(admission.cancel('b') && !admission.cancel('a'));
+  assert.deepEqual(admission.finish('a', 1005), []);
+});
+
+// Guards against serving only calls that are about to time out.
+Then('routing admission takes the newest call first under overload', () => {
+  const admission = busyAdmission();
+  admission.tryEnter({id: 'old', deadline: far}, 1000);
+  admission.tryEnter({id: 'new', deadline: far}, 1020);
+  assert.equal(admission.finish('a', 1030)[0]?.callId, 'new');
+});
+
+Then('routing retries by this table', (table: DataTable) => {
+  for (const row of table.hashes()) {
+    const decision = new RetryBudget().tryRetry(
+      {
+        service: 's',
+        retriesLeft: Number(row['left']),
+        deadline: far,
+        expectedMs: 5,
+        notRun: row['notRun'] === 'true',
+        idempotent: row['idempotent'] === 'true',
+        suspect: row['suspect'] === 'true',
+      },
+      0,
+    );
+    assert.equal(decision, row['decision']);
+  }
+});
+
+Then('routing stops at the deadline and at a spent budget', () => {
+  const budget = new RetryBudget({share: 0.1, burst: 2});
+  const retry = (deadline: Deadline) =>
+    budget.tryRetry(
+      {
+        service: 's',
+        retriesLeft: 1,
+        deadline,
+        expectedMs: 5,
+        notRun: true,
+        idempotent: false,
+        suspect: false,
+      },
+      0,
+    );
+  assert.equal(retry(new Deadline(4)), 'deadline');
+  assert.deepEqual(
+    [1, 2, 3].map(() => retry(far)),
+    ['granted', 'granted', 'budget'],
+  );
+  for (let i = 0; i < 11; i++) budget.recordCall('s');
+  assert.equal(retry(far), 'granted');
+});
+
+Then(
+  'routing accepts the deadline header {string} and refuses {string}',
+  (good: string, bad: string) => {
+    assert.ok(Deadline.parseRemaining(good).isOk);
+    for (const text of bad.split(',')) {
+      assert.ok(Deadline.parseRemaining(text).isErr, text);
+    }
+  },
+);
