--- /dev/null
+++ b/packages/node/src/calls/attempt.ts
@@ -0,0 +1,179 @@
+import {CALL_CODES, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import type {LoadReport} from '@verbenabeam/routing';
+import type {ByteStream, StreamListener} from '@verbenabeam/wire';
+import {
+  CALL_STREAM,
+  decodeAnswerHead,
+  decodeLoad,
+  decodeTrailer,
+  encodeHead,
+} from './call-head.js';
+import type {AnswerHead, AnswerTrailer, CallHead} from './call-head.js';
+import {OUTCOMES} from './entry-ports.js';
+import type {EntryPorts, Outcome, Target} from './entry-ports.js';
+import {localStreamPair} from './local-stream.js';
+import type {BodyTarget, ReplayBody} from './replay-body.js';
+
+/** Callbacks of an {@link Attempt}; exactly one of the last two is called. */
+export interface AttemptListener {
+  onHead(head: AnswerHead): void;
+  onChunk(chunk: Uint8Array): void;
+  /** The answer ended; `bytes` were delivered. */
+  onEnd(trailer: AnswerTrailer | null, bytes: number): void;
+  onFailure(err: MeshError): void;
+}
+
+/** One try to get a call answered by one instance. @internal */
+export class Attempt implements StreamListener, BodyTarget {
+  readonly target: Target;
+  readonly startAt = performance.now();
+  /** Time until the head or the failure, in ms; null before. */
+  latencyMs: number | null = null;
+  readonly #ports: EntryPorts;
+  readonly #head: CallHead;
+  readonly #body: ReplayBody;
+  readonly #listener: AttemptListener;
+  #stream: ByteStream | null = null;
+  #status = 0;
+  #bytes = 0;
+  #over = false;
+
+  constructor(
+    ports: EntryPorts,
+    target: Target,
+    head: CallHead,
+    body: ReplayBody,
+    listener: AttemptListener,
+  ) {
+    this.#ports = ports;
+    this.target = target;
+    this.#head = head;
+    this.#body = body;
+    this.#listener = listener;
+  }
+
+  /** Opens the stream and sends the call. */
+  start(): void {
+    this.#ports.instances.began(this.target);
+    if (this.target.local) this.#startLocal();
+    else void this.#startRemote();
+  }
+
+  /** Ends the attempt from this side. */
+  abort(err: MeshError, outcome: Outcome): void {
+    if (this.#over) return;
+    this.#finish(outcome, null);
+    this.#stream?.reset(err);
+  }
+
+  pause(): void {
+    this.#stream?.pause();
+  }
+
+  resume(): void {
+    if (!this.#over) this.#stream?.resume();
+  }
+
+  write(chunk: Uint8Array): boolean {
+    return this.#stream?.write(chunk) ?? false;
+  }
+
+  end(): void {
+    this.#stream?.end();
+  }
+
+  onHead(value: unknown): void {
+    if (this.#over) return;
+    const head = decodeAnswerHead(value);
+    if (!head) {
+      this.#fail(lost('The head of the answer is malformed'));
+      return;
+    }
+    this.#status = head.status;
+    this.latencyMs = performance.now() - this.startAt;
+    this.#listener.onHead(head);
+  }
+
+  onChunk(chunk: Uint8Array): void {
+    if (this.#over) return;
+    this.#bytes += chunk.length;
+    this.#listener.onChunk(chunk);
+  }
+
+  onEnd(value: unknown): void {
+    if (this.#over) return;
+    const trailer = decodeTrailer(value);
+    const failedFrom = 500;
+    const outcome = this.#status < failedFrom ? OUTCOMES.ok : OUTCOMES.failed;
+    this.#finish(outcome, trailer?.load ?? null);
+    this.#listener.onEnd(trailer, this.#bytes);
+  }
+
+  onReset(err: MeshError): void {
+    this.#fail(err);
+  }
+
+  onDrain(): void {
+    this.#body.resume();
+  }
+
+  #startLocal(): void {
+    const [own, serving] = localStreamPair();
+    this.#ports.serving.serve(this.#head, serving);
+    this.#begin(own);
+  }
+
+  async #startRemote(): Promise<void> {
+    const {address} = this.target;
+    const opened = await this.#ports.bus.openStream(
+      address,
+      CALL_STREAM,
+      encodeHead(this.#head),
+      {timeoutMs: this.#head.remainingMs},
+    );
+    if (opened.isErr) this.#fail(opened.error);
+    else if (this.#over) opened.value.reset(lost('The call is over'));
+    else this.#begin(opened.value);
+  }
+
+  #begin(stream: ByteStream): void {
+    this.#stream = stream;
+    this.#body.attach(this);
+    stream.listen(this);
+  }
+
+  #fail(err: MeshError): void {
+    if (this.#over) return;
+    this.#finish(outcomeOf(err), decodeLoad(err.details['load']));
+    this.#listener.onFailure(err);
+  }
+
+  #finish(outcome: Outcome, load: LoadReport | null): void {
+    this.#over = true;
+    this.#body.detach();
+    this.latencyMs ??= performance.now() - this.startAt;
+    this.#ports.instances.ended({
+      target: this.target,
+      service: this.#head.service,
+      version: this.#head.version,
+      outcome,
+      latencyMs: this.latencyMs,
+      load,
+    });
+  }
+}
+
+/** Outcome of an attempt that failed with this error. @internal */
+export function outcomeOf({code}: MeshError): Outcome {
+  const unreachable: unknown[] = [
+    WIRE_CODES.unreachable,
+    WIRE_CODES.handshakeRefused,
+    WIRE_CODES.closing,
+  ];
+  if (unreachable.includes(code)) return OUTCOMES.unreachable;
+  return code.notRun ? OUTCOMES.refused : OUTCOMES.lost;
+}
+
+function lost(message: string): MeshError {
+  return new MeshError(CALL_CODES.outcomeUnknown, message);
+}
--- /dev/null
+++ b/packages/node/src/calls/call-head.ts
@@ -0,0 +1,132 @@
+import type {LoadReport} from '@verbenabeam/routing';
+
+/** Kind of the streams that carry calls. @public */
+export const CALL_STREAM = 'call';
+
+/** First message of a call from the entry to the serving side. @public */
+export interface CallHead {
+  readonly callId: string;
+  readonly service: string;
+  readonly version: string;
+  readonly method: string;
+  /** Path with query. */
+  readonly path: string;
+  /** Time that remained when it was sent, in ms. */
+  readonly remainingMs: number;
+  /** Depth that the upstream gets. */
+  readonly depth: number;
+  readonly retriesLeft: number;
+  /** 0: no body; null: not known in advance. */
+  readonly bodyBytes: number | null;
+  /** Flat list of names and values, without hop-by-hop headers. */
+  readonly headers: readonly string[];
+}
+
+/** Head of an answer. @public */
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: readonly string[];
+}
+
+/** End of an answer, by which the entry side checks it. @public */
+export interface AnswerTrailer {
+  readonly callId: string;
+  readonly bodyBytes: number;
+  readonly load: LoadReport;
+}
+
+/** Sent as an array: names of fields would be a third of the frame. @internal */
+export function encodeHead(h: CallHead): unknown[] {
+  return [
+    h.callId,
+    h.service,
+    h.version,
+    h.method,
+    h.path,
+    h.remainingMs,
+    h.depth,
+    h.retriesLeft,
+    h.bodyBytes,
+    h.headers,
+  ];
+}
+
+/** Reads what {@link encodeHead} wrote; null if it is malformed. @internal */
+export function decodeHead(value: unknown): CallHead | null {
+  if (!Array.isArray(value)) return null;
+  const [callId, service, version, method, path, ...rest] =
+    value as readonly unknown[];
+  const [remainingMs, depth, retriesLeft, bodyBytes, headers] = rest;
+  const valid =
+    [callId, service, version, method, path].every(isString) &&
+    [remainingMs, depth, retriesLeft].every(isNumber) &&
+    (bodyBytes === null || isNumber(bodyBytes)) &&
+    isHeaderList(headers);
+  if (!valid) return null;
+  return {
+    callId,
+    service,
+    version,
+    method,
+    path,
+    remainingMs,
+    depth,
+    retriesLeft,
+    bodyBytes,
+    headers,
+  } as CallHead;
+}
+
+/** @internal */
+export function encodeAnswerHead(head: AnswerHead): unknown[] {
+  return [head.status, head.headers];
+}
+
+/** @internal */
+export function decodeAnswerHead(value: unknown): AnswerHead | null {
+  if (!Array.isArray(value)) return null;
+  const [status, headers] = value as readonly unknown[];
+  if (!isNumber(status) || !isHeaderList(headers)) return null;
+  return {status, headers};
+}
+
+/** @internal */
+export function encodeTrailer({callId, bodyBytes, load}: AnswerTrailer) {
+  return [callId, bodyBytes, ...encodeLoad(load)];
+}
+
+/** @internal */
+export function decodeTrailer(value: unknown): AnswerTrailer | null {
+  if (!Array.isArray(value)) return null;
+  const [callId, bodyBytes, ...load] = value as readonly unknown[];
+  const report = decodeLoad(load);
+  if (!isString(callId) || !isNumber(bodyBytes) || !report) return null;
+  return {callId, bodyBytes, load: report};
+}
+
+/** @internal */
+export function encodeLoad(load: LoadReport): number[] {
+  return [load.inFlight, load.queued, load.slots, load.serviceMs];
+}
+
+/** @internal */
+export function decodeLoad(value: unknown): LoadReport | null {
+  if (!Array.isArray(value) || !value.every(isNumber)) return null;
+  const [inFlight, queued, slots, serviceMs] = value;
+  if (serviceMs === undefined) return null;
+  return {inFlight, queued, slots, serviceMs} as LoadReport;
+}
+
+function isString(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function isNumber(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value);
+}
+
+function isHeaderList(value: unknown): value is string[] {
+  return (
+    Array.isArray(value) && value.length % 2 === 0 && value.every(isString)
+  );
+}
--- /dev/null
+++ b/packages/node/src/calls/call-headers.ts
@@ -0,0 +1,133 @@
+import type {IncomingMessage} from 'node:http';
+import {Result} from 'true-myth';
+import {CALL_CODES, MeshError} from '@verbenabeam/core';
+
+/** Headers of the system, in lower case. @public */
+export const CALL_HEADERS = {
+  callId: 'vb-call-id',
+  deadlineMs: 'vb-deadline-ms',
+  depth: 'vb-depth',
+  retriesLeft: 'vb-retries-left',
+  caller: 'vb-caller',
+  idempotencyKey: 'idempotency-key',
+  result: 'vb-result',
+  configVersion: 'vb-config-version',
+  notRun: 'vb-not-run',
+} as const;
+
+/** What a caller says about its call. @internal */
+export interface CallerHeaders {
+  readonly parentCallId: string | null;
+  /** Infinity without the header. */
+  readonly deadlineMs: number;
+  readonly depth: number;
+  readonly retriesLeft: number;
+  readonly callerClass: string;
+  readonly idempotencyKey: string | null;
+  /** 0: no body; null: not known in advance. */
+  readonly bodyBytes: number | null;
+}
+
+const defaultRetries = 2;
+const maxRetries = 3;
+const maxKeyLength = 255;
+const otherCaller = 'other';
+
+/** Concern one connection only, so they are not passed on. */
+const hopByHop = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+const replaced = new Set<string>([
+  CALL_HEADERS.callId,
+  CALL_HEADERS.deadlineMs,
+  CALL_HEADERS.depth,
+  CALL_HEADERS.retriesLeft,
+  CALL_HEADERS.result,
+  CALL_HEADERS.configVersion,
+]);
+
+/** Reads the headers of the system; malformed ones are `calls.badRequest`. */
+export function readCallerHeaders(
+  req: IncomingMessage,
+): Result<CallerHeaders, MeshError> {
+  const {headers} = req;
+  const deadlineMs = readNumber(headers[CALL_HEADERS.deadlineMs], Infinity);
+  const depth = readNumber(headers[CALL_HEADERS.depth], 0);
+  const left = readNumber(headers[CALL_HEADERS.retriesLeft], defaultRetries);
+  if (deadlineMs === null) return malformed(CALL_HEADERS.deadlineMs);
+  if (depth === null) return malformed(CALL_HEADERS.depth);
+  if (left === null) return malformed(CALL_HEADERS.retriesLeft);
+  const key = first(headers[CALL_HEADERS.idempotencyKey]);
+  if (key !== null && (key === '' || key.length > maxKeyLength)) {
+    return malformed(CALL_HEADERS.idempotencyKey);
+  }
+  return Result.ok({
+    parentCallId: first(headers[CALL_HEADERS.callId]),
+    deadlineMs,
+    depth,
+    retriesLeft: Math.min(left, maxRetries),
+    callerClass: first(headers[CALL_HEADERS.caller]) ?? otherCaller,
+    idempotencyKey: key,
+    bodyBytes: bodyBytesOf(req),
+  });
+}
+
+/** Headers that are passed on, as a flat list of names and values. */
+export function passedHeaders(raw: readonly string[]): string[] {
+  const named = connectionNames(raw);
+  const passed: string[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i] as string;
+    const lower = name.toLowerCase();
+    if (hopByHop.has(lower) || replaced.has(lower)) continue;
+    if (named?.includes(lower)) continue;
+    passed.push(name, raw[i + 1] as string);
+  }
+  return passed;
+}
+
+/** Names that the `connection` header adds to the hop-by-hop ones. */
+function connectionNames(raw: readonly string[]): string[] | null {
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const value = raw[i + 1] as string;
+    if (raw[i]?.toLowerCase() !== 'connection') continue;
+    if (value === 'keep-alive' || value === 'close') return null;
+    return value.split(',').map(name => name.trim().toLowerCase());
+  }
+  return null;
+}
+
+function bodyBytesOf({headers}: IncomingMessage): number | null {
+  if (headers['transfer-encoding'] !== undefined) return null;
+  return Number(headers['content-length'] ?? 0);
+}
+
+function first(value: string | string[] | undefined): string | null {
+  return (Array.isArray(value) ? value[0] : value) ?? null;
+}
+
+/** Null if the header is present but not a number from 0. */
+function readNumber(
+  value: string | string[] | undefined,
+  absent: number,
+): number | null {
+  if (value === undefined) return absent;
+  const text = String(value);
+  return /^\d{1,9}$/.test(text) ? Number(text) : null;
+}
+
+function malformed(header: string): Result<never, MeshError> {
+  return Result.err(
+    new MeshError(CALL_CODES.badRequest, `Header ${header} is malformed`),
+  );
+}
--- /dev/null
+++ b/packages/node/src/calls/claim-step.ts
@@ -0,0 +1,47 @@
+import {CLAIM_CODES, MeshError} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
+import type {
+  ClaimDecision,
+  ClaimKey,
+  ClaimsPort,
+  StoredAnswer,
+} from './entry-ports.js';
+
+/** What the entry side does after it asked for a claim. @internal */
+export type ClaimStep =
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'replay'; readonly answer: StoredAnswer}
+  | {readonly kind: 'refuse'; readonly err: MeshError};
+
+const steps: {
+  readonly [K in ClaimDecision['kind']]: (
+    decision: Extract<ClaimDecision, {kind: K}>,
+  ) => ClaimStep;
+} = {
+  granted: () => ({kind: 'granted'}),
+  inProgress: () => refuse(CLAIM_CODES.inProgress),
+  unknown: () => refuse(CLAIM_CODES.mayHaveRun),
+  finished: ({answer}) =>
+    answer.body ? {kind: 'replay', answer} : refuse(CLAIM_CODES.alreadyRun),
+};
+
+/** Asks for a claim; an error of the claims is a refusal as not run. */
+export async function beginClaim(
+  claims: ClaimsPort,
+  claim: ClaimKey,
+  timeoutMs: number,
+): Promise<ClaimStep> {
+  const begun = await claims.begin(claim, timeoutMs);
+  if (begun.isErr) {
+    const {message, code} = begun.error;
+    const cause = {cause: code.name};
+    const err = new MeshError(CLAIM_CODES.unavailable, message, cause);
+    return {kind: 'refuse', err};
+  }
+  const step = steps[begun.value.kind] as (d: ClaimDecision) => ClaimStep;
+  return step(begun.value);
+}
+
+function refuse(code: ResultCode): ClaimStep {
+  return {kind: 'refuse', err: new MeshError(code, code.text)};
+}
--- /dev/null
+++ b/packages/node/src/calls/entry-handler.ts
@@ -0,0 +1,115 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {CALL_CODES, INVARIANT_CODES, MeshError, newId} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
+import type {Route, Snapshot} from '@verbenabeam/document';
+import {readCallerHeaders} from './call-headers.js';
+import type {CallRecord} from './call-record.js';
+import {EntryCall} from './entry-call.js';
+import type {EntryPorts} from './entry-ports.js';
+import {recordOf} from './entry-record.js';
+import {InFlight} from './in-flight.js';
+import {sendRefusal} from './refusal.js';
+import type {ReceivedCall, RoutedCall} from './routed-call.js';
+
+/** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
+const maxDepth = 32;
+
+/**
+ * Request listener of the callers' side: finds the route, then hands the call
+ * to an instance.
+ *
+ * @public
+ */
+export class EntryHandler {
+  readonly #ports: EntryPorts;
+  readonly #inFlight = new InFlight();
+  #draining = false;
+
+  constructor(ports: EntryPorts) {
+    this.#ports = ports;
+  }
+
+  /** Calls that have not ended. */
+  get inFlight(): number {
+    return this.#inFlight.count;
+  }
+
+  /** Listener for `http.createServer`. */
+  readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
+    const startAt = performance.now();
+    const callId = newId();
+    const headers = readCallerHeaders(req);
+    const snapshot = this.#ports.config.current();
+    const route = snapshot && this.#route(snapshot, req);
+    const known = headers.unwrapOr(null);
+    const call = {callId, req, res, startAt, headers: known, snapshot, route};
+    if (headers.isErr) this.#refuse(call, headers.error);
+    else {
+      const code = this.#refusalCode(call);
+      if (code) this.#refuse(call, new MeshError(code, code.text));
+      else this.#start(call as RoutedCall);
+    }
+  };
+
+  /** Refuses new calls and resolves when those in flight have ended. */
+  async drain(): Promise<void> {
+    this.#draining = true;
+    await this.#inFlight.empty();
+  }
+
+  /** Checks before connections are closed that none is cut. */
+  checkDrained(): void {
+    const {count} = this.#inFlight;
+    this.#ports.invariants.check(INVARIANT_CODES.cutOff, count === 0, {
+      side: 'entry',
+      count,
+    });
+  }
+
+  #route(snapshot: Snapshot, req: IncomingMessage): Route | null {
+    const url = req.url ?? '/';
+    const query = url.indexOf('?');
+    return this.#ports.config.match(snapshot, {
+      method: req.method ?? 'GET',
+      host: hostWithoutPort(req.headers.host ?? ''),
+      path: query < 0 ? url : url.slice(0, query),
+    });
+  }
+
+  #refusalCode(call: ReceivedCall): ResultCode | null {
+    if (this.#draining) return CALL_CODES.draining;
+    if (!call.snapshot) return CALL_CODES.noConfiguration;
+    if ((call.headers?.depth ?? 0) > maxDepth) return CALL_CODES.tooDeep;
+    if (!call.route) return CALL_CODES.noRoute;
+    if (call.headers?.deadlineMs === 0) return CALL_CODES.deadlineTooClose;
+    return null;
+  }
+
+  #start(call: RoutedCall): void {
+    this.#inFlight.enter();
+    const done = (record: CallRecord) => {
+      this.#inFlight.leave();
+      this.#ports.observer.onCall(record);
+    };
+    new EntryCall(call, this.#ports, done).start();
+  }
+
+  #refuse(call: ReceivedCall, err: MeshError): void {
+    const configVersion = call.snapshot?.version ?? 0;
+    sendRefusal(call.res, err, {callId: call.callId, configVersion});
+    this.#ports.observer.onCall(
+      recordOf(call, {
+        choice: null,
+        attempts: [],
+        headMs: null,
+        status: err.code.http,
+        responseBytes: 0,
+        code: err.code,
+      }),
+    );
+  }
+}
+
+function hostWithoutPort(host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase();
+}
--- /dev/null
+++ b/packages/node/src/calls/entry-ports.ts
@@ -0,0 +1,163 @@
+import type {Result} from 'true-myth';
+import type {Invariants, MeshError} from '@verbenabeam/core';
+import type {Route, Service, Snapshot} from '@verbenabeam/document';
+import type {LoadReport} from '@verbenabeam/routing';
+import type {ByteStream, PeerAddress, PeerBus} from '@verbenabeam/wire';
+import type {CallHead} from './call-head.js';
+import type {CallRecord} from './call-record.js';
+
+/** What a route is looked up by. @public */
+export interface RouteQuery {
+  readonly method: string;
+  /** Host header without port, lower case; empty if there is none. */
+  readonly host: string;
+  /** Path without query. */
+  readonly path: string;
+}
+
+/** The active configuration. @public */
+export interface ConfigPort {
+  /** Null until the node holds a configuration. */
+  current(): Snapshot | null;
+  match(snapshot: Snapshot, query: RouteQuery): Route | null;
+}
+
+/** Chooses the upstream version of a call by the moves' shares. @public */
+export interface VersionChooser {
+  /** The same call id gets the same version while the shares are unchanged. */
+  choose(snapshot: Snapshot, service: Service, callId: string): VersionChoice;
+}
+
+/** A version and the move that led to it. @public */
+export interface VersionChoice {
+  readonly version: string;
+  /** Id of the running move of the service; null if there is none. */
+  readonly moveId: string | null;
+}
+
+/** An instance that can take a call. @public */
+export interface Target {
+  readonly nodeId: string;
+  /** Wire address of the node beside the upstream. */
+  readonly address: PeerAddress;
+  /** True for the upstream of this node. */
+  readonly local: boolean;
+}
+
+/** Kinds of results of one attempt, for the choice of instances. @public */
+export const OUTCOMES = {
+  /** Answered with a status below 500. */
+  ok: 'ok',
+  /** Answered with a status from 500. */
+  failed: 'failed',
+  /** Refused as not run by the instance. */
+  refused: 'refused',
+  /** Nothing could be sent to the node. */
+  unreachable: 'unreachable',
+  /** Lost after it was sent; it may have been run. */
+  lost: 'lost',
+  /** No answer by the deadline. */
+  timeout: 'timeout',
+  /** Ended by the caller. */
+  cancelled: 'cancelled',
+} as const;
+
+/** One of the values of {@link OUTCOMES}. @public */
+export type Outcome = (typeof OUTCOMES)[keyof typeof OUTCOMES];
+
+/** Result of one attempt. @public */
+export interface AttemptOutcome {
+  readonly target: Target;
+  readonly service: string;
+  readonly version: string;
+  readonly outcome: Outcome;
+  /** Time until the answer's head or the failure, in ms. */
+  readonly latencyMs: number;
+  /** Report of the instance, if it sent one. */
+  readonly load: LoadReport | null;
+}
+
+/** Chooses instances and learns from outcomes. @public */
+export interface InstanceChooser {
+  /** Null if no instance outside `exclude` (node ids) can take the call. */
+  pick(
+    service: string,
+    version: string,
+    exclude: ReadonlySet<string>,
+  ): Target | null;
+  /** Called when an attempt begins. */
+  began(target: Target): void;
+  /** Called once for each attempt that began. */
+  ended(outcome: AttemptOutcome): void;
+}
+
+/** Limits retries to a share of the calls of a service. @public */
+export interface RetryBudgetPort {
+  onCall(service: string): void;
+  /** Takes one retry; false if the budget is used up. */
+  tryRetry(service: string): boolean;
+}
+
+/** Identity of a claim. @public */
+export interface ClaimKey {
+  readonly environment: string;
+  readonly service: string;
+  readonly callerClass: string;
+  readonly key: string;
+  readonly callId: string;
+}
+
+/** The stored answer of a finished claim. @public */
+export interface StoredAnswer {
+  readonly status: number;
+  /** Flat list of names and values. */
+  readonly headers: readonly string[];
+  /** Null if the body exceeded 16 KB and was not kept. */
+  readonly body: Uint8Array | null;
+}
+
+/** Answer to the begin of a claim. @public */
+export type ClaimDecision =
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'inProgress'}
+  | {readonly kind: 'finished'; readonly answer: StoredAnswer}
+  | {readonly kind: 'unknown'};
+
+/** How a granted claim ended. @public */
+export type ClaimResult =
+  | {readonly kind: 'answered'; readonly answer: StoredAnswer}
+  | {readonly kind: 'notRun'}
+  | {readonly kind: 'unknown'};
+
+/** At-most-once claims for non-idempotent routes. @public */
+export interface ClaimsPort {
+  /** An error means that the claim was not recorded: not run. */
+  begin(
+    claim: ClaimKey,
+    timeoutMs: number,
+  ): Promise<Result<ClaimDecision, MeshError>>;
+  finish(claim: ClaimKey, result: ClaimResult): void;
+}
+
+/** Learns of each call that ended, for metrics, evidence and records. @public */
+export interface CallObserver {
+  onCall(record: CallRecord): void;
+}
+
+/** The serving side of this node. @public */
+export interface LocalServing {
+  serve(head: CallHead, stream: ByteStream): void;
+}
+
+/** What the entry side of the data path depends on. @public */
+export interface EntryPorts {
+  readonly config: ConfigPort;
+  readonly versions: VersionChooser;
+  readonly instances: InstanceChooser;
+  readonly retries: RetryBudgetPort;
+  readonly claims: ClaimsPort;
+  readonly bus: Pick<PeerBus, 'openStream'>;
+  readonly serving: LocalServing;
+  readonly observer: CallObserver;
+  readonly invariants: Invariants;
+}
--- /dev/null
+++ b/packages/node/src/calls/entry-record.ts
@@ -0,0 +1,40 @@
+import type {ResultCode} from '@verbenabeam/core';
+import type {AttemptRecord, CallRecord} from './call-record.js';
+import type {VersionChoice} from './entry-ports.js';
+import type {ReceivedCall} from './routed-call.js';
+
+/** How a call ended. @internal */
+export interface CallEnd {
+  readonly choice: VersionChoice | null;
+  readonly attempts: readonly AttemptRecord[];
+  readonly headMs: number | null;
+  readonly status: number;
+  readonly responseBytes: number;
+  readonly code: ResultCode;
+}
+
+/** Builds the record of a call that ended now. @internal */
+export function recordOf(call: ReceivedCall, end: CallEnd): CallRecord {
+  const {req, headers, route, snapshot, callId, startAt} = call;
+  const durationMs = performance.now() - startAt;
+  return {
+    callId,
+    parentCallId: headers?.parentCallId ?? null,
+    startedAt: Date.now() - durationMs,
+    durationMs,
+    headMs: end.headMs,
+    method: req.method ?? '',
+    path: req.url ?? '',
+    callerClass: headers?.callerClass ?? 'other',
+    route: route?.name ?? null,
+    service: route?.service.name ?? null,
+    version: end.choice?.version ?? null,
+    moveId: end.choice?.moveId ?? null,
+    configVersion: snapshot?.version ?? 0,
+    depth: headers?.depth ?? 0,
+    attempts: end.attempts,
+    code: end.code,
+    status: end.status,
+    responseBytes: end.responseBytes,
+  };
+}
--- /dev/null
+++ b/packages/node/src/calls/in-flight.ts
@@ -0,0 +1,27 @@
+/** Counts what is in flight, and waits for its end. @internal */
+export class InFlight {
+  #count = 0;
+  #waiting: (() => void)[] = [];
+
+  get count(): number {
+    return this.#count;
+  }
+
+  enter(): void {
+    this.#count++;
+  }
+
+  leave(): void {
+    this.#count--;
+    if (this.#count > 0) return;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const resolve of waiting) resolve();
+  }
+
+  /** Resolves when nothing is in flight. */
+  empty(): Promise<void> {
+    if (this.#count === 0) return Promise.resolve();
+    return new Promise(resolve => this.#waiting.push(resolve));
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/index.ts
@@ -0,0 +1,42 @@
+/**
+ * The data path: entry side, serving side and the records of calls.
+ *
+ * @packageDocumentation
+ */
+export {CALL_STREAM} from './call-head.js';
+export type {CallHead} from './call-head.js';
+export {CALL_HEADERS} from './call-headers.js';
+export {CallLog} from './call-log.js';
+export type {AttemptRecord, CallRecord} from './call-record.js';
+export {EntryHandler} from './entry-handler.js';
+export {OUTCOMES} from './entry-ports.js';
+export type {
+  AttemptOutcome,
+  CallObserver,
+  ClaimDecision,
+  ClaimKey,
+  ClaimResult,
+  ClaimsPort,
+  ConfigPort,
+  EntryPorts,
+  InstanceChooser,
+  LocalServing,
+  Outcome,
+  RetryBudgetPort,
+  RouteQuery,
+  StoredAnswer,
+  Target,
+  VersionChoice,
+  VersionChooser,
+} from './entry-ports.js';
+export {ServingHandler} from './serving-handler.js';
+export type {
+  AdmissionDecision,
+  AdmissionPort,
+  AdmissionRequest,
+  OwnUpstream,
+  OwnUpstreamPort,
+  QuarantinePort,
+  ServingPorts,
+  Ticket,
+} from './serving-ports.js';
--- /dev/null
+++ b/packages/node/src/calls/local-stream.ts
@@ -0,0 +1,128 @@
+import type {MeshError} from '@verbenabeam/core';
+import type {ByteStream, StreamListener} from '@verbenabeam/wire';
+
+type StreamEvent = (listener: StreamListener) => void;
+
+/**
+ * Creates the two ends of a stream within this process, for calls to the own
+ * upstream. Events are delivered within the call that causes them.
+ *
+ * @internal
+ */
+export function localStreamPair(): [ByteStream, ByteStream] {
+  const a = new LocalStream();
+  const b = new LocalStream();
+  a.connect(b);
+  b.connect(a);
+  return [a, b];
+}
+
+class LocalStream implements ByteStream {
+  #other: LocalStream | null = null;
+  #listener: StreamListener | null = null;
+  #paused = false;
+  #delivering = false;
+  #backlog: StreamEvent[] = [];
+  #ended = false;
+  #gotEnd = false;
+  #wantsDrain = false;
+  #closed = false;
+
+  connect(other: LocalStream): void {
+    this.#other = other;
+  }
+
+  sendHead(head: unknown): void {
+    if (this.#closed || this.#ended) return;
+    this.#other?.take(l => l.onHead?.(head));
+  }
+
+  write(chunk: Uint8Array): boolean {
+    if (this.#closed || this.#ended) return false;
+    this.#other?.take(l => {
+      l.onChunk(chunk);
+    });
+    this.#wantsDrain = !this.#other?.flowing;
+    return !this.#wantsDrain;
+  }
+
+  end(trailer?: unknown): void {
+    if (this.#closed || this.#ended) return;
+    this.#ended = true;
+    this.#other?.takeEnd(trailer);
+    this.#closeIfEnded();
+  }
+
+  reset(err: MeshError): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#backlog = [];
+    this.#other?.takeReset(err);
+  }
+
+  pause(): void {
+    this.#paused = true;
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#deliver();
+  }
+
+  listen(listener: StreamListener): void {
+    this.#listener = listener;
+    this.#deliver();
+  }
+
+  /** Whether what is written to this end is delivered at once. */
+  get flowing(): boolean {
+    return !this.#paused && this.#listener !== null;
+  }
+
+  take(event: StreamEvent): void {
+    if (this.#closed) return;
+    this.#backlog.push(event);
+    this.#deliver();
+  }
+
+  takeEnd(trailer: unknown): void {
+    this.#gotEnd = true;
+    this.take(l => {
+      l.onEnd(trailer);
+    });
+    this.#closeIfEnded();
+  }
+
+  takeReset(err: MeshError): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    if (!this.#gotEnd) {
+      this.#backlog = [];
+      this.#paused = false;
+    }
+    this.#backlog.push(l => {
+      l.onReset(err);
+    });
+    this.#deliver();
+  }
+
+  drained(): void {
+    if (this.#closed || !this.#wantsDrain) return;
+    this.#wantsDrain = false;
+    this.#listener?.onDrain?.();
+  }
+
+  #deliver(): void {
+    if (this.#delivering) return;
+    this.#delivering = true;
+    while (this.#listener && !this.#paused && this.#backlog.length > 0) {
+      this.#backlog.shift()?.(this.#listener);
+    }
+    this.#delivering = false;
+    if (this.flowing) this.#other?.drained();
+  }
+
+  #closeIfEnded(): void {
+    if (this.#ended && this.#gotEnd) this.#closed = true;
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/refusal.ts
@@ -0,0 +1,42 @@
+import type {ServerResponse} from 'node:http';
+import type {MeshError} from '@verbenabeam/core';
+import {CALL_HEADERS} from './call-headers.js';
+
+/** Headers of the system in a response. @internal */
+export interface ResponseMark {
+  readonly callId: string;
+  /** 0 without a configuration. */
+  readonly configVersion: number;
+}
+
+/** Flat header list of a {@link ResponseMark} with its result code. */
+export function markHeaders(mark: ResponseMark, code: number): string[] {
+  return [
+    CALL_HEADERS.result,
+    String(code),
+    CALL_HEADERS.configVersion,
+    String(mark.configVersion),
+    CALL_HEADERS.callId,
+    mark.callId,
+  ];
+}
+
+/** Sends an error as JSON body of code, name, message and notRun. @internal */
+export function sendRefusal(
+  res: ServerResponse,
+  err: MeshError,
+  mark: ResponseMark,
+): void {
+  const {code, name, message, notRun} = err.toJSON();
+  const body = JSON.stringify({code, name, message, notRun});
+  const headers = [
+    'content-type',
+    'application/json',
+    'content-length',
+    String(Buffer.byteLength(body)),
+    ...markHeaders(mark, code),
+  ];
+  if (notRun) headers.push(CALL_HEADERS.notRun, 'true');
+  res.writeHead(err.code.http, headers);
+  res.end(body);
+}
--- /dev/null
+++ b/packages/node/src/calls/replay-body.ts
@@ -0,0 +1,85 @@
+import type {IncomingMessage} from 'node:http';
+
+/** Bodies up to this size are kept for retries. @internal */
+export const REPLAY_LIMIT_BYTES = 65_536;
+
+/** Takes the body of one attempt. @internal */
+export interface BodyTarget {
+  /** False asks to wait for `ReplayBody.resume`. */
+  write(chunk: Uint8Array): boolean;
+  end(): void;
+}
+
+/**
+ * The request's body. Up to 64 KB are kept, so that another attempt gets the
+ * same bytes; a larger body goes to one attempt only.
+ *
+ * @internal
+ */
+export class ReplayBody {
+  readonly #req: IncomingMessage;
+  #kept: Buffer[] | null = [];
+  #size = 0;
+  #ended = false;
+  #target: BodyTarget | null = null;
+  #onWhole: (() => void) | null = null;
+
+  constructor(req: IncomingMessage, hasBody: boolean) {
+    this.#req = req;
+    if (!hasBody) {
+      this.#ended = true;
+      return;
+    }
+    req.on('data', (chunk: Buffer) => {
+      this.#take(chunk);
+    });
+    req.on('end', () => {
+      this.#end();
+    });
+  }
+
+  /** Whether another attempt would get all bytes. */
+  get replayable(): boolean {
+    return this.#kept !== null;
+  }
+
+  /** Calls back when the body has been read; at once if it has been. */
+  whenWhole(callback: () => void): void {
+    if (this.#ended) callback();
+    else this.#onWhole = callback;
+  }
+
+  /** Sends the kept bytes and what follows to an attempt. */
+  attach(target: BodyTarget): void {
+    this.#target = target;
+    let more = true;
+    for (const chunk of this.#kept ?? []) more = target.write(chunk);
+    if (this.#ended) target.end();
+    else if (more) this.#req.resume();
+    else this.#req.pause();
+  }
+
+  /** Stops sending; the attempt is over. */
+  detach(): void {
+    this.#target = null;
+  }
+
+  /** The attempt takes bytes again. */
+  resume(): void {
+    this.#req.resume();
+  }
+
+  #take(chunk: Buffer): void {
+    this.#size += chunk.length;
+    if (this.#size > REPLAY_LIMIT_BYTES && this.#target) this.#kept = null;
+    else this.#kept?.push(chunk);
+    const isFull = this.#size > REPLAY_LIMIT_BYTES && !this.#target;
+    if (this.#target?.write(chunk) === false || isFull) this.#req.pause();
+  }
+
+  #end(): void {
+    this.#ended = true;
+    this.#target?.end();
+    this.#onWhole?.();
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/routed-call.ts
@@ -0,0 +1,23 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Route, Snapshot} from '@verbenabeam/document';
+import type {CallerHeaders} from './call-headers.js';
+
+/** A request as the entry side received it. @internal */
+export interface ReceivedCall {
+  readonly callId: string;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  /** Time on the clock of `performance.now()`, in ms. */
+  readonly startAt: number;
+  /** Null if its headers are malformed. */
+  readonly headers: CallerHeaders | null;
+  readonly snapshot: Snapshot | null;
+  readonly route: Route | null;
+}
+
+/** A call whose route is known. @internal */
+export interface RoutedCall extends ReceivedCall {
+  readonly headers: CallerHeaders;
+  readonly snapshot: Snapshot;
+  readonly route: Route;
+}
--- /dev/null
+++ b/packages/node/src/calls/serving-call.ts
@@ -0,0 +1,242 @@
+import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
+import {UPSTREAM_STATES} from '@verbenabeam/membership';
+import type {ByteStream, StreamListener} from '@verbenabeam/wire';
+import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
+import type {CallHead} from './call-head.js';
+import type {CrashDetector} from './crash-detector.js';
+import {fingerprintOf} from './fingerprint.js';
+import {REPLAY_LIMIT_BYTES} from './replay-body.js';
+import type {OwnUpstream, ServingPorts, Ticket} from './serving-ports.js';
+import {UpstreamBody} from './upstream-body.js';
+import type {UpstreamPool} from './upstream-pool.js';
+import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
+import type {UpstreamListener} from './upstream-request.js';
+
+/** What the calls of one serving handler share. @internal */
+export interface ServingContext {
+  readonly ports: ServingPorts;
+  readonly pool: UpstreamPool;
+  readonly crashes: CrashDetector;
+  readonly isDraining: () => boolean;
+  /** Called once for each call. */
+  readonly onEnd: () => void;
+}
+
+/** One call on the serving side. @internal */
+export class ServingCall implements StreamListener, UpstreamListener {
+  readonly #head: CallHead;
+  readonly #stream: ByteStream;
+  readonly #context: ServingContext;
+  readonly #deadlineAt: number;
+  /** Pieces of a small body; null once the request is dispatched. */
+  #pieces: Uint8Array[] | null = [];
+  #body: Buffer | UpstreamBody | null = null;
+  #ticket: Ticket | null = null;
+  #cancelQueue: (() => void) | null = null;
+  #request: UpstreamRequest | null = null;
+  #upstream: OwnUpstream | null = null;
+  #dispatchAt = 0;
+  #headMs: number | null = null;
+  #bytes = 0;
+  #over = false;
+
+  constructor(head: CallHead, stream: ByteStream, context: ServingContext) {
+    this.#head = head;
+    this.#stream = stream;
+    this.#context = context;
+    this.#deadlineAt = performance.now() + head.remainingMs;
+  }
+
+  /** A small body is collected first, so a slow one holds no slot. */
+  start(): void {
+    const {bodyBytes} = this.#head;
+    this.#stream.listen(this);
+    if (bodyBytes === 0) this.#enter();
+    else if (bodyBytes === null || bodyBytes > REPLAY_LIMIT_BYTES) {
+      this.#body = new UpstreamBody(this.#stream);
+      this.#enter();
+    }
+  }
+
+  onChunk(chunk: Uint8Array): void {
+    if (this.#over) return;
+    if (this.#body instanceof UpstreamBody) this.#body.accept(chunk);
+    else this.#pieces?.push(chunk);
+  }
+
+  onEnd(): void {
+    if (this.#over) return;
+    if (this.#body instanceof UpstreamBody) this.#body.finish();
+    else if (this.#head.bodyBytes !== 0) {
+      this.#body = joined(this.#pieces ?? []);
+      this.#enter();
+    }
+  }
+
+  /** The entry side ended the call. */
+  onReset(): void {
+    if (this.#over) return;
+    this.#cancelQueue?.();
+    this.#request?.abort();
+    this.#end(null);
+  }
+
+  onDrain(): void {
+    this.#request?.resume();
+  }
+
+  onUpstreamHead(status: number, headers: string[]): void {
+    this.#headMs = performance.now() - this.#dispatchAt;
+    this.#stream.sendHead(encodeAnswerHead({status, headers}));
+  }
+
+  onUpstreamData(chunk: Uint8Array): boolean {
+    this.#bytes += chunk.length;
+    return this.#stream.write(chunk);
+  }
+
+  onUpstreamEnd(): void {
+    if (this.#over) return;
+    const {quarantine, admission} = this.#context.ports;
+    if (quarantine.active) quarantine.completed(this.#fingerprint());
+    this.#end(performance.now() - this.#dispatchAt);
+    const {callId} = this.#head;
+    const load = admission.load();
+    this.#stream.end(encodeTrailer({callId, bodyBytes: this.#bytes, load}));
+  }
+
+  /** The upstream said that it did not run the request. */
+  onUpstreamNotRun(): void {
+    if (this.#over) return;
+    this.#refuse(CALL_CODES.upstreamShed, true);
+  }
+
+  onUpstreamError(err: Error, sent: boolean): void {
+    if (this.#over) return;
+    const {ports, crashes} = this.#context;
+    if (!sent && isInvalidRequest(err)) {
+      this.#refuse(CALL_CODES.badRequest);
+      return;
+    }
+    if (!sent) {
+      ports.upstream.markDown(err.message);
+      this.#refuse(CALL_CODES.upstreamDown);
+      return;
+    }
+    if (this.#upstream) crashes.onLost(this.#fingerprint(), this.#upstream);
+    this.#end(null);
+    const details = {load: encodeLoad(ports.admission.load()), suspect: true};
+    this.#stream.reset(
+      new MeshError(CALL_CODES.outcomeUnknown, err.message, details),
+    );
+  }
+
+  #enter(): void {
+    const refusal = this.#refusalNow();
+    if (refusal) {
+      this.#refuse(refusal);
+      return;
+    }
+    const {callId} = this.#head;
+    const {quarantine, admission} = this.#context.ports;
+    const blocked = quarantine.active
+      ? quarantine.admit(this.#fingerprint())
+      : null;
+    if (blocked) {
+      this.#refuse(blocked.code);
+      return;
+    }
+    const decision = admission.enter({callId, deadlineAt: this.#deadlineAt});
+    if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
+    else if (decision.kind === 'refused') this.#refuse(decision.err.code);
+    else {
+      this.#cancelQueue = decision.cancel;
+      void decision.decided.then(result => {
+        this.#cancelQueue = null;
+        if (result.isOk) this.#dispatch(result.value);
+        else if (!this.#over) this.#refuse(result.error.code);
+      });
+    }
+  }
+
+  /** What refuses the call at this moment; asked again after the queue. */
+  #refusalNow(): ResultCode | null {
+    const upstream = this.#context.ports.upstream.current();
+    const {service, version} = this.#head;
+    if (this.#context.isDraining()) return CALL_CODES.draining;
+    if (upstream?.state === UPSTREAM_STATES.draining) {
+      return CALL_CODES.draining;
+    }
+    if (upstream?.state !== UPSTREAM_STATES.ready) {
+      return CALL_CODES.upstreamDown;
+    }
+    if (upstream.service !== service || upstream.version !== version) {
+      return CALL_CODES.noInstance;
+    }
+    if (performance.now() >= this.#deadlineAt) {
+      return CALL_CODES.deadlineTooClose;
+    }
+    return null;
+  }
+
+  #dispatch(ticket: Ticket): void {
+    if (this.#over) {
+      ticket.leave(null);
+      return;
+    }
+    this.#ticket = ticket;
+    const refusal = this.#refusalNow();
+    if (refusal) {
+      this.#refuse(refusal);
+      return;
+    }
+    const {ports, pool} = this.#context;
+    const upstream = ports.upstream.current();
+    const ready = upstream?.state === UPSTREAM_STATES.ready;
+    ports.invariants.check(INVARIANT_CODES.workAfterLeave, ready, {
+      callId: this.#head.callId,
+      state: upstream?.state,
+    });
+    if (!upstream) return;
+    this.#upstream = upstream;
+    this.#pieces = null;
+    this.#dispatchAt = performance.now();
+    const remainingMs = this.#deadlineAt - this.#dispatchAt;
+    this.#request = new UpstreamRequest(this.#head, this);
+    this.#request.dispatch(pool.get(upstream.address), this.#body, remainingMs);
+  }
+
+  #refuse(code: ResultCode, saidByUpstream = false): void {
+    const {ports} = this.#context;
+    const sent = this.#request?.sent ?? false;
+    ports.invariants.check(
+      INVARIANT_CODES.falseNotRun,
+      !code.notRun || !sent || saidByUpstream,
+      {callId: this.#head.callId, code: code.code},
+    );
+    this.#end(null);
+    const details = {load: encodeLoad(ports.admission.load())};
+    this.#stream.reset(new MeshError(code, code.text, details));
+  }
+
+  #fingerprint(): string {
+    const body = this.#body instanceof UpstreamBody ? null : this.#body;
+    return fingerprintOf(this.#head, body);
+  }
+
+  /** Frees the slot; for an answer with the time until its head. */
+  #end(serviceMs: number | null): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
+    if (this.#body instanceof UpstreamBody) this.#body.destroy();
+    this.#context.onEnd();
+  }
+}
+
+function joined(pieces: Uint8Array[]): Buffer {
+  const [only] = pieces;
+  if (pieces.length === 1 && Buffer.isBuffer(only)) return only;
+  return Buffer.concat(pieces);
+}
--- /dev/null
+++ b/packages/node/src/calls/serving-handler.ts
@@ -0,0 +1,74 @@
+import {INVARIANT_CODES, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import type {ByteStream, StreamHandler} from '@verbenabeam/wire';
+import {decodeHead} from './call-head.js';
+import type {CallHead} from './call-head.js';
+import {CrashDetector} from './crash-detector.js';
+import type {LocalServing} from './entry-ports.js';
+import {InFlight} from './in-flight.js';
+import {ServingCall} from './serving-call.js';
+import type {ServingContext} from './serving-call.js';
+import type {ServingPorts} from './serving-ports.js';
+import {UpstreamPool} from './upstream-pool.js';
+
+/**
+ * Serving side: takes calls from entry nodes and from this node, and passes
+ * those that are admitted to the own upstream.
+ *
+ * @public
+ */
+export class ServingHandler implements LocalServing {
+  readonly #ports: ServingPorts;
+  readonly #pool = new UpstreamPool();
+  readonly #inFlight = new InFlight();
+  readonly #context: ServingContext;
+  #draining = false;
+
+  constructor(ports: ServingPorts) {
+    this.#ports = ports;
+    this.#context = {
+      ports,
+      pool: this.#pool,
+      crashes: new CrashDetector(ports),
+      isDraining: () => this.#draining,
+      onEnd: () => {
+        this.#inFlight.leave();
+      },
+    };
+  }
+
+  /** Calls that have not ended. */
+  get inFlight(): number {
+    return this.#inFlight.count;
+  }
+
+  /** Handler for `PeerBus.onStream(CALL_STREAM, ...)`. */
+  readonly onStream: StreamHandler = (value, stream) => {
+    const head = decodeHead(value);
+    if (head) this.serve(head, stream);
+    else {
+      const message = 'The head of the call is malformed';
+      stream.reset(new MeshError(WIRE_CODES.unexpectedFrame, message));
+    }
+  };
+
+  serve(head: CallHead, stream: ByteStream): void {
+    this.#inFlight.enter();
+    new ServingCall(head, stream, this.#context).start();
+  }
+
+  /** Refuses new calls and resolves when those in flight have ended. */
+  async drain(): Promise<void> {
+    this.#draining = true;
+    await this.#inFlight.empty();
+  }
+
+  /** Closes the connections to the upstream; `drain` comes first. */
+  async close(): Promise<void> {
+    const {count} = this.#inFlight;
+    this.#ports.invariants.check(INVARIANT_CODES.cutOff, count === 0, {
+      side: 'serving',
+      count,
+    });
+    await this.#pool.close();
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/serving-ports.ts
@@ -0,0 +1,75 @@
+import type {Invariants, MeshError} from '@verbenabeam/core';
+import type {UpstreamState} from '@verbenabeam/membership';
+import type {LoadReport} from '@verbenabeam/routing';
+import type {Result} from 'true-myth';
+
+/** The upstream beside this node. @public */
+export interface OwnUpstream {
+  readonly service: string;
+  readonly version: string;
+  /** `ip:port` of its HTTP listener. */
+  readonly address: string;
+  readonly state: UpstreamState;
+}
+
+/** Knows the own upstream from its announcements. @public */
+export interface OwnUpstreamPort {
+  /** Null until it announced itself. */
+  current(): OwnUpstream | null;
+  /** Called when it refuses connections. */
+  markDown(reason: string): void;
+}
+
+/** What admission decides by. @public */
+export interface AdmissionRequest {
+  readonly callId: string;
+  /** Time of the deadline on the clock of `performance.now()`, in ms. */
+  readonly deadlineAt: number;
+}
+
+/** A slot that a call holds. @public */
+export interface Ticket {
+  /**
+   * Frees the slot; at most once.
+   *
+   * @param serviceMs - Time in the upstream; null if it did not answer.
+   */
+  leave(serviceMs: number | null): void;
+}
+
+/** Decision of admission. @public */
+export type AdmissionDecision =
+  | {readonly kind: 'admitted'; readonly ticket: Ticket}
+  | {readonly kind: 'refused'; readonly err: MeshError}
+  | {
+      readonly kind: 'queued';
+      readonly decided: Promise<Result<Ticket, MeshError>>;
+      /** Leaves the queue; a ticket that is granted later is left. */
+      readonly cancel: () => void;
+    };
+
+/** Slots and queue of the own upstream. @public */
+export interface AdmissionPort {
+  enter(call: AdmissionRequest): AdmissionDecision;
+  load(): LoadReport;
+}
+
+/** Keeps requests that crash upstreams away from them. @public */
+export interface QuarantinePort {
+  /** False while no fingerprint is suspected, so none is computed. */
+  readonly active: boolean;
+  /** Null admits; an error refuses as not run (1609). */
+  admit(fingerprint: string): MeshError | null;
+  /** A response completed, which clears a suspicion. */
+  completed(fingerprint: string): void;
+  /** The upstream died with these requests in flight. */
+  crashed(fingerprints: readonly string[]): void;
+}
+
+/** What the serving side of the data path depends on. @public */
+export interface ServingPorts {
+  readonly upstream: OwnUpstreamPort;
+  readonly admission: AdmissionPort;
+  readonly quarantine: QuarantinePort;
+  readonly invariants: Invariants;
+}
--- /dev/null
+++ b/packages/node/src/calls/test-client.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import type {TestNode} from './test-node.js';
+
+/** A response, read whole. */
+export interface Answer {
+  status: number;
+  body: Buffer;
+  code: number;
+  callId: string;
+  notRun: boolean;
+}
+
+/** A caller with its own connections. */
+export class TestClient {
+  readonly agent = new Agent();
+
+  send(
+    node: TestNode,
+    path: string,
+    headers: Record<string, string> = {},
+    body?: Buffer,
+  ) {
+    const method = body || path.startsWith('/write') ? 'POST' : 'GET';
+    const options = {method, headers, body, dispatcher: this.agent} as const;
+    return request(node.url + path, options);
+  }
+
+  async call(...args: Parameters<TestClient['send']>): Promise<Answer> {
+    const res = await this.send(...args);
+    const body = Buffer.from(await res.body.arrayBuffer());
+    const code = Number(res.headers['vb-result']);
+    const callId = String(res.headers['vb-call-id']);
+    const notRun = res.headers['vb-not-run'] === 'true';
+    if (code !== 1600) {
+      const json = JSON.parse(body.toString()) as Record<string, unknown>;
+      assert.equal(json['code'], code);
+      assert.equal(json['notRun'], notRun);
+      assert.ok(json['name'] && json['message']);
+    }
+    return {status: res.statusCode, body, code, callId, notRun};
+  }
+
+  /** A generated body repeats its own URL. */
+  async generated(node: TestNode, path: string, size: number) {
+    const {body, status} = await this.call(node, path);
+    return status === 200 && body.equals(Buffer.alloc(size, path));
+  }
+
+  async echoed(node: TestNode, path: string, sent: Buffer) {
+    const {body, status} = await this.call(node, path, {}, sent);
+    return status === 200 && body.equals(sent);
+  }
+
+  /** Closes the connections. */
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+}
+
+/** Waits until something holds. */
+export async function until(
+  holds: () => boolean,
+  limitMs = 3000,
+): Promise<void> {
+  const end = performance.now() + limitMs;
+  while (!holds()) {
+    assert.ok(performance.now() < end, `not true within ${limitMs} ms`);
+    await sleep(3);
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/test-node.ts
@@ -0,0 +1,96 @@
+import {once} from 'node:events';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {startUpstream} from '@verbenabeam/app-upstream-standin';
+import type {
+  StandinOptions,
+  UpstreamStandin,
+} from '@verbenabeam/app-upstream-standin';
+import {TcpPeerBus} from '@verbenabeam/wire';
+import {CALL_STREAM} from './call-head.js';
+import {CallLog} from './call-log.js';
+import {EntryHandler} from './entry-handler.js';
+import {ServingHandler} from './serving-handler.js';
+import {
+  collectingInvariants,
+  FakeAdmission,
+  FakeClaims,
+  FakeConfig,
+  FakeInstances,
+  FakeQuarantine,
+  FakeUpstream,
+} from './test-ports.js';
+
+/** A data path on real sockets with an upstream and fakes of the rest. */
+export class TestNode {
+  readonly config = new FakeConfig();
+  readonly instances = new FakeInstances();
+  readonly admission = new FakeAdmission();
+  readonly quarantine = new FakeQuarantine();
+  readonly ownUpstream = new FakeUpstream();
+  readonly log = new CallLog();
+  readonly bus: TcpPeerBus;
+  readonly serving: ServingHandler;
+  readonly entry: EntryHandler;
+  readonly #server: http.Server;
+  wireAddress = '';
+  url = '';
+  upstream: UpstreamStandin | null = null;
+
+  constructor(
+    readonly nodeId: string,
+    readonly broken: string[],
+  ) {
+    const {config, instances, admission, quarantine} = this;
+    const invariants = collectingInvariants(broken);
+    this.bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('test key')});
+    this.serving = new ServingHandler({
+      upstream: this.ownUpstream,
+      admission,
+      quarantine,
+      invariants,
+    });
+    this.entry = new EntryHandler({
+      config,
+      instances,
+      versions: {choose: () => ({version: 'v1', moveId: null})},
+      retries: {onCall: () => undefined, tryRetry: () => true},
+      claims: new FakeClaims(),
+      bus: this.bus,
+      serving: this.serving,
+      observer: this.log,
+      invariants,
+    });
+    this.bus.onStream(CALL_STREAM, this.serving.onStream);
+    this.#server = http.createServer(this.entry.handle);
+  }
+
+  async start(options: Partial<StandinOptions>): Promise<void> {
+    const started = await this.bus.start('127.0.0.1:0');
+    this.wireAddress = started.unwrapOr('');
+    await once(this.#server.listen(0, '127.0.0.1'), 'listening');
+    const {port} = this.#server.address() as AddressInfo;
+    this.url = `http://127.0.0.1:${port}`;
+    const names = {service: 'files', version: 'v1'};
+    this.upstream = await startUpstream({...names, ...options});
+    const {address} = this.upstream;
+    this.ownUpstream.own = {...names, address, state: 'ready'};
+  }
+
+  /** Sends the calls that enter here to these nodes. */
+  sendTo(...nodes: TestNode[]): void {
+    this.instances.targets = nodes.map(node => ({
+      nodeId: node.nodeId,
+      address: node.wireAddress,
+      local: node === this,
+    }));
+  }
+
+  async stop(): Promise<void> {
+    this.upstream?.crash();
+    this.#server.close();
+    this.#server.closeAllConnections();
+    await this.bus.close();
+    await this.serving.close();
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/test-ports.ts
@@ -0,0 +1,186 @@
+import {Result} from 'true-myth';
+import {CALL_CODES, Invariants, MeshError} from '@verbenabeam/core';
+import type {Route, Service, Snapshot} from '@verbenabeam/document';
+import type {LoadReport} from '@verbenabeam/routing';
+import type {
+  ClaimDecision,
+  ClaimKey,
+  ClaimResult,
+  ClaimsPort,
+  ConfigPort,
+  InstanceChooser,
+  Target,
+} from './entry-ports.js';
+import type {
+  AdmissionDecision,
+  AdmissionPort,
+  OwnUpstream,
+  OwnUpstreamPort,
+  QuarantinePort,
+  Ticket,
+} from './serving-ports.js';
+
+/** Small fakes of the ports, for tests and the overhead benchmark. */
+const service: Service = {name: 'files', versions: ['v1'], current: 'v1'};
+
+function route(name: string, extra: Partial<Route>): Route {
+  return {
+    name,
+    service,
+    host: null,
+    pathPrefix: `/${name}`,
+    methods: null,
+    idempotent: true,
+    timeoutMs: 5000,
+    idempotencyKey: 'optional',
+    ...extra,
+  };
+}
+
+/** Routes: /read idempotent, /write not, /keyed with a required key. */
+export class FakeConfig implements ConfigPort {
+  snapshot: Snapshot | null;
+
+  constructor() {
+    const routes = [
+      route('read', {}),
+      route('write', {idempotent: false}),
+      route('keyed', {idempotent: false, idempotencyKey: 'required'}),
+      route('crash', {}),
+    ];
+    const document = {
+      text: '',
+      hash: '',
+      strictness: 'balanced' as const,
+      callerClasses: [],
+      services: new Map([[service.name, service]]),
+      routes,
+      moves: [],
+    };
+    const base = {environment: 'test', hash: '', acceptedAt: 0};
+    this.snapshot = {...base, version: 7, document};
+  }
+
+  current(): Snapshot | null {
+    return this.snapshot;
+  }
+
+  match(snapshot: Snapshot, {path}: {path: string}): Route | null {
+    const {routes} = snapshot.document;
+    return routes.find(r => path.startsWith(r.pathPrefix)) ?? null;
+  }
+}
+
+/** Picks targets in turn. */
+export class FakeInstances implements InstanceChooser {
+  targets: Target[] = [];
+  readonly ended = () => undefined;
+  readonly began = () => undefined;
+  #next = 0;
+
+  pick(_s: string, _v: string, exclude: ReadonlySet<string>): Target | null {
+    const free = this.targets.filter(t => !exclude.has(t.nodeId));
+    return free[this.#next++ % free.length] ?? null;
+  }
+}
+
+/** Slots with a bounded queue. */
+export class FakeAdmission implements AdmissionPort {
+  slots = 1000;
+  queueLimit = 0;
+  #used = 0;
+  readonly #queue: ((ticket: Ticket) => void)[] = [];
+
+  enter(): AdmissionDecision {
+    if (this.#used < this.slots) {
+      return {kind: 'admitted', ticket: this.#ticket()};
+    }
+    if (this.#queue.length >= this.queueLimit) {
+      const {queueFull} = CALL_CODES;
+      return {kind: 'refused', err: new MeshError(queueFull, 'full')};
+    }
+    let granted: (ticket: Ticket) => void = () => undefined;
+    const decided = new Promise<Result<Ticket, MeshError>>(resolve => {
+      granted = ticket => {
+        resolve(Result.ok(ticket));
+      };
+    });
+    this.#queue.push(granted);
+    return {kind: 'queued', decided, cancel: () => undefined};
+  }
+
+  load(): LoadReport {
+    const queued = this.#queue.length;
+    return {inFlight: this.#used, queued, slots: this.slots, serviceMs: 1};
+  }
+
+  #ticket(): Ticket {
+    this.#used++;
+    let left = false;
+    const leave = () => {
+      if (left) throw new Error('a ticket was left twice');
+      left = true;
+      this.#used--;
+      const next = this.#queue.shift();
+      if (next) next(this.#ticket());
+    };
+    return {leave};
+  }
+}
+
+/** Records what it is told and admits everything. */
+export class FakeQuarantine implements QuarantinePort {
+  active = false;
+  readonly crashes: string[][] = [];
+  readonly admit = () => null;
+  readonly completed = () => undefined;
+
+  crashed(fingerprints: readonly string[]): void {
+    this.crashes.push([...fingerprints]);
+  }
+}
+
+/** The own upstream, whose state the test sets. */
+export class FakeUpstream implements OwnUpstreamPort {
+  own: OwnUpstream | null = null;
+
+  current(): OwnUpstream | null {
+    return this.own;
+  }
+
+  markDown(): void {
+    if (this.own) this.own = {...this.own, state: 'down'};
+  }
+}
+
+/** Claims in memory. */
+export class FakeClaims implements ClaimsPort {
+  readonly #results = new Map<string, ClaimResult | null>();
+
+  begin({key}: ClaimKey): Promise<Result<ClaimDecision, MeshError>> {
+    const known = this.#results.get(key);
+    if (known === undefined || known?.kind === 'notRun') {
+      this.#results.set(key, null);
+      return Promise.resolve(Result.ok({kind: 'granted'}));
+    }
+    if (known === null) return Promise.resolve(Result.ok({kind: 'inProgress'}));
+    if (known.kind === 'unknown') {
+      return Promise.resolve(Result.ok({kind: 'unknown'}));
+    }
+    const {answer} = known as Extract<ClaimResult, {kind: 'answered'}>;
+    return Promise.resolve(Result.ok({kind: 'finished', answer}));
+  }
+
+  finish({key}: ClaimKey, result: ClaimResult): void {
+    this.#results.set(key, result);
+  }
+}
+
+/** Invariants that only collect, so that a scenario can print them. */
+export function collectingInvariants(broken: string[]): Invariants {
+  const invariants = new Invariants(false);
+  invariants.onBroken((code, details) => {
+    broken.push(`${code.name} ${JSON.stringify(details)}`);
+  });
+  return invariants;
+}
--- /dev/null
+++ b/packages/node/src/calls/upstream-body.ts
@@ -0,0 +1,26 @@
+import {Readable} from 'node:stream';
+import type {ByteStream} from '@verbenabeam/wire';
+
+/** A request body that is passed to the upstream while it arrives. @internal */
+export class UpstreamBody extends Readable {
+  readonly #stream: ByteStream;
+
+  constructor(stream: ByteStream) {
+    super();
+    this.#stream = stream;
+  }
+
+  /** Accepts bytes from the entry side, which waits if too many are held. */
+  accept(chunk: Uint8Array): void {
+    if (!this.push(chunk)) this.#stream.pause();
+  }
+
+  /** Takes the end. */
+  finish(): void {
+    this.push(null);
+  }
+
+  override _read(): void {
+    this.#stream.resume();
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/upstream-pool.ts
@@ -0,0 +1,31 @@
+import {Pool} from 'undici';
+
+/** Most connections to the own upstream; its limit is about 120. */
+const maxConnections = 100;
+
+/** Connections to the own upstream; replaced when its address changes. */
+export class UpstreamPool {
+  #pool: Pool | null = null;
+  #address = '';
+
+  /** Returns the pool of the address. */
+  get(address: string): Pool {
+    if (this.#pool && this.#address === address) return this.#pool;
+    void this.#pool?.close();
+    this.#address = address;
+    this.#pool = new Pool(`http://${address}`, {
+      connections: maxConnections,
+      pipelining: 1,
+      // The entry side's deadline ends a call; undici's timers would be
+      // started for each request.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    return this.#pool;
+  }
+
+  async close(): Promise<void> {
+    await this.#pool?.destroy();
+    this.#pool = null;
+  }
+}
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -128,16 +128,19 @@
   }
 
   /**
-   * Takes a reset, or the loss of the connection. After the other side's end
-   * nothing is missing, so the listener is not told.
+   * Takes a reset, or the loss of the connection. What arrived before the other
+   * side's end is whole, so it is still delivered first.
    */
   takeReset(err: MeshError): void {
     if (this.#closed) return;
     this.#close();
-    if (this.#gotEnd) return;
-    this.#backlog = [];
-    if (this.#listener) this.#listener.onReset(err);
-    else this.#backlog.push(l => l.onReset(err));
+    if (!this.#gotEnd) {
+      this.#backlog = [];
+      this.#paused = false;
+    }
+    this.#deliver(l => {
+      l.onReset(err);
+    });
   }
 
   #pump(): void {
--- a/packages/wire/src/wire.feature
+++ b/packages/wire/src/wire.feature
@@ -54,6 +54,11 @@
     Then the waiting wire request fails with "wire.connectionLost"
     And the wire stream is reset with "wire.connectionLost"
 
+  Scenario: A wire stream that is reset after its end is cancelled
+    Given a wire stream in both directions
+    When the wire stream is ended and then reset
+    Then the answering wire side learns of the reset
+
   Scenario: A wire request of unknown kind is refused as not run
     When a wire request has an unknown kind
     Then the wire request fails with "wire.unknownKind"
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -2,7 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
-import type {MeshError} from '@verbenabeam/core';
+import {MeshError, WIRE_CODES} from '@verbenabeam/core';
 import {testTls} from './fixtures/test-certificate.js';
 import type {ByteStream} from './peer-bus.js';
 import type {TcpPeerBusOptions, WireTls} from './bus-options.js';
@@ -25,7 +25,13 @@
 let outcomes: Outcome[];
 let rawPeer: RawPeer;
 let resetCode: Promise<string>;
-let slow: {stream: ByteStream; whole: Promise<void>; received: () => number};
+let sent: ByteStream;
+let slow: {
+  stream: ByteStream;
+  whole: Promise<void>;
+  received: () => number;
+  reset: () => string;
+};
 
 async function startBuses(extra: Partial<TcpPeerBusOptions>): Promise<void> {
   client = new TcpPeerBus({nodeId: 'client', nodeKey, ...extra});
@@ -51,14 +57,15 @@
     let received = 0;
     let done: () => void;
     const whole = new Promise<void>(resolve => (done = resolve));
-    slow = {stream, whole, received: () => received};
+    let reset = '';
+    slow = {stream, whole, received: () => received, reset: () => reset};
     stream.pause();
     stream.listen({
       onChunk: chunk => (received += chunk.length),
       onEnd: () => {
         done();
       },
-      onReset: () => undefined,
+      onReset: err => (reset = err.code.name),
     });
   });
   const started = await server.start('127.0.0.1:0');
@@ -107,6 +114,7 @@
   const opened = await client.openStream(address, 'unread', null, options);
   assert.ok(opened.isOk);
   const stream = opened.value;
+  sent = stream;
   resetCode = new Promise(resolve => {
     stream.listen({
       onChunk: () => undefined,
@@ -248,6 +256,19 @@
   assert.equal(await resetCode, name);
 });
 
+When('the wire stream is ended and then reset', async () => {
+  slow.stream.resume();
+  sent.end();
+  await slow.whole;
+  sent.reset(new MeshError(WIRE_CODES.cancelled, 'no longer needed'));
+});
+
+Then('the answering wire side learns of the reset', async () => {
+  await client.request(address, 'echo', 1, options);
+  await sleep(20);
+  assert.equal(slow.reset(), 'wire.cancelled');
+});
+
 When('a wire request has an unknown kind', async () => {
   outcome = await client.request(address, 'nothing', 1, options);
 });
