Add membership: table, gossip, upstream monitor

Death is a local conclusion: suspicion travels, death does not, so a reunion of regions cannot spread the deaths of the other side. Conclusion: bounds in the tests are 60 s, 30 s and 60 s.

--- /dev/null
+++ b/packages/membership/src/gossip.ts
@@ -0,0 +1,232 @@
+import type {RandomSource} from '@verbenabeam/core';
+import {Dissemination} from './dissemination.js';
+import {FailureDetector} from './failure-detector.js';
+import {GOSSIP_DEFAULTS} from './gossip-options.js';
+import type {GossipOptions} from './gossip-options.js';
+import {NODE_STATES, UPSTREAM_STATES} from './instance-record.js';
+import type {InstanceRecord, UpstreamRecord} from './instance-record.js';
+import {MemberTable} from './member-table.js';
+import type {GossipAction, GossipMessage, GossipMessageOf} from './messages.js';
+import {Outbox} from './outbox.js';
+import {OwnRecord} from './own-record.js';
+import {TableExchange} from './table-exchange.js';
+import type {RecordKey, Update} from './update.js';
+
+/** Version and hash of the configuration that a peer reported. @public */
+export type PeerConfigListener = (
+  peer: {readonly nodeId: string; readonly address: string},
+  config: {readonly version: number; readonly hash: string},
+) => void;
+
+type Contact = GossipMessageOf<'probe'> | GossipMessageOf<'ack'>;
+
+type Handlers = {
+  readonly [K in GossipMessage['k']]: (
+    from: string,
+    message: GossipMessageOf<K>,
+    now: number,
+  ) => void;
+};
+
+/** Peers that a leaving node tells; it will not be there to repeat it. */
+const leaveFanOut = 8;
+
+/**
+ * Membership protocol of one node as a state machine. Methods return the
+ * messages to send; the driver calls {@link Gossip.tick} about every 100 ms
+ * and validates received messages with `gossipMessageSchema`.
+ *
+ * @public
+ */
+export class Gossip {
+  readonly table: MemberTable;
+  readonly #options: Required<GossipOptions>;
+  readonly #own: OwnRecord;
+  readonly #out = new Outbox();
+  readonly #spreader: Dissemination;
+  readonly #detector: FailureDetector;
+  readonly #exchange: TableExchange;
+  readonly #configListeners: PeerConfigListener[] = [];
+  readonly #handlers: Handlers = {
+    probe: (from, message, now) => {
+      this.#onProbe(from, message, now);
+    },
+    ack: (from, message, now) => {
+      this.#onAck(from, message, now);
+    },
+    indirect: (from, {n, to}, now) => {
+      this.#detector.probeFor(from, n, to, now);
+    },
+    updates: (_from, {u, urgent}, now) => {
+      const {fresh} = this.#exchange.apply(u, now);
+      if (urgent) this.#spread(fresh, this.#options.urgentFanOut);
+    },
+    join: (from, {u}, now) => {
+      this.#exchange.onJoin(from, u, now);
+    },
+    table: (_from, message, now) => {
+      this.#exchange.onTable(message, now);
+    },
+    busy: (_from, {ms}, now) => {
+      this.#exchange.onBusy(ms, now);
+    },
+    digest: (from, {b}) => {
+      this.#exchange.onDigest(from, b);
+    },
+    diff: (from, message, now) => {
+      this.#exchange.onDiff(from, message, now);
+    },
+  };
+
+  /** @param own - Record of this node; its state is set to alive. */
+  constructor(
+    own: InstanceRecord,
+    rng: RandomSource,
+    options: GossipOptions = {},
+    table = new MemberTable(),
+  ) {
+    this.table = table;
+    this.#own = new OwnRecord(own);
+    this.#options = {...GOSSIP_DEFAULTS, ...options};
+    this.#spreader = new Dissemination(table, this.#own, rng);
+    const parts = {
+      table,
+      rng,
+      own: this.#own,
+      spreader: this.#spreader,
+      out: this.#out,
+      options: this.#options,
+    };
+    this.#detector = new FailureDetector(parts);
+    this.#exchange = new TableExchange(parts);
+  }
+
+  /** Record of this node. */
+  get own(): InstanceRecord {
+    return this.#own.value;
+  }
+
+  /** True when a seed has served its table, or when there is no seed. */
+  get joined(): boolean {
+    return this.#exchange.joined;
+  }
+
+  /** Adds a listener for the configurations that peers serve. */
+  onPeerConfig(listener: PeerConfigListener): void {
+    this.#configListeners.push(listener);
+  }
+
+  /** Starts the protocol. The own address among the seeds is ignored. */
+  start(seeds: readonly string[], now: number): GossipAction[] {
+    this.#spreader.publishOwn(now);
+    this.#detector.start(now);
+    this.#exchange.start(seeds, now);
+    return this.tick(now);
+  }
+
+  /** Takes new seeds, for example relays from the store, and joins again. */
+  rejoin(seeds: readonly string[], now: number): GossipAction[] {
+    this.#exchange.setSeeds(seeds, now);
+    return this.tick(now);
+  }
+
+  /** Does what is due. */
+  tick(now: number): GossipAction[] {
+    this.#detector.tick(now);
+    const seed = this.#exchange.tick(now);
+    if (seed !== null) this.#askRecord(seed);
+    return this.#out.flush();
+  }
+
+  /** Handles a validated message from the node at a wire address. */
+  receive(from: string, message: GossipMessage, now: number): GossipAction[] {
+    this.#handlers[message.k](from, message as never, now);
+    return this.#out.flush();
+  }
+
+  /** Publishes a changed upstream; changes from or to ready are urgent. */
+  setUpstream(upstream: UpstreamRecord | null, now: number): GossipAction[] {
+    const states = [this.own.upstream?.state, upstream?.state];
+    const isUrgent = states.includes(UPSTREAM_STATES.ready);
+    this.#own.change({upstream});
+    return this.#publish(now, isUrgent ? this.#options.urgentFanOut : 0);
+  }
+
+  /** Publishes whether this node is a relay. */
+  setRelay(relay: boolean, now: number): GossipAction[] {
+    this.#own.change({relay});
+    return this.#publish(now, 0);
+  }
+
+  /** Sets the configuration that rides on probes. */
+  setConfig(version: number, hash: string): void {
+    this.#detector.config = [version, hash];
+    this.#own.setConfigVersion(version);
+    this.table.noteConfig(this.own.nodeId, version);
+  }
+
+  /** Tells some peers at once that this node leaves. */
+  leave(now: number): GossipAction[] {
+    this.#own.change({state: NODE_STATES.left});
+    return this.#publish(now, leaveFanOut);
+  }
+
+  #publish(now: number, fanOut: number): GossipAction[] {
+    this.#spreader.publishOwn(now);
+    this.#spread([this.#spreader.ownTuple], fanOut);
+    return this.#out.flush();
+  }
+
+  #spread(updates: Update[], fanOut: number): void {
+    if (updates.length === 0) return;
+    for (const peer of this.#spreader.peers(fanOut)) {
+      this.#out.send(peer.address, {k: 'updates', u: updates, urgent: true});
+    }
+  }
+
+  #onProbe(from: string, probe: GossipMessageOf<'probe'>, now: number): void {
+    const wanted = this.#want(probe.s);
+    this.#meet(from, probe, now);
+    const doubt = this.#spreader.doubtOf(probe.s[0], probe.s);
+    const contact = this.#detector.contact(probe.n);
+    this.#out.send(from, {k: 'ack', ...contact, ...doubt, ...wanted});
+  }
+
+  #onAck(from: string, ack: GossipMessageOf<'ack'>, now: number): void {
+    if (!this.#detector.answered(ack)) return;
+    const isStranger = this.table.get(ack.s[0]) === undefined;
+    const wanted = this.#want(ack.s);
+    this.#meet(from, ack, now);
+    if (wanted.w) this.#askRecord(from);
+    if (isStranger) this.#exchange.sendDigest(from);
+  }
+
+  #askRecord(to: string): void {
+    this.#out.send(to, {k: 'probe', ...this.#detector.contact(0), w: true});
+  }
+
+  /** Learns from the header of a probe or acknowledgement. */
+  #meet(from: string, message: Contact, now: number): void {
+    this.#exchange.apply(message.u, now);
+    const [nodeId] = message.s;
+    const [version, hash] = message.c;
+    const address = this.table.get(nodeId)?.address ?? from;
+    this.table.noteConfig(nodeId, version);
+    for (const listener of this.#configListeners) {
+      listener({nodeId, address}, {version, hash});
+    }
+    const isDoubted = message.d?.[0] === this.own.nodeId;
+    if (isDoubted && message.d) this.#spreader.refute(message.d, now);
+    if (isDoubted || message.w) this.#sendOwn(from);
+  }
+
+  #sendOwn(to: string): void {
+    const u = [this.#spreader.ownTuple];
+    this.#out.send(to, {k: 'updates', u, urgent: false});
+  }
+
+  /** Asks for the record of a sender that is unknown or has changed. */
+  #want(key: RecordKey): {w?: true} {
+    return this.#spreader.isNewer(key) ? {w: true} : {};
+  }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,6 +3,12 @@
  *
  * @packageDocumentation
  */
+export {announcementSchema} from './announcement.js';
+export type {Announcement} from './announcement.js';
+export {Gossip} from './gossip.js';
+export type {PeerConfigListener} from './gossip.js';
+export {GOSSIP_DEFAULTS, suspicionMs} from './gossip-options.js';
+export type {GossipOptions} from './gossip-options.js';
 export {NODE_STATES, UPSTREAM_STATES} from './instance-record.js';
 export type {
   InstanceRecord,
@@ -10,3 +16,24 @@
   UpstreamRecord,
   UpstreamState,
 } from './instance-record.js';
+export {MemberTable} from './member-table.js';
+export type {
+  MemberChange,
+  MemberListener,
+  MemberTableOptions,
+} from './member-table.js';
+export {DIGEST_BUCKETS, gossipMessageSchema} from './messages.js';
+export type {GossipAction, GossipMessage, GossipMessageOf} from './messages.js';
+export {
+  decodeRecord,
+  encodeRecord,
+  keyOf,
+  recordKeySchema,
+  updateSchema,
+} from './update.js';
+export type {RecordKey, RecordTuple, Update} from './update.js';
+export {UpstreamMonitor} from './upstream-monitor.js';
+export type {
+  UpstreamListener,
+  UpstreamMonitorOptions,
+} from './upstream-monitor.js';
--- /dev/null
+++ b/packages/membership/src/member-table.ts
@@ -0,0 +1,223 @@
+import {hashToUint32} from '@verbenabeam/core';
+import {NODE_STATES} from './instance-record.js';
+import type {InstanceRecord} from './instance-record.js';
+import {DIGEST_BUCKETS} from './messages.js';
+import {compareKeys, keyOf} from './update.js';
+import type {RecordKey} from './update.js';
+
+/** Settings of {@link MemberTable}. @public */
+export interface MemberTableOptions {
+  /**
+   * Age in milliseconds from which a death can be revoked by a record of the
+   * same key; default 60,000. Until then, nodes that have not heard of the
+   * suspicion yet may still pass on the record.
+   */
+  readonly settledMs?: number;
+  /**
+   * Time for which a dead member is remembered, in milliseconds; default
+   * 75 min. Regions are apart for up to an hour and must find each other.
+   */
+  readonly forgetMs?: number;
+  /** Dead members remembered at most; default 4,096. */
+  readonly maxDead?: number;
+}
+
+/** One change of a member, as a listener sees it. @public */
+export interface MemberChange {
+  /** Null for a new member. */
+  readonly before: InstanceRecord | null;
+  readonly after: InstanceRecord;
+}
+
+/** Called after each change of a member. @public */
+export type MemberListener = (change: MemberChange) => void;
+
+interface Member {
+  record: InstanceRecord;
+  /** Time of the last change of state. */
+  since: number;
+}
+
+const defaults = {settledMs: 60_000, forgetMs: 4_500_000, maxDead: 4096};
+
+/**
+ * The records of all known nodes. Records are ordered by incarnation, sequence
+ * and state. Only `alive`, `suspect` and `left` travel between nodes; each node
+ * concludes `dead` by itself when a suspicion is not refuted in time.
+ *
+ * @public
+ */
+export class MemberTable {
+  readonly #members = new Map<string, Member>();
+  /** Node id by address, of the members that are not dead. */
+  readonly #byAddress = new Map<string, string>();
+  readonly #digest = new Array<number>(DIGEST_BUCKETS).fill(0);
+  readonly #listeners: MemberListener[] = [];
+  readonly #options: Required<MemberTableOptions>;
+  #liveCount = 0;
+  #live: InstanceRecord[] | null = null;
+  #dead: InstanceRecord[] | null = null;
+
+  constructor(options: MemberTableOptions = {}) {
+    this.#options = {...defaults, ...options};
+  }
+
+  /** Adds a listener, which must not change the table. */
+  onChange(listener: MemberListener): void {
+    this.#listeners.push(listener);
+  }
+
+  get(nodeId: string): InstanceRecord | undefined {
+    return this.#members.get(nodeId)?.record;
+  }
+
+  byAddress(address: string): InstanceRecord | undefined {
+    const nodeId = this.#byAddress.get(address);
+    return nodeId === undefined ? undefined : this.get(nodeId);
+  }
+
+  /** Members that are alive or suspect. */
+  live(): readonly InstanceRecord[] {
+    this.#live ??= this.#select(isLive);
+    return this.#live;
+  }
+
+  /** Members that are dead and may come back. */
+  dead(): readonly InstanceRecord[] {
+    this.#dead ??= this.#select(r => r.state === NODE_STATES.dead);
+    return this.#dead;
+  }
+
+  /** Merges a record of another node or of this node itself. */
+  merge(record: InstanceRecord, now: number): boolean {
+    const known = this.#members.get(record.nodeId);
+    if (!known && !isLive(record)) return false;
+    if (known && !this.#supersedes(record, known, now)) return false;
+    if (this.#isReplaced(record)) return false;
+    this.#put(record, now);
+    return true;
+  }
+
+  /** Applies a suspicion, unless the member has a newer record. */
+  suspect(key: RecordKey, now: number): boolean {
+    const known = this.#members.get(key[0]);
+    if (!known || compareKeys(keyOf(known.record), key) !== 0) return false;
+    return this.merge({...known.record, state: NODE_STATES.suspect}, now);
+  }
+
+  /** Notes the configuration that a member reports; no change of its record. */
+  noteConfig(nodeId: string, configVersion: number): void {
+    const member = this.#members.get(nodeId);
+    if (!member || member.record.configVersion === configVersion) return;
+    member.record = {...member.record, configVersion};
+    this.#live = null;
+  }
+
+  /** Declares overdue suspects dead and forgets members that are long gone. */
+  expire(now: number, suspicionMs: number): void {
+    for (const [nodeId, {record, since}] of this.#members) {
+      const age = now - since;
+      if (record.state === NODE_STATES.suspect && age >= suspicionMs) {
+        this.#put({...record, state: NODE_STATES.dead}, now);
+      }
+      if (!isLive(record) && age >= this.#options.forgetMs) {
+        this.#forget(nodeId);
+      }
+    }
+  }
+
+  /** One number per bucket; equal tables of live members have equal ones. */
+  digest(): number[] {
+    return [...this.#digest];
+  }
+
+  /** Live and left members of the given buckets. */
+  inBuckets(buckets: ReadonlySet<number>): InstanceRecord[] {
+    return this.#select(
+      r => r.state !== NODE_STATES.dead && buckets.has(bucketOf(r.nodeId)),
+    );
+  }
+
+  #supersedes(record: InstanceRecord, known: Member, now: number): boolean {
+    const order = compareKeys(keyOf(record), keyOf(known.record));
+    if (order !== 0) return order > 0;
+    const isSettled = now - known.since >= this.#options.settledMs;
+    if (known.record.state === NODE_STATES.dead && isSettled) return true;
+    return rank[record.state] > rank[known.record.state];
+  }
+
+  /** True when a newer process has taken the address of the record. */
+  #isReplaced(record: InstanceRecord): boolean {
+    const holder = this.byAddress(record.address);
+    if (!holder || holder.nodeId === record.nodeId) return false;
+    return isLive(record) && holder.incarnation >= record.incarnation;
+  }
+
+  #put(record: InstanceRecord, now: number): void {
+    const before = this.get(record.nodeId) ?? null;
+    const holder = this.byAddress(record.address);
+    if (isLive(record) && holder && holder.nodeId !== record.nodeId) {
+      this.#put({...holder, state: NODE_STATES.left}, now);
+    }
+    if (before) this.#count(before, -1);
+    this.#count(record, 1);
+    this.#members.set(record.nodeId, {record, since: now});
+    if (isLive(record)) this.#byAddress.set(record.address, record.nodeId);
+    else this.#release(record);
+    this.#live = null;
+    this.#dead = null;
+    this.#limitDead();
+    for (const listener of this.#listeners) listener({before, after: record});
+  }
+
+  #release(record: InstanceRecord): void {
+    if (this.#byAddress.get(record.address) === record.nodeId) {
+      this.#byAddress.delete(record.address);
+    }
+  }
+
+  #forget(nodeId: string): void {
+    this.#members.delete(nodeId);
+    this.#dead = null;
+  }
+
+  #limitDead(): void {
+    const excess = this.#members.size - this.#liveCount;
+    if (excess <= this.#options.maxDead) return;
+    for (const [nodeId, {record}] of this.#members) {
+      if (isLive(record)) continue;
+      this.#forget(nodeId);
+      return;
+    }
+  }
+
+  /** Adds or removes a record; the digest ignores short-lived suspicion. */
+  #count(record: InstanceRecord, sign: 1 | -1): void {
+    if (!isLive(record)) return;
+    this.#liveCount += sign;
+    const bucket = bucketOf(record.nodeId);
+    const hash = hashToUint32(keyOf(record).join('/'));
+    this.#digest[bucket] = ((this.#digest[bucket] ?? 0) ^ hash) >>> 0;
+  }
+
+  #select(accepts: (record: InstanceRecord) => boolean): InstanceRecord[] {
+    const records: InstanceRecord[] = [];
+    for (const {record} of this.#members.values()) {
+      if (accepts(record)) records.push(record);
+    }
+    return records;
+  }
+}
+
+const rank = {alive: 0, suspect: 1, dead: 2, left: 3} as const;
+
+/** True for members that may be asked. @internal */
+export function isLive(record: InstanceRecord): boolean {
+  return (
+    record.state === NODE_STATES.alive || record.state === NODE_STATES.suspect
+  );
+}
+
+function bucketOf(nodeId: string): number {
+  return hashToUint32(nodeId) % DIGEST_BUCKETS;
+}
--- /dev/null
+++ b/packages/membership/src/membership-runs.feature
@@ -0,0 +1,46 @@
+@membership
+Feature: Membership under faults
+  Seeded runs over a fake link and clock. `VERBENABEAM_LONG_SEEDS=<count>`
+  runs that many further seeds, starting at VERBENABEAM_SEED.
+
+  Scenario: membership recovers from random faults
+    When membership runs 18 nodes under random faults with several seeds
+    Then membership misses no live node for more than 60 s
+    And membership keeps no dead process for more than 30 s
+    And membership tables agree within 60 s after the last fault
+
+  Scenario: membership reunites regions that were apart for an hour
+    Given a membership cluster of 16 nodes
+    When membership regions are apart for 3600 s
+    Then membership tables show only the own region
+    And membership tables agree 60 s later
+
+  Scenario: membership shows a draining upstream everywhere within 3 s
+    Given a membership cluster of 120 nodes
+    Then membership shows 8 draining upstreams everywhere within 3 s at 10% loss
+
+  Scenario: membership forgets a lost data centre
+    Given a membership cluster of 42 nodes
+    When membership loses a data centre
+    Then membership tables agree 30 s later
+
+  Scenario: membership limits full tables when a third of the nodes restarts
+    Given a membership cluster of 60 nodes
+    When membership restarts a third of the nodes at once
+    Then membership seeds serve at most 4 tables in a second
+    And membership tables agree 60 s later
+
+  Scenario: membership keeps a node that one peer cannot reach
+    Given a membership cluster of 12 nodes
+    When membership link 1 to 2 works in one direction only for 120 s
+    Then membership has declared no node dead
+
+  Scenario: membership survives a paused and an isolated node
+    Given a membership cluster of 12 nodes
+    When membership node 3 is paused for 2500 ms at a time
+    And membership node 4 hears nothing for 20 s
+    Then membership has declared no node dead except at or for node 4
+
+  Scenario: membership costs two messages per node and second at rest
+    Given a membership cluster of 30 nodes
+    Then membership sends at most 2.2 valid messages per node and second
--- /dev/null
+++ b/packages/membership/src/membership-runs.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {testSeed} from '@verbenabeam/testing';
+import {gossipMessageSchema} from './messages.js';
+import type {GossipMessage} from './messages.js';
+import {FakeCluster} from './model/fake-cluster.js';
+import {randomRun} from './model/random-run.js';
+import type {RunFigures} from './model/random-run.js';
+
+interface World {
+  cluster: FakeCluster;
+  sent: {from: number; at: number; message: GossipMessage}[];
+  deaths: {observer: number; address: string}[];
+  runs: {seed: number; figures: RunFigures}[];
+}
+
+const fixedSeeds = [1, 2, 3, 9, 13];
+const longSeeds = Number(process.env['VERBENABEAM_LONG_SEEDS'] ?? 0);
+
+function seedsToRun(): number[] {
+  const further = Array.from({length: longSeeds}, (_, i) => testSeed() + i);
+  return [...fixedSeeds, ...further];
+}
+
+When(
+  'membership runs {int} nodes under random faults with several seeds',
+  function (this: World, size: number) {
+    this.runs = seedsToRun().map(seed => {
+      const cluster = new FakeCluster({seed, size});
+      // Half of the runs begin with empty tables, like a first deployment.
+      cluster.startAll(seed % 2 === 0);
+      cluster.run(20_000);
+      const figures = randomRun(cluster);
+      if (longSeeds > 0) {
+        process.stdout.write(`seed=${seed} ${JSON.stringify(figures)}\n`);
+      }
+      return {seed, figures};
+    });
+  },
+);
+
+function checkRuns(world: World, value: (f: RunFigures) => number, s: number) {
+  for (const {seed, figures} of world.runs) {
+    const ms = value(figures);
+    assert.ok(ms <= s * 1000, `seed ${seed}: ${ms} ms`);
+  }
+}
+
+// Guards against live instances that get no calls.
+Then(
+  'membership misses no live node for more than {int} s',
+  function (this: World, s: number) {
+    checkRuns(this, f => f.worstMissingMs, s);
+  },
+);
+
+Then(
+  'membership keeps no dead process for more than {int} s',
+  function (this: World, s: number) {
+    checkRuns(this, f => f.worstGoneMs, s);
+  },
+);
+
+Then(
+  'membership tables agree within {int} s after the last fault',
+  function (this: World, s: number) {
+    checkRuns(this, f => f.agreedAfterMs, s);
+  },
+);
+
+Given(
+  'a membership cluster of {int} nodes',
+  function (this: World, size: number) {
+    this.sent = [];
+    this.deaths = [];
+    this.cluster = new FakeCluster({
+      seed: testSeed(),
+      size,
+      onMessage: (from, message) => {
+        this.sent.push({from, at: this.cluster.now, message});
+      },
+    });
+    this.cluster.startAll();
+    for (const {index, gossip} of this.cluster.nodes) {
+      gossip.table.onChange(({after}) => {
+        if (after.state !== 'dead') return;
+        this.deaths.push({observer: index, address: after.address});
+      });
+    }
+    this.cluster.run(5000);
+    this.sent.length = 0;
+  },
+);
+
+When(
+  'membership regions are apart for {int} s',
+  function (this: World, s: number) {
+    this.cluster.faults.blocked = (from, to) => from % 2 !== to % 2;
+    this.cluster.run(s * 1000, () => {
+      this.sent.length = 0;
+    });
+  },
+);
+
+Then('membership tables show only the own region', function (this: World) {
+  for (const {index, gossip} of this.cluster.live) {
+    const seen = gossip.table.live().map(r => r.dataCentre);
+    assert.equal(seen.length, this.cluster.live.length / 2, `node ${index}`);
+  }
+  this.cluster.faults.blocked = () => false;
+});
+
+Then(
+  'membership tables agree {int} s later',
+  function (this: World, s: number) {
+    this.cluster.run(s * 1000);
+    assert.ok(this.cluster.agrees());
+  },
+);
+
+// Guards against calls to an instance that is leaving (P8).
+Then(
+  'membership shows {int} draining upstreams everywhere within 3 s at {int}% loss',
+  function (this: World, count: number, percent: number) {
+    const {cluster} = this;
+    cluster.faults.loss = percent / 100;
+    for (const node of cluster.rng.shuffle(cluster.nodes).slice(0, count)) {
+      cluster.setUpstream(node, 'draining');
+      cluster.run(3000);
+      const {nodeId} = node.gossip.own;
+      for (const {index, gossip} of cluster.live) {
+        const seen = gossip.table.get(nodeId)?.upstream?.state;
+        assert.equal(seen, 'draining', `node ${node.index} at ${index}`);
+      }
+    }
+  },
+);
+
+When('membership loses a data centre', function (this: World) {
+  for (const {index} of this.cluster.nodes) {
+    if (this.cluster.dataCentreOf(index) === 0) this.cluster.kill(index);
+  }
+});
+
+When(
+  'membership restarts a third of the nodes at once',
+  function (this: World) {
+    for (const {index} of [...this.cluster.nodes]) {
+      if (index % 3 === 2) this.cluster.restart(index);
+    }
+    this.cluster.run(5000);
+  },
+);
+
+// Guards against a seed that is overloaded by a mass restart.
+Then(
+  'membership seeds serve at most {int} tables in a second',
+  function (this: World, most: number) {
+    const tables = this.sent.filter(s => s.message.k === 'table');
+    assert.ok(tables.length > 0);
+    for (const {from, at} of tables) {
+      const within = tables.filter(
+        t => t.from === from && t.at >= at && t.at < at + 1000,
+      );
+      // A window of any second may touch two of the seed's own seconds.
+      assert.ok(within.length <= 2 * most, `${within.length} by node ${from}`);
+    }
+    const refused = this.sent.some(s => s.message.k === 'busy');
+    assert.ok(refused, 'the restart was too small to reach the limit');
+  },
+);
+
+When(
+  'membership link {int} to {int} works in one direction only for {int} s',
+  function (this: World, from: number, to: number, s: number) {
+    this.cluster.faults.blocked = (a, b) => a === from && b === to;
+    this.cluster.run(s * 1000);
+  },
+);
+
+Then('membership has declared no node dead', function (this: World) {
+  assert.deepEqual(this.deaths, []);
+});
+
+When(
+  'membership node {int} is paused for {int} ms at a time',
+  function (this: World, index: number, ms: number) {
+    for (let i = 0; i < 5; i++) {
+      this.cluster.pause(index, ms);
+      this.cluster.run(8000);
+    }
+  },
+);
+
+When(
+  'membership node {int} hears nothing for {int} s',
+  function (this: World, index: number, s: number) {
+    this.cluster.faults.blocked = (_from, to) => to === index;
+    this.cluster.run(s * 1000);
+  },
+);
+
+// Guards against one faulty node that makes the others lose healthy ones.
+Then(
+  'membership has declared no node dead except at or for node {int}',
+  function (this: World, index: number) {
+    const address = this.cluster.nodes[index]!.address;
+    const others = this.deaths.filter(
+      d => d.observer !== index && d.address !== address,
+    );
+    assert.deepEqual(others, []);
+  },
+);
+
+Then(
+  'membership sends at most {float} valid messages per node and second',
+  function (this: World, most: number) {
+    const seconds = 30;
+    this.cluster.run(seconds * 1000);
+    const rate = this.sent.length / this.cluster.live.length / seconds;
+    assert.ok(rate > 1 && rate <= most, `rate ${rate}`);
+    for (const {message} of this.sent) {
+      assert.ok(gossipMessageSchema.safeParse(message).success, message.k);
+    }
+  },
+);
--- /dev/null
+++ b/packages/membership/src/outbox.ts
@@ -0,0 +1,16 @@
+import type {GossipAction, GossipMessage} from './messages.js';
+
+/** Collects what one step of the protocol sends. @internal */
+export class Outbox {
+  #actions: GossipAction[] = [];
+
+  send(to: string, message: GossipMessage): void {
+    this.#actions.push({to, message});
+  }
+
+  flush(): GossipAction[] {
+    const actions = this.#actions;
+    this.#actions = [];
+    return actions;
+  }
+}
--- /dev/null
+++ b/packages/membership/src/upstream-monitor.ts
@@ -0,0 +1,119 @@
+import {MEMBERSHIP_CODES, MeshError} from '@verbenabeam/core';
+import {Result} from 'true-myth';
+import {announcementSchema} from './announcement.js';
+import type {Announcement} from './announcement.js';
+import {UPSTREAM_STATES} from './instance-record.js';
+import type {UpstreamRecord, UpstreamState} from './instance-record.js';
+
+/** Settings of {@link UpstreamMonitor}. @public */
+export interface UpstreamMonitorOptions {
+  /** Silence in milliseconds after which the upstream is down; default 3,000. */
+  readonly silenceMs?: number;
+}
+
+/** Called with the new record after each change. @public */
+export type UpstreamListener = (record: UpstreamRecord) => void;
+
+const defaultSilenceMs = 3000;
+
+/** Follows the announcements of the upstream beside the node. @public */
+export class UpstreamMonitor {
+  readonly #silenceMs: number;
+  readonly #listeners: UpstreamListener[] = [];
+  #record: UpstreamRecord | null = null;
+  #address: string | null = null;
+  #heardAt = -Infinity;
+  #leavingAt = -Infinity;
+
+  constructor(options: UpstreamMonitorOptions = {}) {
+    this.#silenceMs = options.silenceMs ?? defaultSilenceMs;
+  }
+
+  /** Null until the first announcement. */
+  get record(): UpstreamRecord | null {
+    return this.#record;
+  }
+
+  /** Address for calls to the upstream, `ip:port`. */
+  get address(): string | null {
+    return this.#address;
+  }
+
+  onChange(listener: UpstreamListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /**
+   * Takes the body of `POST /announce`.
+   *
+   * @param wallTime - Calendar time in milliseconds, for `readySince`.
+   * @returns 1501 with the first fault of a malformed body.
+   */
+  announce(
+    body: unknown,
+    now: number,
+    wallTime: number,
+  ): Result<UpstreamRecord, MeshError> {
+    const parsed = announcementSchema.safeParse(body);
+    if (!parsed.success) {
+      const issue = parsed.error.issues[0];
+      const field = issue?.path.join('.') ?? '';
+      const text = `announcement field "${field}": ${issue?.message ?? ''}`;
+      const err = new MeshError(MEMBERSHIP_CODES.invalidAnnouncement, text);
+      return Result.err(err);
+    }
+    this.#heardAt = now;
+    this.#address = parsed.data.address;
+    if (parsed.data.state === 'leaving') this.#leavingAt = now;
+    return Result.ok(this.#set(this.#recordOf(parsed.data, now, wallTime)));
+  }
+
+  /** Marks the upstream down after silence. Call it about once a second. */
+  tick(now: number): void {
+    if (now - this.#heardAt >= this.#silenceMs) this.markDown();
+  }
+
+  /** Marks the upstream down at once, for example after a reset. */
+  markDown(): void {
+    const record = this.#record;
+    if (!record || record.state === UPSTREAM_STATES.down) return;
+    this.#set({...record, state: UPSTREAM_STATES.down, readySince: 0});
+  }
+
+  #recordOf(
+    announcement: Announcement,
+    now: number,
+    wallTime: number,
+  ): UpstreamRecord {
+    const {service, version, slots} = announcement;
+    const state = this.#stateOf(announcement, now);
+    const before = this.#record;
+    const isSame =
+      before?.state === UPSTREAM_STATES.ready &&
+      before.service === service &&
+      before.version === version;
+    const since = isSame ? before.readySince : wallTime;
+    const readySince = state === UPSTREAM_STATES.ready ? since : 0;
+    return {service, version, slots, state, readySince};
+  }
+
+  /**
+   * An announcement that was overtaken by `leaving` must not make the upstream
+   * ready again. A replacement is believed once the leaver has been silent.
+   */
+  #stateOf(announcement: Announcement, now: number): UpstreamState {
+    const {state} = announcement;
+    if (state === 'leaving') return UPSTREAM_STATES.draining;
+    const mayBeLate =
+      this.#record?.state === UPSTREAM_STATES.draining &&
+      now - this.#leavingAt < this.#silenceMs;
+    return mayBeLate ? UPSTREAM_STATES.draining : state;
+  }
+
+  #set(record: UpstreamRecord): UpstreamRecord {
+    const isChanged = JSON.stringify(record) !== JSON.stringify(this.#record);
+    this.#record = record;
+    if (isChanged) for (const listener of this.#listeners) listener(record);
+    return record;
+  }
+}
