--- a/packages/store/src/watch-stream.ts
+++ b/packages/store/src/watch-stream.ts
@@ -1,4 +1,3 @@
-import {createInterface} from 'node:readline';
 import {Result} from 'true-myth';
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -66,8 +65,7 @@
       bodyTimeout: 0,
       headersTimeout: 0,
     });
-    res.body.on('error', () => undefined);
-    for await (const line of createInterface({input: res.body})) {
+    for await (const line of readLines(res.body)) {
       onData();
       const error = readLine(line, options, position);
       if (error) return Result.err(error);
@@ -131,6 +129,17 @@
   return null;
 }
 
+/** Splits a body into lines; unlike `readline` it ends when the body fails. */
+async function* readLines(body: AsyncIterable<Buffer>): AsyncGenerator<string> {
+  const decoder = new TextDecoder();
+  let rest = '';
+  for await (const chunk of body) {
+    const lines = (rest + decoder.decode(chunk, {stream: true})).split('\n');
+    rest = lines.pop() ?? '';
+    yield* lines.filter(line => line !== '');
+  }
+}
+
 function parse(line: string): unknown {
   try {
     return JSON.parse(line);
