--- a/packages/distribution/src/distribution.test.ts
+++ b/packages/distribution/src/distribution.test.ts
@@ -1,148 +1,14 @@
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {Then} from '@cucumber/cucumber';
 import type {DataTable} from '@cucumber/cucumber';
-import {Invariants, seededRandom} from '@verbenabeam/core';
-import type {MeshError} from '@verbenabeam/core';
-import {compile} from '@verbenabeam/document';
-import {
-  Distributor,
-  FullTextCap,
-  PushPlanner,
-  pushTargets,
-  RelayPolicy,
-  StartInquiry,
-  VersionTracker,
-} from './index.js';
-import type {ConfigPush, PushMember} from './index.js';
+import {seededRandom} from '@verbenabeam/core';
+import {candidateOf, distributorAt, environment} from './fakes/candidates.js';
+import {FullTextCap, pushTargets, RelayPolicy, StartInquiry} from './index.js';
+import type {ConfigPush} from './index.js';
 
-const environment = 'production';
 const lastVersion = 5;
 const now = 1_000;
 
-let tracker: VersionTracker;
-let refusal: number | null;
-
-function textOf(version: number) {
-  const routes = Array.from(
-    {length: 20},
-    (_, i) => `[[routes]]\nname = "r${i}"\nservice = "s"\npath_prefix = "/"\n`,
-  );
-  const timeout = `timeout = "${version}s"\n`;
-  return (
-    `[services.s]\nversions = ["v1"]\ncurrent = "v1"\n` +
-    routes.join('') +
-    timeout
-  );
-}
-
-function candidateOf(version: number, text = textOf(version)) {
-  const hash = compile(text).mapOr('none', doc => doc.hash);
-  return {environment, version, hash, acceptedAt: now, text};
-}
-
-function trackerAt(version: number) {
-  const made = new VersionTracker(environment, new Invariants(true));
-  if (version > 0) assert.ok(made.offer(candidateOf(version), now).isOk);
-  return made;
-}
-
-const offers: Record<string, () => ReturnType<typeof candidateOf>> = {
-  'version 4': () => candidateOf(4),
-  'version 5': () => candidateOf(5),
-  'version 5 with another text': () => candidateOf(5, textOf(6)),
-  'version 6 that is no TOML': () => candidateOf(6, 'a = '),
-  'version 6 with another hash': () => ({...candidateOf(6), hash: 'x'}),
-  'version 6 of the environment trial': () => ({
-    ...candidateOf(6),
-    environment: 'trial',
-  }),
-  'version 7': () => candidateOf(7),
-};
-
-Given('a distribution tracker at version 5', () => {
-  tracker = trackerAt(lastVersion);
-});
-
-When(/^the distribution tracker is offered (.*)$/, (name: string) => {
-  const offer = offers[name];
-  assert.ok(offer, name);
-  const res = tracker.offer(offer(), now);
-  refusal = res.isErr ? res.error.code.code : null;
-});
-
-Then(
-  'the distribution tracker refuses with code {int} and keeps version {int}',
-  (code: number, version: number) => {
-    assert.equal(refusal, code);
-    assert.equal(tracker.current?.version, version);
-    assert.equal(tracker.current.document.text, textOf(version));
-  },
-);
-
-Then(
-  'the distribution status reports code {int} with cause {int}',
-  (code: number, cause: number) => {
-    const {problem} = tracker.status;
-    assert.equal(problem?.code.code, code);
-    assert.equal(problem.details['cause'], cause);
-  },
-);
-
-Then(
-  'the distribution status reports no problem at version {int}',
-  (version: number) => {
-    assert.equal(tracker.status.problem, null);
-    assert.equal(tracker.status.version, version);
-  },
-);
-
-const heads: Record<string, {version: number; hash: string} | null> = {
-  'a store at version 4': {version: 4, hash: 'x'},
-  'an empty store': null,
-  'a store with another version 5': {version: 5, hash: 'x'},
-};
-
-Then(
-  /^the distribution tracker reports code (\d+) for (.*)$/,
-  (code: string, name: string) => {
-    const res = tracker.observeStoreHead(heads[name] ?? null);
-    assert.equal(res.isErr && res.error.code.code, Number(code));
-    assert.equal(tracker.status.problem?.code.code, Number(code));
-    assert.equal(tracker.current?.version, lastVersion);
-  },
-);
-
-const broken: Record<string, () => void> = {
-  'a route with a foreign service': () => {
-    const doc = compile(textOf(1)).unwrapOrElse(fail);
-    const service = {...doc.routes[0]!.service};
-    const routes = doc.routes.map(row => ({...row, service}));
-    new VersionTracker(environment, new Invariants(true), () =>
-      compile(textOf(1)).map(d => ({...d, routes})),
-    ).offer(candidateOf(1), now);
-  },
-  'a document with a lost route': () => {
-    new VersionTracker(environment, new Invariants(true), () =>
-      compile(textOf(1)).map(d => ({...d, routes: d.routes.slice(1)})),
-    ).offer(candidateOf(1), now);
-  },
-  'an accepted version that is not active': () => {
-    trackerAt(1).confirmAccepted({version: 2, hash: 'x'});
-  },
-};
-
-function fail(err: Error): never {
-  throw err;
-}
-
-Then(
-  /^the distribution invariant (\d+) is reported for (.*)$/,
-  (code: string, name: string) => {
-    const matches = (err: MeshError) => err.code.code === Number(code);
-    assert.throws(broken[name]!, matches);
-  },
-);
-
 Then(
   'the distribution tree reaches {int} members once within depth {int}',
   (count: number, maxDepth: number) => {
@@ -209,23 +75,41 @@
   assert.ok(Math.max(...later) - Math.min(...later) > 500);
 });
 
-function distributorAt(...versions: number[]) {
-  const members: PushMember[] = ['a', 'b', 'c'].map(nodeId => ({
-    ...{nodeId, dataCentre: 'x', environment, state: 'alive', relay: false},
-  }));
-  const self = {nodeId: 'a', dataCentre: 'x', environment};
-  const made = new Distributor({
-    tracker: trackerAt(0),
-    planner: new PushPlanner({self, members: () => members}),
-    cap: new FullTextCap({maxAtOnce: 1}),
-    random: seededRandom(1),
-  });
-  for (const version of versions) {
-    made.onStoreVersion(candidateOf(version), false, now);
-  }
-  return made;
+function startWith(version: number, storeVersion: number | null) {
+  const node = distributorAt(version);
+  const seen = candidateOf(version);
+  for (const peer of ['b', 'c']) node.onDigest(peer, seen, now);
+  const head = storeVersion === null ? null : candidateOf(storeVersion);
+  if (head) node.onStoreHead(head);
+  return node;
 }
 
+Then(
+  'a distribution node with version {int} is not ready while the store shows {int}',
+  (version: number, shown: number) => {
+    const node = startWith(version, shown);
+    assert.equal(node.ready, false);
+    node.onStoreVersion(candidateOf(shown), false, now);
+    assert.equal(node.ready, true);
+  },
+);
+
+Then(
+  'a distribution node with version {int} is not ready before the store responds',
+  (version: number) => {
+    const node = startWith(version, null);
+    assert.equal(node.ready, false);
+    node.onStoreFailed();
+    assert.equal(node.ready, true);
+  },
+);
+
+Then(
+  'a distribution node with version {int} is ready when the store shows {int}',
+  (version: number, shown: number) =>
+    assert.equal(startWith(version, shown).ready, true),
+);
+
 function pull(from: number, newerThan = from, times = 1) {
   const distributor = distributorAt(4, 5);
   const {hash} = candidateOf(from);
--- a/packages/distribution/src/fleet.test.ts
+++ b/packages/distribution/src/fleet.test.ts
@@ -78,3 +78,41 @@
     assert.ok(totals.steps > 5_000 && totals.commits > 50);
   },
 );
+
+const startMs = 30_000;
+const betweenMs = 10_000;
+
+/** Returns the time in ms until all nodes but the acceptor have version 2. */
+async function activationTime(isCutOff: boolean): Promise<number> {
+  const run = new FleetRun(testSeed());
+  await run.advance(startMs);
+  run.submit(0, 'policy.strictness = "fast"');
+  await run.advance(betweenMs);
+  const acceptor = run.node(0);
+  if (isCutOff) run.link.cut(new Set([acceptor.nodeId]));
+  run.submit(0, 'policy.strictness = "careful"');
+  const others = run.nodes.filter(node => node !== acceptor);
+  const startedAt = run.scheduler.now();
+  const isBehind = () =>
+    others.some(node => node.process.tracker.digest.version < 2);
+  while (isBehind() && run.scheduler.now() < startedAt + startMs) {
+    await run.advance(1);
+  }
+  return run.scheduler.now() - startedAt;
+}
+
+Then(
+  'a distribution fleet activates a change everywhere within {int} ms',
+  async (limit: number) => {
+    const ms = await activationTime(false);
+    assert.ok(ms <= limit, `${ms} ms`);
+  },
+);
+
+Then(
+  'a distribution fleet activates a change of a cut off node within {int} ms',
+  async (limit: number) => {
+    const ms = await activationTime(true);
+    assert.ok(ms <= limit, `${ms} ms`);
+  },
+);
