--- a/packages/distribution/src/distribution-driver.ts
+++ b/packages/distribution/src/distribution-driver.ts
@@ -1,4 +1,5 @@
 import {Result} from 'true-myth';
+import {logger} from '@verbenabeam/core';
 import type {Clock, MeshError} from '@verbenabeam/core';
 import type {Snapshot} from '@verbenabeam/document';
 import type {Entry, Store} from '@verbenabeam/store';
@@ -54,6 +55,8 @@
   effect: Extract<Effect, {type: T}>,
 ) => Promise<void> | void;
 
+const log = logger('distribution');
+
 /** Carries out the effects of a {@link Distributor}. @public */
 export class DistributionDriver {
   readonly #options: DistributionDriverOptions;
@@ -118,7 +121,7 @@
   handleHead(entry: Entry | null): void {
     const head: Result<{version: number; hash: string} | null, MeshError> =
       entry ? decodeJson(entry, headRecordSchema) : Result.ok(null);
-    if (head.isErr) return;
+    if (head.isErr) return logFailure('The head cannot be read', head.error);
     this.#run(this.#distributor.onStoreHead(head.value));
   }
 
@@ -147,8 +150,10 @@
     const res = got.andThen(body =>
       parseMessage(configPullResponseSchema, body),
     );
-    if (res.isErr) this.#distributor.onPullFailed();
-    else this.#run(this.#distributor.onPullResponse(res.value, this.#now()));
+    if (res.isErr) {
+      logFailure('A pull failed', res.error);
+      this.#distributor.onPullFailed();
+    } else this.#run(this.#distributor.onPullResponse(res.value, this.#now()));
   }
 
   async #askDigest({
@@ -169,7 +174,10 @@
     const record = got.andThen(entry =>
       entry ? decodeVersion(entry) : Result.ok(null),
     );
-    if (record.isErr || !record.value) return;
+    if (record.isErr) {
+      return logFailure('A version cannot be read', record.error);
+    }
+    if (!record.value) return;
     const {metadata, text} = record.value;
     const {hash, acceptedAt} = metadata;
     const candidate = {environment, version, hash, acceptedAt, text};
@@ -177,3 +185,7 @@
     this.#run(this.#distributor.onStoreVersion(candidate, isRelay(), now));
   }
 }
+
+function logFailure(sentence: string, err: MeshError): void {
+  log(sentence, {code: err.code.code, reason: err.message});
+}
--- a/packages/distribution/src/distribution.feature
+++ b/packages/distribution/src/distribution.feature
@@ -52,3 +52,7 @@
     Guards against a paused relay that believes in its expired lease.
     Then the distribution relay waits a random time before it takes a slot
     And the distribution relay renews after 3 seconds and ends after 10
+
+  Scenario: Malformed messages are refused
+    Guards against a node that fails on a message of another release.
+    Then each malformed distribution message is refused with code 1211
--- a/packages/distribution/src/distribution.test.ts
+++ b/packages/distribution/src/distribution.test.ts
@@ -3,7 +3,17 @@
 import type {DataTable} from '@cucumber/cucumber';
 import {seededRandom} from '@verbenabeam/core';
 import {candidateOf, distributorAt, environment} from './fakes/candidates.js';
-import {FullTextCap, pushTargets, RelayPolicy, StartInquiry} from './index.js';
+import {
+  configDigestSchema,
+  configPullRequestSchema,
+  configPullResponseSchema,
+  configPushSchema,
+  FullTextCap,
+  parseMessage,
+  pushTargets,
+  RelayPolicy,
+  StartInquiry,
+} from './index.js';
 import type {ConfigPush} from './index.js';
 
 const lastVersion = 5;
@@ -183,6 +193,26 @@
   assert.deepEqual([sent('a'), sent('a'), sent('a')], [2, 0, 0]);
 });
 
+Then(
+  'each malformed distribution message is refused with code {int}',
+  (code: number) => {
+    const good = push(4, 5);
+    const content = {...good.content, text: 'x', textHash: 'y'};
+    const bodies = [
+      parseMessage(configPushSchema, {...good, content}),
+      parseMessage(configPushSchema, {...good, version: 0}),
+      parseMessage(configPushSchema, null),
+      parseMessage(configPullRequestSchema, {environment, have: 5}),
+      parseMessage(configPullResponseSchema, {status: 'later'}),
+      parseMessage(configDigestSchema, {environment, version: '5', hash: ''}),
+    ];
+    for (const res of bodies) {
+      assert.equal(res.isErr && res.error.code.code, code);
+    }
+    assert.ok(parseMessage(configPushSchema, good).isOk);
+  },
+);
+
 Then(
   'the distribution relay waits a random time before it takes a slot',
   () => {
