--- a/packages/moves/src/move-gate.ts
+++ b/packages/moves/src/move-gate.ts
@@ -5,7 +5,7 @@
 import {EvidenceRecorder} from './evidence-recorder.js';
 import {MoveJudge} from './move-judge.js';
 import type {JudgeOptions} from './move-judge.js';
-import {MOVE_STATES, mergeRecords} from './move-record.js';
+import {MOVE_STATES, isTerminal, mergeRecords} from './move-record.js';
 import type {MoveRecord} from './move-record.js';
 import {StopSet} from './move-stop.js';
 import type {MoveStop} from './move-stop.js';
@@ -189,11 +189,13 @@
       judge: judgeOptions ? new MoveJudge(judgeOptions) : null,
     };
     this.#moves.set(record.moveId, active);
-    const other = this.#byService.get(record.service);
-    // A document plans one move per service at a time; of an old and a new one
-    // the one that is not decided yet gives the versions.
-    if (!other || record.state !== MOVE_STATES.takenBack) {
-      this.#byService.set(record.service, active);
-    }
+    const other = this.#byService.get(record.service)?.record;
+    // A document plans one move per service at a time. Records of earlier moves
+    // are decided, and the last decision gives the versions.
+    const isCurrent =
+      !other ||
+      !isTerminal(record) ||
+      (isTerminal(other) && record.changedAt >= other.changedAt);
+    if (isCurrent) this.#byService.set(record.service, active);
   }
 }
