--- a/apps/node/src/main.ts
+++ b/apps/node/src/main.ts
@@ -1,1 +1,49 @@
-export {};
+#!/usr/bin/env node
+import {cac} from 'cac';
+import type {MeshError} from '@verbenabeam/core';
+import {MeshNode, loadSettings} from '@verbenabeam/node';
+
+const usageExit = 10;
+
+const cli = cac('verbenabeam-node');
+cli.option('--config <file>', 'Settings file (TOML)');
+cli.option('--check', 'Check the settings and exit');
+cli.help();
+const {options} = cli.parse();
+if (options['help'] !== true) process.exitCode = await main();
+
+async function main(): Promise<number> {
+  const path: unknown = options['config'];
+  if (typeof path !== 'string') return fail('--config <file> is required');
+  const settings = loadSettings(path);
+  if (settings.isErr) return fail(settings.error);
+  if (options['check'] === true) {
+    process.stdout.write('settings are valid\n');
+    return 0;
+  }
+  const stop = new AbortController();
+  process.once('SIGTERM', () => stop.abort());
+  process.once('SIGINT', () => stop.abort());
+  const node = await MeshNode.start(settings.value);
+  if (node.isErr) return fail(node.error);
+  process.stdout.write(`${JSON.stringify(node.value.addresses())}\n`);
+  await aborted(stop.signal);
+  await node.value.stop();
+  return 0;
+}
+
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise(resolve => {
+    signal.addEventListener('abort', () => resolve(), {once: true});
+  });
+}
+
+function fail(err: MeshError | string): number {
+  if (typeof err === 'string') {
+    process.stderr.write(`error: ${err}\n`);
+    return usageExit;
+  }
+  const {code, name, exit} = err.code;
+  process.stderr.write(`error ${code} ${name}: ${err.message}\n`);
+  return exit;
+}
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -49,9 +49,10 @@
   encodeRecord,
   isTerminal,
   mergeRecords,
+  moveRecordSchema,
 } from './move-record.js';
 export type {MoveRecord, MoveState} from './move-record.js';
-export {StopSet, parseMoveStop} from './move-stop.js';
+export {StopSet, moveStopSchema, parseMoveStop} from './move-stop.js';
 export type {MoveStop} from './move-stop.js';
 export {moveKey, movesPrefix} from './move-store.js';
 export {firstShare, planShare} from './share-planner.js';
--- a/packages/moves/src/move-record.ts
+++ b/packages/moves/src/move-record.ts
@@ -11,7 +11,7 @@
 /** One of the values of {@link MOVE_STATES}. @public */
 export type MoveState = (typeof MOVE_STATES)[keyof typeof MOVE_STATES];
 
-/** Validator of a record read from the store or a peer. @internal */
+/** Validator of a record read from the store or a peer. @public */
 export const moveRecordSchema = z.object({
   moveId: z.string().min(1),
   service: z.string().min(1),
--- a/packages/moves/src/move-stop.ts
+++ b/packages/moves/src/move-stop.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
 
-/** Validator of `move.stop`. @internal */
+/** Validator of `move.stop`. @public */
 export const moveStopSchema = z.object({
   moveId: z.string().min(1),
   step: z.number().int().nonnegative(),
--- a/packages/node/src/calls/crash-detector.ts
+++ b/packages/node/src/calls/crash-detector.ts
@@ -1,6 +1,6 @@
 import net from 'node:net';
 import {logger} from '@verbenabeam/core';
-import type {OwnUpstream, ServingPorts} from './serving-ports.js';
+import type {LostRequest, OwnUpstream, ServingPorts} from './serving-ports.js';
 
 const probeTimeoutMs = 200;
 const log = logger('serving');
@@ -13,16 +13,16 @@
  */
 export class CrashDetector {
   readonly #ports: Pick<ServingPorts, 'upstream' | 'quarantine'>;
-  #lost: string[] = [];
+  #lost: LostRequest[] = [];
   #probing = false;
 
   constructor(ports: Pick<ServingPorts, 'upstream' | 'quarantine'>) {
     this.#ports = ports;
   }
 
-  /** Takes the fingerprint of a request whose connection was lost. */
-  onLost(fingerprint: string, upstream: OwnUpstream): void {
-    this.#lost.push(fingerprint);
+  /** Takes a request whose connection was lost. */
+  onLost(request: LostRequest, upstream: OwnUpstream): void {
+    this.#lost.push(request);
     if (this.#probing) return;
     this.#probing = true;
     const [host, port] = upstream.address.split(':');
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -34,6 +34,7 @@
   AdmissionDecision,
   AdmissionPort,
   AdmissionRequest,
+  LostRequest,
   OwnUpstream,
   OwnUpstreamPort,
   QuarantinePort,
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -7,7 +7,12 @@
 import type {CrashDetector} from './crash-detector.js';
 import {fingerprintOf} from './fingerprint.js';
 import {REPLAY_LIMIT_BYTES} from './replay-body.js';
-import type {OwnUpstream, ServingPorts, Ticket} from './serving-ports.js';
+import type {
+  LostRequest,
+  OwnUpstream,
+  ServingPorts,
+  Ticket,
+} from './serving-ports.js';
 import {UpstreamBody} from './upstream-body.js';
 import type {UpstreamPool} from './upstream-pool.js';
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
@@ -98,8 +103,7 @@
 
   onUpstreamEnd(): void {
     if (this.#over) return;
-    const {quarantine, admission} = this.#context.ports;
-    if (quarantine.active) quarantine.completed(this.#fingerprint());
+    const {admission} = this.#context.ports;
     this.#end(performance.now() - this.#dispatchAt);
     const {callId} = this.#head;
     const load = admission.load();
@@ -124,7 +128,7 @@
       this.#refuse(CALL_CODES.upstreamDown);
       return;
     }
-    if (this.#upstream) crashes.onLost(this.#fingerprint(), this.#upstream);
+    if (this.#upstream) crashes.onLost(this.#lostRequest(), this.#upstream);
     this.#end(null);
     const details = {load: encodeLoad(ports.admission.load()), suspect: true};
     this.#stream.reset(
@@ -141,7 +145,7 @@
     const {callId} = this.#head;
     const {quarantine, admission} = this.#context.ports;
     const blocked = quarantine.active
-      ? quarantine.admit(this.#fingerprint())
+      ? quarantine.admit(callId, this.#fingerprint())
       : null;
     if (blocked) {
       this.#refuse(blocked.code);
@@ -220,6 +224,10 @@
     this.#stream.reset(new MeshError(code, code.text, details));
   }
 
+  #lostRequest(): LostRequest {
+    return {callId: this.#head.callId, fingerprint: this.#fingerprint()};
+  }
+
   #fingerprint(): string {
     const body = this.#body instanceof UpstreamBody ? null : this.#body;
     return fingerprintOf(this.#head, body);
@@ -231,6 +239,8 @@
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
     if (this.#body instanceof UpstreamBody) this.#body.destroy();
+    const {quarantine} = this.#context.ports;
+    quarantine.ended(this.#head.callId, serviceMs !== null);
     this.#context.onEnd();
   }
 }
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -54,16 +54,25 @@
   load(): LoadReport;
 }
 
+/** A request that was in flight when the upstream died. @public */
+export interface LostRequest {
+  readonly callId: string;
+  readonly fingerprint: string;
+}
+
 /** Keeps requests that crash upstreams away from them. @public */
 export interface QuarantinePort {
   /** False while no fingerprint is suspected, so none is computed. */
   readonly active: boolean;
-  /** Null admits; an error refuses as not run (1609). */
-  admit(fingerprint: string): MeshError | null;
-  /** A response completed, which clears a suspicion. */
-  completed(fingerprint: string): void;
+  /** Null admits; an error refuses as not run (1609, 1615). */
+  admit(callId: string, fingerprint: string): MeshError | null;
+  /**
+   * A call ended. A complete response clears a suspicion; an unknown id is
+   * ignored.
+   */
+  ended(callId: string, complete: boolean): void;
   /** The upstream died with these requests in flight. */
-  crashed(fingerprints: readonly string[]): void;
+  crashed(lost: readonly LostRequest[]): void;
 }
 
 /** What the serving side of the data path depends on. @public */
--- a/packages/node/src/calls/test-ports.ts
+++ b/packages/node/src/calls/test-ports.ts
@@ -16,6 +16,7 @@
   AdmissionPort,
   OwnUpstream,
   OwnUpstreamPort,
+  LostRequest,
   QuarantinePort,
   Ticket,
 } from './serving-ports.js';
@@ -133,10 +134,10 @@
   active = false;
   readonly crashes: string[][] = [];
   readonly admit = () => null;
-  readonly completed = () => undefined;
+  readonly ended = () => undefined;
 
-  crashed(fingerprints: readonly string[]): void {
-    this.crashes.push([...fingerprints]);
+  crashed(lost: readonly LostRequest[]): void {
+    this.crashes.push(lost.map(request => request.fingerprint));
   }
 }
 
--- /dev/null
+++ b/packages/node/src/distribution/distribution-service.ts
@@ -0,0 +1,205 @@
+import {logger} from '@verbenabeam/core';
+import type {
+  Clock,
+  Invariants,
+  MeshError,
+  RandomSource,
+} from '@verbenabeam/core';
+import {
+  Acceptance,
+  CONFIG_PULL,
+  CONFIG_PUSH,
+  DistributionDriver,
+  Distributor,
+  FullTextCap,
+  PushPlanner,
+  RelayDriver,
+  RelayPolicy,
+  VersionTracker,
+} from '@verbenabeam/distribution';
+import type {
+  Accepted,
+  DistributionSender,
+  Promotion,
+  Submission,
+} from '@verbenabeam/distribution';
+import type {Snapshot} from '@verbenabeam/document';
+import type {InstanceRecord} from '@verbenabeam/membership';
+import type {Store, WatchEvent} from '@verbenabeam/store';
+import type {PeerBus} from '@verbenabeam/wire';
+import {Result} from 'true-myth';
+import {every} from '../every.js';
+import type {MembershipService} from '../membership/membership-service.js';
+import {peerUnknown} from '../peer-unknown.js';
+
+const digestKind = 'config.digest';
+const tickMs = 500;
+const peerTimeoutMs = 2_000;
+const log = logger('distribution');
+
+/** Parts of a {@link DistributionService}. @internal */
+export interface DistributionServiceOptions {
+  readonly membership: MembershipService;
+  readonly bus: PeerBus;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: Invariants;
+  readonly signal: AbortSignal;
+  readonly onApplied: (snapshot: Snapshot) => void;
+  /** Move records to send along with a push. */
+  readonly moves: () => readonly unknown[];
+  readonly onMoves: (moves: readonly unknown[]) => void;
+  readonly onMoveEvent: (event: WatchEvent) => void;
+}
+
+/** Runs distribution and acceptance of versions on one node. @internal */
+export class DistributionService {
+  readonly tracker: VersionTracker;
+  readonly distributor: Distributor;
+  readonly acceptance: Acceptance;
+  readonly #options: DistributionServiceOptions;
+  readonly #driver: DistributionDriver;
+  readonly #relay: RelayDriver;
+
+  constructor(options: DistributionServiceOptions) {
+    this.#options = options;
+    const {store, clock, random, membership} = options;
+    const {own} = membership;
+    const {environment} = own;
+    this.tracker = new VersionTracker(environment, options.invariants);
+    this.distributor = new Distributor({
+      tracker: this.tracker,
+      planner: new PushPlanner({
+        self: own,
+        members: () => membership.live(),
+        moves: options.moves,
+      }),
+      cap: new FullTextCap(),
+      random,
+    });
+    this.#driver = new DistributionDriver({
+      environment,
+      distributor: this.distributor,
+      sender: this.#sender(),
+      store,
+      clock,
+      isRelay: () => this.isRelay,
+      onApplied: snapshot => this.#onApplied(snapshot),
+      onMoves: options.onMoves,
+    });
+    this.#relay = new RelayDriver({
+      policy: new RelayPolicy(random),
+      store,
+      clock,
+      environment,
+      dataCentre: own.dataCentre,
+      address: own.address,
+      countRelays: () => this.#relaysOf(own),
+      onHead: entry => this.#driver.handleHead(entry),
+      onMove: options.onMoveEvent,
+    });
+    this.acceptance = new Acceptance({
+      store,
+      clock,
+      fleet: name =>
+        name === environment ? (this.distributor.fleetView ?? 'unknown') : null,
+    });
+  }
+
+  get isRelay(): boolean {
+    return this.#relay.isRelay;
+  }
+
+  /** The active version; null until the node may serve calls. */
+  current(): Snapshot | null {
+    return this.distributor.ready ? this.tracker.current : null;
+  }
+
+  start(): void {
+    const {bus, signal, membership} = this.#options;
+    bus.onNotice(CONFIG_PUSH, (body, peer) => {
+      this.#report(this.#driver.handlePush(peer.nodeId, body));
+    });
+    bus.onRequest(CONFIG_PULL, body => this.#driver.handlePull(body));
+    bus.onRequest(digestKind, (body, peer) =>
+      this.#driver.handleDigest(peer.nodeId, body),
+    );
+    membership.gossip.onPeerConfig(({nodeId}, {version, hash}) => {
+      const environment = membership.gossip.table.get(nodeId)?.environment;
+      if (environment === undefined) return;
+      this.#driver.handleDigest(nodeId, {environment, version, hash});
+    });
+    every(tickMs, signal, () => this.#tick());
+  }
+
+  /** Accepts a document and spreads it. */
+  async submit(submission: Submission): Promise<Result<Accepted, MeshError>> {
+    return this.#spread(await this.acceptance.submit(submission));
+  }
+
+  /** Accepts a version of another environment and spreads it. */
+  async promote(promotion: Promotion): Promise<Result<Accepted, MeshError>> {
+    return this.#spread(await this.acceptance.promote(promotion));
+  }
+
+  /** Ends the relay role. */
+  stop(): void {
+    this.#relay.stop();
+  }
+
+  #spread(accepted: Result<Accepted, MeshError>): Result<Accepted, MeshError> {
+    const environment = this.#options.membership.own.environment;
+    if (accepted.isErr) return accepted;
+    if (accepted.value.snapshot.environment !== environment) return accepted;
+    return this.#driver
+      .handleAccepted(accepted.value)
+      .map(() => accepted.value);
+  }
+
+  #tick(): void {
+    this.#driver.tick();
+    void this.#relay.tick();
+    this.#options.membership.setRelay(this.isRelay);
+  }
+
+  #onApplied(snapshot: Snapshot): void {
+    const {version, hash} = snapshot;
+    log('Version is active.', {version, hash});
+    this.#options.membership.gossip.setConfig(version, hash);
+    this.#options.onApplied(snapshot);
+  }
+
+  #relaysOf(own: InstanceRecord): number {
+    return this.#options.membership
+      .live()
+      .filter(row => row.relay && row.dataCentre === own.dataCentre).length;
+  }
+
+  #sender(): DistributionSender {
+    const {bus, membership} = this.#options;
+    const ask = (
+      to: string,
+      kind: string,
+      body: unknown,
+    ): Promise<Result<unknown, MeshError>> => {
+      const address = membership.addressOf(to);
+      if (address === undefined) {
+        return Promise.resolve(Result.err(peerUnknown(to)));
+      }
+      return bus.request(address, kind, body, {timeoutMs: peerTimeoutMs});
+    };
+    return {
+      push: (to, message) => {
+        const address = membership.addressOf(to);
+        if (address !== undefined) bus.notify(address, CONFIG_PUSH, message);
+      },
+      pull: (to, message) => ask(to, CONFIG_PULL, message),
+      askDigest: (to, message) => ask(to, digestKind, message),
+    };
+  }
+
+  #report(handled: Result<true, MeshError>): void {
+    if (handled.isErr) log('Push refused.', {code: handled.error.code.code});
+  }
+}
--- /dev/null
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -0,0 +1,77 @@
+import type {Clock, RandomSource} from '@verbenabeam/core';
+import {CALL_OUTCOMES, InstancePicker} from '@verbenabeam/routing';
+import type {CallOutcome} from '@verbenabeam/routing';
+import type {
+  AttemptOutcome,
+  InstanceChooser,
+  Outcome,
+  Target,
+} from '../calls/index.js';
+import type {MembershipService} from '../membership/membership-service.js';
+
+const outcomes: Readonly<Record<Outcome, CallOutcome>> = {
+  ok: CALL_OUTCOMES.ok,
+  failed: CALL_OUTCOMES.failed,
+  refused: CALL_OUTCOMES.refused,
+  unreachable: CALL_OUTCOMES.unreachable,
+  lost: CALL_OUTCOMES.failed,
+  timeout: CALL_OUTCOMES.failed,
+  cancelled: CALL_OUTCOMES.cancelled,
+};
+
+/** Parts of an {@link InstanceAdapter}. @internal */
+export interface InstanceAdapterOptions {
+  readonly membership: MembershipService;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+/** Chooses instances among the members of the mesh. @internal */
+export class InstanceAdapter implements InstanceChooser {
+  readonly #options: InstanceAdapterOptions;
+  readonly #picker: InstancePicker;
+
+  constructor(options: InstanceAdapterOptions) {
+    this.#options = options;
+    const {dataCentre} = options.membership.own;
+    this.#picker = new InstancePicker({dataCentre});
+  }
+
+  pick(
+    service: string,
+    version: string,
+    exclude: ReadonlySet<string>,
+  ): Target | null {
+    const {membership, clock, random} = this.#options;
+    const candidates = membership.candidates(service, version);
+    const now = clock.now();
+    const args = [service, version, candidates, now, random, exclude] as const;
+    const picked = this.#picker.pick(...args);
+    if (picked.isErr) return null;
+    const {nodeId} = picked.value;
+    const address = membership.addressOf(nodeId) ?? '';
+    return {nodeId, address, local: nodeId === membership.own.nodeId};
+  }
+
+  /** The picker counts an attempt when it picks. */
+  began(): void {
+    return;
+  }
+
+  ended(attempt: AttemptOutcome): void {
+    const {target, outcome, latencyMs, load} = attempt;
+    const report = {
+      nodeId: target.nodeId,
+      outcome: outcomes[outcome],
+      latencyMs,
+      ...(load ? {load} : {}),
+    };
+    this.#picker.report(report, this.#options.clock.now());
+  }
+
+  /** Forgets instances that are no longer members. */
+  retainMembers(): void {
+    const live = this.#options.membership.live();
+    this.#picker.retain(new Set(live.map(row => row.nodeId)));
+  }
+}
--- /dev/null
+++ b/packages/node/src/membership/membership-service.ts
@@ -0,0 +1,178 @@
+import {logger} from '@verbenabeam/core';
+import type {Clock, MeshError, RandomSource} from '@verbenabeam/core';
+import {
+  Gossip,
+  NODE_STATES,
+  UPSTREAM_STATES,
+  UpstreamMonitor,
+  gossipMessageSchema,
+} from '@verbenabeam/membership';
+import type {
+  GossipAction,
+  InstanceRecord,
+  UpstreamRecord,
+} from '@verbenabeam/membership';
+import type {Candidate} from '@verbenabeam/routing';
+import type {PeerBus} from '@verbenabeam/wire';
+import type {Result} from 'true-myth';
+import {z} from 'zod';
+import {every} from '../every.js';
+
+const gossipKind = 'gossip';
+const tickMs = 100;
+const monitorTickMs = 500;
+const log = logger('membership');
+
+/** Address of the sender, to which answers go, and the message. */
+const envelopeSchema = z.tuple([z.string().max(64), gossipMessageSchema]);
+
+/** Parts of a {@link MembershipService}. @internal */
+export interface MembershipServiceOptions {
+  readonly own: InstanceRecord;
+  readonly bus: PeerBus;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly signal: AbortSignal;
+}
+
+/** Runs the membership protocol and knows the instances. @internal */
+export class MembershipService {
+  readonly monitor = new UpstreamMonitor();
+  readonly #options: MembershipServiceOptions;
+  readonly #gossip: Gossip;
+  /** Ready instances by service and version; dropped on each change. */
+  readonly #candidates = new Map<string, readonly Candidate[]>();
+
+  constructor(options: MembershipServiceOptions) {
+    this.#options = options;
+    this.#gossip = new Gossip(options.own, options.random);
+    this.#gossip.table.onChange(() => this.#candidates.clear());
+    this.monitor.onChange(record => this.#onUpstream(record));
+  }
+
+  get gossip(): Gossip {
+    return this.#gossip;
+  }
+
+  get own(): InstanceRecord {
+    return this.#gossip.own;
+  }
+
+  /** Members that are alive or suspect, this node among them. */
+  live(): readonly InstanceRecord[] {
+    return this.#gossip.table.live();
+  }
+
+  /** Wire address of a node; undefined if it is not known. */
+  addressOf(nodeId: string): string | undefined {
+    return this.#gossip.table.get(nodeId)?.address;
+  }
+
+  /** Starts the protocol with the given seeds. */
+  start(seeds: readonly string[]): void {
+    const {bus, clock, signal} = this.#options;
+    bus.onNotice(gossipKind, body => this.#receive(body));
+    this.#send(this.#gossip.start(seeds, clock.now()));
+    every(tickMs, signal, () => this.#send(this.#gossip.tick(clock.now())));
+    every(monitorTickMs, signal, () => this.monitor.tick(clock.now()));
+  }
+
+  /** Joins again through other seeds. */
+  rejoin(seeds: readonly string[]): void {
+    const {clock} = this.#options;
+    this.#send(this.#gossip.rejoin(seeds, clock.now()));
+  }
+
+  /** Takes an announcement of the own upstream. Error: 1501. */
+  announce(body: unknown): Result<UpstreamRecord, MeshError> {
+    const {clock} = this.#options;
+    return this.monitor.announce(body, clock.now(), clock.wallTime());
+  }
+
+  setRelay(relay: boolean): void {
+    if (relay === this.own.relay) return;
+    log('Relay role changed.', {relay});
+    this.#send(this.#gossip.setRelay(relay, this.#options.clock.now()));
+  }
+
+  /** Publishes that the node takes no new calls. */
+  drain(): void {
+    const {upstream} = this.own;
+    if (!upstream) return;
+    this.#onUpstream({...upstream, state: UPSTREAM_STATES.draining});
+  }
+
+  /** Tells the peers that this node ends. */
+  leave(): void {
+    this.#send(this.#gossip.leave(this.#options.clock.now()));
+  }
+
+  /** Ready instances of an upstream version in the own environment. */
+  candidates(service: string, version: string): readonly Candidate[] {
+    const key = `${service}\n${version}`;
+    const known = this.#candidates.get(key);
+    if (known) return known;
+    const found = this.live()
+      .filter(row => this.#serves(row, service, version))
+      .map(row => this.#toCandidate(row));
+    this.#candidates.set(key, found);
+    return found;
+  }
+
+  #serves(row: InstanceRecord, service: string, version: string): boolean {
+    const {upstream} = row;
+    return (
+      row.environment === this.own.environment &&
+      upstream?.service === service &&
+      upstream.version === version &&
+      upstream.state === UPSTREAM_STATES.ready
+    );
+  }
+
+  #toCandidate(row: InstanceRecord): Candidate {
+    const {clock} = this.#options;
+    const ageMs = clock.wallTime() - (row.upstream?.readySince ?? 0);
+    return {
+      nodeId: row.nodeId,
+      dataCentre: row.dataCentre,
+      slots: row.upstream?.slots ?? 1,
+      readySince: clock.now() - ageMs,
+    };
+  }
+
+  #onUpstream(record: UpstreamRecord): void {
+    const {service, version, state} = record;
+    log('Upstream changed.', {service, version, state});
+    this.#candidates.clear();
+    const {clock} = this.#options;
+    this.#send(this.#gossip.setUpstream(record, clock.now()));
+  }
+
+  #receive(body: unknown): void {
+    const parsed = envelopeSchema.safeParse(body);
+    if (!parsed.success) {
+      log('Malformed gossip message dropped.');
+      return;
+    }
+    const [from, message] = parsed.data;
+    const {clock} = this.#options;
+    this.#send(this.#gossip.receive(from, message, clock.now()));
+  }
+
+  #send(actions: readonly GossipAction[]): void {
+    const {bus} = this.#options;
+    for (const {to, message} of actions) {
+      bus.notify(to, gossipKind, [this.own.address, message]);
+    }
+  }
+}
+
+/** Number of members by state. @internal */
+export function countByState(
+  records: readonly InstanceRecord[],
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const state of Object.values(NODE_STATES)) counts[state] = 0;
+  for (const {state} of records) counts[state] = (counts[state] ?? 0) + 1;
+  return counts;
+}
--- /dev/null
+++ b/packages/node/src/moves/controller-driver.ts
@@ -0,0 +1,114 @@
+import {logger, newId} from '@verbenabeam/core';
+import type {Clock, MeshError} from '@verbenabeam/core';
+import type {CompiledDocument, Strictness} from '@verbenabeam/document';
+import {MOVE_POLICIES, MoveController} from '@verbenabeam/moves';
+import type {
+  ControllerOutput,
+  Evidence,
+  MovePlan,
+  MoveStop,
+} from '@verbenabeam/moves';
+import type {Store} from '@verbenabeam/store';
+import type {Result} from 'true-myth';
+import {movePlans} from './move-plans.js';
+
+/** A relay that is not the controller asks for the lease this often. */
+const idleTickMs = 5_000;
+const log = logger('moves');
+
+/** Parts of a {@link ControllerDriver}. @internal */
+export interface ControllerDriverOptions {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly environment: string;
+  readonly nodeId: string;
+  /** Only relays ask for the controller lease, to spare store calls. */
+  readonly isRelay: () => boolean;
+  /** Largest share that the ready instances of the new version carry. */
+  readonly capacityShare: (plan: MovePlan) => number;
+  readonly onOutput: (output: ControllerOutput) => void;
+}
+
+/** Runs the move controller while this node is a relay. @internal */
+export class ControllerDriver {
+  readonly #options: ControllerDriverOptions;
+  #controller: MoveController;
+  #strictness: Strictness = 'careful';
+  #document: CompiledDocument | null = null;
+  #holdsLease = false;
+  #isTicking = false;
+  #tickAt = 0;
+
+  constructor(options: ControllerDriverOptions) {
+    this.#options = options;
+    this.#controller = this.#create();
+  }
+
+  /** True while this node holds the controller lease. */
+  get holdsLease(): boolean {
+    return this.#holdsLease;
+  }
+
+  /** Takes over a new document; another strictness needs a new controller. */
+  onDocument(document: CompiledDocument): void {
+    this.#document = document;
+    if (document.strictness === this.#strictness) return;
+    this.#strictness = document.strictness;
+    void this.#controller.close();
+    this.#holdsLease = false;
+    this.#controller = this.#create();
+  }
+
+  addEvidence(evidence: readonly Evidence[]): void {
+    this.#controller.addEvidence(evidence, this.#options.clock.now());
+  }
+
+  addStops(stops: readonly MoveStop[]): void {
+    this.#controller.addStops(stops);
+  }
+
+  requestTakeBack(
+    moveId: string,
+    operator: string,
+  ): Result<MoveStop, MeshError> {
+    const wallTime = this.#options.clock.wallTime();
+    return this.#controller.requestTakeBack(moveId, operator, wallTime);
+  }
+
+  /** Called once a second. */
+  async tick(now: number): Promise<void> {
+    const plans = this.#document ? movePlans(this.#document) : [];
+    if (this.#isTicking || !this.#isDue(now, plans)) return;
+    this.#isTicking = true;
+    this.#tickAt = now + idleTickMs;
+    const {clock, capacityShare, onOutput} = this.#options;
+    try {
+      const wallTime = clock.wallTime();
+      const input = {now, wallTime, plans, capacityShare};
+      const output = await this.#controller.tick(input);
+      if (output.holdsLease !== this.#holdsLease) {
+        log('Controller role changed.', {controller: output.holdsLease});
+      }
+      this.#holdsLease = output.holdsLease;
+      onOutput(output);
+    } finally {
+      this.#isTicking = false;
+    }
+  }
+
+  /** Gives up the lease. */
+  async close(): Promise<void> {
+    await this.#controller.close();
+  }
+
+  #isDue(now: number, plans: readonly MovePlan[]): boolean {
+    if (this.#holdsLease) return true;
+    return plans.length > 0 && this.#options.isRelay() && now >= this.#tickAt;
+  }
+
+  #create(): MoveController {
+    const {store, environment, nodeId} = this.#options;
+    const policy = MOVE_POLICIES[this.#strictness];
+    return new MoveController({store, environment, nodeId, newId, policy});
+  }
+}
--- /dev/null
+++ b/packages/node/src/moves/evidence-sender.ts
@@ -0,0 +1,122 @@
+import {hashToUint32} from '@verbenabeam/core';
+import {
+  EvidenceAggregator,
+  packEvidence,
+  parentIndex,
+  unpackEvidence,
+} from '@verbenabeam/moves';
+import type {Evidence} from '@verbenabeam/moves';
+import type {InstanceRecord} from '@verbenabeam/membership';
+import type {PeerBus} from '@verbenabeam/wire';
+import type {MembershipService} from '../membership/membership-service.js';
+import {MOVE_KINDS} from './move-messages.js';
+
+/** A controller that was silent for this long is not known any more. */
+const controllerSilenceMs = 5_000;
+
+/** Where the evidence of this node goes next. */
+type NextHop =
+  | {readonly kind: 'here'}
+  | {readonly kind: 'peers'; readonly peers: readonly InstanceRecord[]};
+
+/** Parts of an {@link EvidenceSender}. @internal */
+export interface EvidenceSenderOptions {
+  readonly membership: MembershipService;
+  readonly bus: PeerBus;
+  /** Takes evidence that has reached the controller. */
+  readonly onArrived: (evidence: readonly Evidence[]) => void;
+}
+
+/**
+ * Sends evidence up: from each node to its parent in the tree of its data
+ * centre, from the root (a relay) to the controller. A relay that does not know
+ * the controller sends to all relays; only a controller uses it.
+ *
+ * @internal
+ */
+export class EvidenceSender {
+  readonly #options: EvidenceSenderOptions;
+  readonly #collected = new EvidenceAggregator();
+  #controller: {readonly nodeId: string; readonly seenAt: number} | null = null;
+
+  constructor(options: EvidenceSenderOptions) {
+    this.#options = options;
+  }
+
+  /** Adds evidence of this node. */
+  add(evidence: readonly Evidence[]): void {
+    this.#collected.add(evidence);
+  }
+
+  /** Takes the body of an evidence notice. */
+  receive(body: unknown, isController: boolean): void {
+    const packed = Array.isArray(body) ? body : [];
+    const parts = packed.flatMap(item => unpackEvidence(item) ?? []);
+    if (isController) this.#options.onArrived(parts);
+    else this.#collected.add(parts);
+  }
+
+  /** Notes the node that acts as the controller. */
+  controllerSeen(nodeId: string, now: number): void {
+    this.#controller = {nodeId, seenAt: now};
+  }
+
+  /** Called once a second. */
+  flush(isController: boolean, now: number): void {
+    const evidence = this.#collected.take();
+    if (evidence.length === 0) return;
+    const next = isController ? {kind: 'here' as const} : this.#nextHop(now);
+    if (next.kind === 'here') {
+      this.#options.onArrived(evidence);
+      return;
+    }
+    const body = evidence.map(packEvidence);
+    for (const peer of next.peers) {
+      this.#options.bus.notify(peer.address, MOVE_KINDS.evidence, body);
+    }
+  }
+
+  #nextHop(now: number): NextHop {
+    const {own} = this.#options.membership;
+    const parent = this.#parent();
+    if (parent !== null) return {kind: 'peers', peers: [parent]};
+    const controller = this.#liveController(now);
+    if (controller) return {kind: 'peers', peers: [controller]};
+    const relays = this.#members().filter(
+      row => row.relay && row.nodeId !== own.nodeId,
+    );
+    return {kind: 'peers', peers: relays};
+  }
+
+  #liveController(now: number): InstanceRecord | undefined {
+    const seen = this.#controller;
+    if (!seen || now - seen.seenAt > controllerSilenceMs) return undefined;
+    return this.#members().find(row => row.nodeId === seen.nodeId);
+  }
+
+  /** Parent in the tree of the own data centre; null for the root. */
+  #parent(): InstanceRecord | null {
+    const {own} = this.#options.membership;
+    const local = this.#members().filter(
+      row => row.dataCentre === own.dataCentre,
+    );
+    const ordered = [...local].sort(byHash);
+    const root = ordered.find(row => row.relay) ?? ordered[0];
+    if (!root) return null;
+    const start = ordered.indexOf(root);
+    const tree = [...ordered.slice(start), ...ordered.slice(0, start)];
+    const index = tree.findIndex(row => row.nodeId === own.nodeId);
+    const at = index < 0 ? null : parentIndex(index);
+    return at === null ? null : (tree[at] ?? null);
+  }
+
+  #members(): readonly InstanceRecord[] {
+    const {membership} = this.#options;
+    const {environment} = membership.own;
+    return membership.live().filter(row => row.environment === environment);
+  }
+}
+
+function byHash(a: InstanceRecord, b: InstanceRecord): number {
+  return hashToUint32(a.nodeId) - hashToUint32(b.nodeId);
+}
--- /dev/null
+++ b/packages/node/src/moves/move-spreader.ts
@@ -0,0 +1,75 @@
+import {pushTargets} from '@verbenabeam/distribution';
+import type {RandomSource} from '@verbenabeam/core';
+import type {InstanceRecord} from '@verbenabeam/membership';
+import type {PeerBus} from '@verbenabeam/wire';
+import type {MembershipService} from '../membership/membership-service.js';
+import {MOVE_KINDS} from './move-messages.js';
+import type {MoveKnowledge, MoveUpdate} from './move-messages.js';
+
+/** Parts of a {@link MoveSpreader}. @internal */
+export interface MoveSpreaderOptions {
+  readonly membership: MembershipService;
+  readonly bus: PeerBus;
+  readonly random: RandomSource;
+}
+
+/** Sends move updates down the push trees of all data centres. @internal */
+export class MoveSpreader {
+  readonly #options: MoveSpreaderOptions;
+
+  constructor(options: MoveSpreaderOptions) {
+    this.#options = options;
+  }
+
+  /** Spreads as the root of the own data centre's tree. */
+  spread(knowledge: MoveKnowledge): void {
+    const {own} = this.#options.membership;
+    this.forward({...copy(knowledge), root: own.nodeId});
+    for (const to of this.#oneOfEachOtherCentre()) {
+      this.#send(to, {...copy(knowledge), root: to.nodeId});
+    }
+  }
+
+  /** Passes an update on to the children in its tree. */
+  forward(update: MoveUpdate): void {
+    const {membership} = this.#options;
+    const {nodeId, dataCentre} = membership.own;
+    const local = this.#peers().filter(row => row.dataCentre === dataCentre);
+    const ids = local.map(row => row.nodeId);
+    const children = new Set(pushTargets(ids, update.root, nodeId));
+    for (const row of local) {
+      if (children.has(row.nodeId)) this.#send(row, update);
+    }
+  }
+
+  /** Other live nodes of the environment. */
+  #peers(): readonly InstanceRecord[] {
+    const {own} = this.#options.membership;
+    return this.#options.membership
+      .live()
+      .filter(
+        row => row.environment === own.environment && row.nodeId !== own.nodeId,
+      );
+  }
+
+  #oneOfEachOtherCentre(): readonly InstanceRecord[] {
+    const {membership, random} = this.#options;
+    const remote = this.#peers().filter(
+      row => row.dataCentre !== membership.own.dataCentre,
+    );
+    const centres = new Set(remote.map(row => row.dataCentre));
+    return [...centres].map(centre => {
+      const nodes = remote.filter(row => row.dataCentre === centre);
+      const relays = nodes.filter(row => row.relay);
+      return random.pick(relays.length > 0 ? relays : nodes);
+    });
+  }
+
+  #send(to: InstanceRecord, update: MoveUpdate): void {
+    this.#options.bus.notify(to.address, MOVE_KINDS.update, update);
+  }
+}
+
+function copy({records, stops}: MoveKnowledge) {
+  return {records: [...records], stops: [...stops]};
+}
--- /dev/null
+++ b/packages/node/src/moves/moves-service.ts
@@ -0,0 +1,284 @@
+import {logger} from '@verbenabeam/core';
+import type {
+  Clock,
+  Invariants,
+  MeshError,
+  RandomSource,
+} from '@verbenabeam/core';
+import type {Snapshot} from '@verbenabeam/document';
+import {
+  MOVE_POLICIES,
+  MoveGate,
+  capacityShare,
+  decodeRecord,
+  isTerminal,
+  localAlphaPart,
+} from '@verbenabeam/moves';
+import type {
+  CallOutcome,
+  ControllerOutput,
+  JudgeOptions,
+  MovePlan,
+  MoveRecord,
+  MoveStop,
+} from '@verbenabeam/moves';
+import type {Store, WatchEvent} from '@verbenabeam/store';
+import type {PeerBus} from '@verbenabeam/wire';
+import {Result} from 'true-myth';
+import {every} from '../every.js';
+import type {MembershipService} from '../membership/membership-service.js';
+import {CallRates} from './call-rates.js';
+import {ControllerDriver} from './controller-driver.js';
+import {EvidenceSender} from './evidence-sender.js';
+import {EvidenceTotals} from './evidence-totals.js';
+import {
+  MOVE_KINDS,
+  moveKnowledgeSchema,
+  moveUpdateSchema,
+  parseRecords,
+} from './move-messages.js';
+import type {MoveKnowledge} from './move-messages.js';
+import {MoveSpreader} from './move-spreader.js';
+
+const flushMs = 1_000;
+const syncMs = 2_000;
+const peerTimeoutMs = 1_000;
+const log = logger('moves');
+
+/** Parts of a {@link MovesService}. @internal */
+export interface MovesServiceOptions {
+  readonly membership: MembershipService;
+  readonly bus: PeerBus;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: Invariants;
+  readonly signal: AbortSignal;
+  readonly isRelay: () => boolean;
+}
+
+/** Runs the entry side of version moves and spreads what is known. @internal */
+export class MovesService {
+  readonly gate: MoveGate;
+  /** Evidence of this node's own calls, for operators. */
+  readonly totals = new EvidenceTotals();
+  readonly #rates = new CallRates();
+  readonly #options: MovesServiceOptions;
+  readonly #spreader: MoveSpreader;
+  readonly #sender: EvidenceSender;
+  readonly #controller: ControllerDriver;
+  #snapshot: Snapshot | null = null;
+  #synced = false;
+
+  constructor(options: MovesServiceOptions) {
+    this.#options = options;
+    const {nodeId, environment} = options.membership.own;
+    this.gate = new MoveGate({
+      nodeId,
+      invariants: options.invariants,
+      judgeOptions: record => this.#judgeOptions(record),
+    });
+    this.#spreader = new MoveSpreader(options);
+    this.#controller = new ControllerDriver({
+      ...options,
+      nodeId,
+      environment,
+      capacityShare: plan => this.#capacityShare(plan),
+      onOutput: output => this.#onControllerOutput(output),
+    });
+    this.#sender = new EvidenceSender({
+      ...options,
+      onArrived: evidence => this.#controller.addEvidence(evidence),
+    });
+  }
+
+  /** False while a fresh node may lack the records of running moves. */
+  get synced(): boolean {
+    return this.#synced || !this.#hasMoves();
+  }
+
+  start(): void {
+    const {bus, signal, clock} = this.#options;
+    bus.onNotice(MOVE_KINDS.update, body => this.#onUpdate(body));
+    bus.onNotice(MOVE_KINDS.evidence, body =>
+      this.#sender.receive(body, this.#controller.holdsLease),
+    );
+    bus.onNotice(MOVE_KINDS.controller, (_body, peer) =>
+      this.#sender.controllerSeen(peer.nodeId, clock.now()),
+    );
+    bus.onRequest(MOVE_KINDS.sync, () => Result.ok(this.knowledge()));
+    every(flushMs, signal, () => this.#flush());
+    every(syncMs, signal, () => void this.#sync());
+  }
+
+  /** Takes over the moves of a new version. */
+  onApplied(snapshot: Snapshot): void {
+    const before = this.#snapshot?.document.moves ?? [];
+    // Records of a move are made after the version that plans it, so a node
+    // that was there before the move hears of all of them.
+    if (this.#snapshot) this.#synced = true;
+    this.#snapshot = snapshot;
+    const {document} = snapshot;
+    const ids = new Set(document.moves.map(move => move.id));
+    for (const {id} of before) {
+      if (ids.has(id)) continue;
+      this.gate.forget(id);
+      this.totals.forget(id);
+    }
+    this.#rates.retain(new Set(document.services.keys()));
+    this.#controller.onDocument(document);
+    void this.#sync();
+  }
+
+  /** Records and stops known here. */
+  knowledge(): MoveKnowledge {
+    return {records: this.gate.records(), stops: this.gate.stops()};
+  }
+
+  /** Takes move records that came with a version. */
+  onRecords(values: readonly unknown[]): void {
+    this.#merge({records: parseRecords(values), stops: []});
+  }
+
+  /** Takes a change of a move record that the relay saw in the store. */
+  onStoreEvent(event: WatchEvent): void {
+    if (event.type !== 'put') return;
+    const record = decodeRecord(event.entry.value);
+    if (!record) return;
+    const fresh = this.#merge({records: [record], stops: []});
+    if (fresh.records.length > 0) this.#spreader.spread(fresh);
+    this.#synced = true;
+  }
+
+  /** Counts a call that ended. */
+  record(outcome: CallOutcome): void {
+    this.#rates.record(outcome.service, outcome.latencyMs);
+    this.gate.record(outcome);
+  }
+
+  /** Takes a move back on an operator's demand; it stops here at once. */
+  takeBack(moveId: string, operator: string): Result<MoveStop, MeshError> {
+    const record = this.gate.records().find(row => row.moveId === moveId);
+    if (!record || isTerminal(record)) {
+      return this.#controller.requestTakeBack(moveId, operator);
+    }
+    const stop: MoveStop = {
+      moveId,
+      step: record.step,
+      reason: `taken back by operator ${operator}`,
+      decidedBy: operator,
+      decidedAt: this.#options.clock.wallTime(),
+    };
+    this.#spreadFresh({records: [], stops: [stop]});
+    return Result.ok(stop);
+  }
+
+  /** Gives up the controller lease. */
+  async stop(): Promise<void> {
+    await this.#controller.close();
+  }
+
+  #hasMoves(): boolean {
+    return (this.#snapshot?.document.moves.length ?? 0) > 0;
+  }
+
+  #judgeOptions(record: MoveRecord): JudgeOptions | null {
+    const document = this.#snapshot?.document;
+    if (!document) return null;
+    const routes = document.routes.filter(
+      route => route.service.name === record.service,
+    );
+    const {membership} = this.#options;
+    return {
+      policy: MOVE_POLICIES[document.strictness],
+      routes: routes.length,
+      alphaPart: localAlphaPart(membership.live().length),
+    };
+  }
+
+  #flush(): void {
+    const {clock} = this.#options;
+    const now = clock.now();
+    this.#rates.roll(now);
+    const {evidence, stops} = this.gate.flush(now, clock.wallTime());
+    this.totals.add(evidence);
+    this.#sender.add(evidence);
+    if (stops.length > 0) {
+      log('Move stopped on own evidence.', {move: stops[0]?.moveId});
+      this.#controller.addStops(stops);
+      this.#spreader.spread({records: [], stops});
+    }
+    this.#sender.flush(this.#controller.holdsLease, now);
+    this.#controller.addStops(this.gate.stops());
+    void this.#controller.tick(now);
+  }
+
+  #onControllerOutput({holdsLease, records, stops}: ControllerOutput): void {
+    if (records.length + stops.length > 0) this.#spreadFresh({records, stops});
+    if (holdsLease) this.#announceController();
+  }
+
+  #announceController(): void {
+    const {membership, bus} = this.#options;
+    for (const row of membership.live()) {
+      if (!row.relay || row.nodeId === membership.own.nodeId) continue;
+      bus.notify(row.address, MOVE_KINDS.controller, null);
+    }
+  }
+
+  #onUpdate(body: unknown): void {
+    const parsed = moveUpdateSchema.safeParse(body);
+    if (!parsed.success) return;
+    const update = parsed.data;
+    const {records, stops} = this.#merge(update);
+    if (records.length + stops.length === 0) return;
+    const {root} = update;
+    this.#spreader.forward({root, records: [...records], stops: [...stops]});
+  }
+
+  #spreadFresh(knowledge: MoveKnowledge): void {
+    this.#merge(knowledge);
+    this.#spreader.spread(knowledge);
+  }
+
+  /** Merges knowledge and returns what was new. */
+  #merge({records, stops}: MoveKnowledge): MoveKnowledge {
+    const freshRecords = records.filter(row => this.gate.offerRecord(row));
+    const freshStops = this.gate.offerStops(stops);
+    if (freshStops.length > 0) this.#controller.addStops(freshStops);
+    return {records: freshRecords, stops: freshStops};
+  }
+
+  /** Asks a peer for its knowledge while moves are planned. */
+  async #sync(): Promise<void> {
+    if (!this.#hasMoves()) return;
+    const {membership, bus, random} = this.#options;
+    const {nodeId, environment} = membership.own;
+    const peers = membership
+      .live()
+      .filter(r => r.nodeId !== nodeId && r.environment === environment);
+    if (peers.length === 0) {
+      this.#synced = true;
+      return;
+    }
+    const {address} = random.pick(peers);
+    const timeoutMs = peerTimeoutMs;
+    const res = await bus.request(address, MOVE_KINDS.sync, null, {timeoutMs});
+    const parsed = moveKnowledgeSchema.safeParse(res.unwrapOr(null));
+    if (!parsed.success) return;
+    this.#merge(parsed.data);
+    this.#synced = true;
+  }
+
+  /** The rate of this entry node stands for all nodes of the environment. */
+  #capacityShare({service, to}: MovePlan): number {
+    const {membership} = this.#options;
+    const ready = membership.candidates(service, to);
+    const rate = this.#rates.callsPerSecond(service);
+    return capacityShare({
+      readySlots: ready.reduce((sum, row) => sum + row.slots, 0),
+      callsPerSecond: rate * membership.live().length,
+      serviceMs: this.#rates.serviceMs(service),
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/node-parts.ts
@@ -0,0 +1,288 @@
+import type {
+  Clock,
+  Invariants,
+  MeshError,
+  RandomSource,
+} from '@verbenabeam/core';
+import {findRoute} from '@verbenabeam/document';
+import type {Snapshot} from '@verbenabeam/document';
+import {NODE_STATES} from '@verbenabeam/membership';
+import type {InstanceRecord} from '@verbenabeam/membership';
+import type {Store} from '@verbenabeam/store';
+import type {PeerBus} from '@verbenabeam/wire';
+import {Result} from 'true-myth';
+import {CALL_EXPLAIN, callRoutes, explainHere} from './admin/call-routes.js';
+import {documentRoutes} from './admin/document-routes.js';
+import {healthRoutes} from './admin/health-routes.js';
+import {statusRoutes} from './admin/status-routes.js';
+import type {AdminRoute} from './admin/admin-route.js';
+import {
+  CALL_STREAM,
+  CallLog,
+  EntryHandler,
+  ServingHandler,
+} from './calls/index.js';
+import type {CallRecord, ConfigPort} from './calls/index.js';
+import {ClaimsService} from './claims/claims-service.js';
+import {DistributionService} from './distribution/distribution-service.js';
+import {STATUS_LAG} from './distribution/lag-report.js';
+import type {LagResponse} from './distribution/lag-report.js';
+import {CallEvidence} from './entry/call-evidence.js';
+import {InstanceAdapter} from './entry/instance-adapter.js';
+import {RetryAdapter} from './entry/retry-adapter.js';
+import {VersionAdapter} from './entry/version-adapter.js';
+import {every} from './every.js';
+import {
+  MembershipService,
+  countByState,
+} from './membership/membership-service.js';
+import {findSeeds} from './membership/find-seeds.js';
+import {NodeMetrics} from './metrics/node-metrics.js';
+import {MovesService} from './moves/moves-service.js';
+import {AdmissionAdapter} from './serving/admission-adapter.js';
+import {OwnUpstreamAdapter} from './serving/own-upstream-adapter.js';
+import {QuarantineAdapter} from './serving/quarantine-adapter.js';
+import type {NodeSettings} from './settings/node-settings.js';
+import {StoreHealth} from './store/store-health.js';
+
+/** Slots of an upstream that has not announced itself yet. */
+const initialSlots = 1;
+const retainMs = 10_000;
+const rejoinMs = 5_000;
+
+/** What a node is made from. @internal */
+export interface NodePartsOptions {
+  readonly settings: NodeSettings;
+  readonly nodeId: string;
+  readonly wireAddress: string;
+  readonly bus: PeerBus;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: Invariants;
+  readonly signal: AbortSignal;
+}
+
+/** The parts of one node. @internal */
+export class NodeParts {
+  readonly membership: MembershipService;
+  readonly distribution: DistributionService;
+  readonly moves: MovesService;
+  readonly claims: ClaimsService;
+  readonly entry: EntryHandler;
+  readonly serving: ServingHandler;
+  readonly calls = new CallLog();
+  readonly metrics: NodeMetrics;
+  readonly adminRoutes: readonly AdminRoute[];
+  readonly #options: NodePartsOptions;
+  readonly #store: StoreHealth;
+  readonly #admission: AdmissionAdapter;
+  readonly #quarantine: QuarantineAdapter;
+  readonly #instances: InstanceAdapter;
+
+  constructor(options: NodePartsOptions) {
+    this.#options = options;
+    const {bus, clock, random, invariants, signal, settings} = options;
+    this.metrics = this.#createMetrics();
+    this.#store = new StoreHealth(options.store, () =>
+      this.metrics.recordStoreCall('node'),
+    );
+    const store = this.#store;
+    invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
+    this.membership = new MembershipService({
+      own: ownRecord(options),
+      bus,
+      clock,
+      random,
+      signal,
+    });
+    const shared = {membership: this.membership, bus, store, clock};
+    const context = {...shared, random, invariants, signal};
+    this.moves = new MovesService({
+      ...context,
+      isRelay: () => this.distribution.isRelay,
+    });
+    this.distribution = new DistributionService({
+      ...context,
+      onApplied: snapshot => this.#onApplied(snapshot),
+      moves: () => this.moves.knowledge().records,
+      onMoves: values => this.moves.onRecords(values),
+      onMoveEvent: event => this.moves.onStoreEvent(event),
+    });
+    this.claims = new ClaimsService();
+    this.#admission = new AdmissionAdapter({
+      clock,
+      maxWaitMs: settings.limits.queue_wait,
+      slots: initialSlots,
+    });
+    this.#quarantine = new QuarantineAdapter(shared);
+    this.#instances = new InstanceAdapter({...shared, random});
+    this.serving = new ServingHandler({
+      upstream: new OwnUpstreamAdapter(this.membership.monitor),
+      admission: this.#admission,
+      quarantine: this.#quarantine,
+      invariants,
+    });
+    this.entry = this.#createEntry();
+    const adminContext = {
+      ...shared,
+      distribution: this.distribution,
+      moves: this.moves,
+      calls: this.calls,
+      metrics: this.metrics,
+      storeHealth: store,
+    };
+    this.adminRoutes = [
+      ...documentRoutes(adminContext),
+      ...statusRoutes(adminContext),
+      ...callRoutes(adminContext),
+      ...healthRoutes(adminContext),
+    ];
+  }
+
+  /** Starts the protocols; the node serves calls once it holds a version. */
+  async start(): Promise<void> {
+    const {bus, signal, settings} = this.#options;
+    bus.onStream(CALL_STREAM, this.serving.onStream);
+    bus.onRequest(CALL_EXPLAIN, body => Result.ok(this.#explain(body)));
+    bus.onRequest(STATUS_LAG, () => Result.ok(this.#lagReport()));
+    this.membership.monitor.onChange(({slots}) =>
+      this.#admission.setSlots(slots),
+    );
+    this.#quarantine.start();
+    this.claims.start();
+    this.moves.start();
+    this.distribution.start();
+    const seeds = await findSeeds(settings.seeds.addresses, this.#store);
+    this.membership.start(seeds);
+    every(retainMs, signal, () => this.#instances.retainMembers());
+    every(rejoinMs, signal, () => void this.#rejoinIfAlone());
+  }
+
+  /**
+   * Refuses new calls and waits for those in flight.
+   *
+   * @param maxWaitMs - Longest wait in milliseconds; 0 has no limit.
+   */
+  async drain(maxWaitMs: number): Promise<void> {
+    this.membership.drain();
+    const drained = Promise.all([this.entry.drain(), this.serving.drain()]);
+    if (maxWaitMs === 0) await drained;
+    else await Promise.race([drained, wait(maxWaitMs)]);
+    this.entry.checkDrained();
+  }
+
+  /** Gives up roles and tells the peers that this node ends. */
+  async leave(): Promise<void> {
+    await Promise.all([this.moves.stop(), this.claims.stop()]);
+    this.distribution.stop();
+    this.membership.leave();
+    await this.serving.close();
+  }
+
+  #createEntry(): EntryHandler {
+    const {settings, bus, invariants, clock} = this.#options;
+    const share = settings.limits.retry_share;
+    const budget = new RetryAdapter({clock, share});
+    const evidence = new CallEvidence(this.membership, clock);
+    return new EntryHandler({
+      config: this.#configPort(),
+      versions: new VersionAdapter(this.moves, this.membership),
+      instances: this.#instances,
+      retries: budget,
+      claims: this.claims,
+      bus,
+      serving: this.serving,
+      observer: {onCall: record => this.#onCall(record, evidence)},
+      invariants,
+    });
+  }
+
+  #configPort(): ConfigPort {
+    return {
+      current: () => (this.moves.synced ? this.distribution.current() : null),
+      match: (snapshot, query) => findRoute(snapshot, query),
+    };
+  }
+
+  #onCall(record: CallRecord, evidence: CallEvidence): void {
+    this.calls.onCall(record);
+    for (const outcome of evidence.of(record)) this.moves.record(outcome);
+    this.metrics.recordCall({
+      callerClass: this.#callerClass(record.callerClass),
+      service: record.service ?? 'none',
+      code: record.code.code,
+      durationMs: record.durationMs,
+      retries: Math.max(0, record.attempts.length - 1),
+    });
+  }
+
+  /** Bounds the number of labels. */
+  #callerClass(name: string): string {
+    const known = this.distribution.tracker.current?.document.callerClasses;
+    return known?.includes(name) ? name : 'other';
+  }
+
+  #onApplied(snapshot: Snapshot): void {
+    this.moves.onApplied(snapshot);
+    const delayMs = this.#options.clock.wallTime() - snapshot.acceptedAt;
+    this.metrics.recordConvergence(Math.max(0, delayMs));
+  }
+
+  #explain(body: unknown): unknown {
+    const callId = (body as {callId?: unknown} | null)?.callId;
+    return typeof callId === 'string' ? explainHere(this, callId) : null;
+  }
+
+  #lagReport(): LagResponse {
+    const {version, problem} = this.distribution.tracker.status;
+    const reason = problem
+      ? `${problem.code.code} ${problem.message}`
+      : 'has not received it yet';
+    return {version, reason};
+  }
+
+  /** Looks for relays in the store while no peer is known. */
+  async #rejoinIfAlone(): Promise<void> {
+    if (this.membership.live().length > 1) return;
+    const {settings} = this.#options;
+    const seeds = await findSeeds(settings.seeds.addresses, this.#store);
+    const others = seeds.filter(seed => seed !== this.membership.own.address);
+    if (others.length > 0) this.membership.rejoin(others);
+  }
+
+  #createMetrics(): NodeMetrics {
+    return new NodeMetrics({
+      configVersion: () => this.distribution.tracker.digest.version,
+      members: () => countByState(this.membership.live()),
+      bytes: () => this.#options.bus.bytes(),
+      inFlight: () => this.serving.inFlight,
+    });
+  }
+}
+
+/** Creates the parts of a node. @internal */
+export function createParts(options: NodePartsOptions): NodeParts {
+  return new NodeParts(options);
+}
+
+function ownRecord(options: NodePartsOptions): InstanceRecord {
+  const {node} = options.settings;
+  return {
+    nodeId: options.nodeId,
+    incarnation: options.clock.wallTime(),
+    sequence: 1,
+    address: options.wireAddress,
+    dataCentre: node.data_centre,
+    region: node.region,
+    environment: node.environment,
+    state: NODE_STATES.alive,
+    upstream: null,
+    relay: false,
+    configVersion: 0,
+  };
+}
+
+function wait(ms: number): Promise<MeshError | null> {
+  return new Promise(resolve => setTimeout(() => resolve(null), ms));
+}
--- /dev/null
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -0,0 +1,116 @@
+import {MeshError} from '@verbenabeam/core';
+import type {Clock} from '@verbenabeam/core';
+import {Admission, Deadline} from '@verbenabeam/routing';
+import type {
+  AdmissionDecision as Decision,
+  LoadReport,
+} from '@verbenabeam/routing';
+import {Result} from 'true-myth';
+import type {
+  AdmissionDecision,
+  AdmissionPort,
+  AdmissionRequest,
+  Ticket,
+} from '../calls/index.js';
+
+type Settle = (decided: Result<Ticket, MeshError>) => void;
+
+/** Options of {@link AdmissionAdapter}. @internal */
+export interface AdmissionAdapterOptions {
+  readonly clock: Clock;
+  /** Longest expected wait for a slot, in milliseconds. */
+  readonly maxWaitMs: number;
+  /** Slots until the upstream has announced itself. */
+  readonly slots: number;
+}
+
+/** Connects the admission logic to timers and promises. @internal */
+export class AdmissionAdapter implements AdmissionPort {
+  readonly #clock: Clock;
+  readonly #admission: Admission;
+  readonly #waiting = new Map<string, Settle>();
+  #timer: NodeJS.Timeout | null = null;
+
+  constructor({clock, maxWaitMs, slots}: AdmissionAdapterOptions) {
+    this.#clock = clock;
+    this.#admission = new Admission({slots, maxWaitMs});
+  }
+
+  get inFlight(): number {
+    return this.#admission.inFlight;
+  }
+
+  load(): LoadReport {
+    return this.#admission.report();
+  }
+
+  /** Takes over the announced number of slots. */
+  setSlots(slots: number): void {
+    this.#carryOut(this.#admission.setSlots(slots, this.#clock.now()));
+  }
+
+  enter({callId, deadlineAt}: AdmissionRequest): AdmissionDecision {
+    const call = {id: callId, deadline: new Deadline(deadlineAt)};
+    const decision = this.#admission.tryEnter(call, this.#clock.now());
+    if (decision.kind === 'admitted') {
+      return {kind: 'admitted', ticket: this.#ticket(callId)};
+    }
+    if (decision.kind === 'refused') {
+      return {kind: 'refused', err: refusal(decision)};
+    }
+    const decided = new Promise<Result<Ticket, MeshError>>(resolve => {
+      this.#waiting.set(callId, resolve);
+    });
+    this.#schedule();
+    return {kind: 'queued', decided, cancel: () => this.#cancel(callId)};
+  }
+
+  #ticket(callId: string): Ticket {
+    return {
+      leave: serviceMs => {
+        const measured = serviceMs !== null;
+        const now = this.#clock.now();
+        this.#carryOut(this.#admission.finish(callId, now, measured));
+      },
+    };
+  }
+
+  #cancel(callId: string): void {
+    this.#waiting.delete(callId);
+    if (this.#admission.cancel(callId)) return;
+    // The call left the queue before it was cancelled; its slot is given back.
+    this.#ticket(callId).leave(null);
+  }
+
+  #carryOut(decisions: readonly Decision[]): void {
+    for (const decision of decisions) {
+      const settle = this.#waiting.get(decision.callId);
+      this.#waiting.delete(decision.callId);
+      if (decision.kind === 'refused') {
+        settle?.(Result.err(refusal(decision)));
+      } else if (decision.kind === 'admitted') {
+        const ticket = this.#ticket(decision.callId);
+        if (settle) settle(Result.ok(ticket));
+        else ticket.leave(null);
+      }
+    }
+    this.#schedule();
+  }
+
+  /** Wakes up when the next waiting call expires. */
+  #schedule(): void {
+    if (this.#timer) clearTimeout(this.#timer);
+    this.#timer = null;
+    const at = this.#admission.nextExpiry;
+    if (at === null) return;
+    const waitMs = Math.max(1, Math.ceil(at - this.#clock.now()));
+    this.#timer = setTimeout(() => {
+      this.#carryOut(this.#admission.expire(this.#clock.now()));
+    }, waitMs);
+    this.#timer.unref();
+  }
+}
+
+function refusal({code}: Extract<Decision, {kind: 'refused'}>): MeshError {
+  return new MeshError(code, code.text);
+}
--- /dev/null
+++ b/scripts/lib/environment.mjs
@@ -0,0 +1,208 @@
+/**
+ * Starts a small environment as separate processes on loopback: the store
+ * stand-in, and for each instance an upstream stand-in with its node.
+ */
+import {spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {createInterface} from 'node:readline';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+const startTimeoutMs = 15_000;
+const stopTimeoutMs = 15_000;
+const pollMs = 100;
+
+export const operatorToken = 'demo-operator-token-0123456789';
+const nodeKey = 'demo-node-key-0123456789';
+
+/** Starts a program and resolves with the JSON of its first output line. */
+export async function startProcess(args, options = {}) {
+  const child = spawn(process.execPath, args, {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: {...process.env, ...options.env},
+  });
+  const errors = [];
+  child.stderr.on('data', chunk => errors.push(chunk));
+  if (options.stderr) child.stderr.pipe(options.stderr);
+  const exited = new Promise(resolve => child.once('exit', resolve));
+  const lines = createInterface({input: child.stdout});
+  const first = await Promise.race([
+    new Promise(resolve => lines.once('line', resolve)),
+    exited.then(() => null),
+    sleep(startTimeoutMs, null, {ref: false}),
+  ]);
+  if (first === null) {
+    child.kill('SIGKILL');
+    throw new Error(`${args[0]} did not start: ${Buffer.concat(errors)}`);
+  }
+  return {child, exited, info: JSON.parse(first), args};
+}
+
+/** Stops a process by SIGTERM; false when it had to be killed. */
+export async function stopProcess({child, exited}) {
+  if (child.exitCode !== null || child.signalCode !== null) return true;
+  child.kill('SIGTERM');
+  const ended = await Promise.race([
+    exited.then(() => true),
+    sleep(stopTimeoutMs, false, {ref: false}),
+  ]);
+  if (!ended) child.kill('SIGKILL');
+  await exited;
+  return ended;
+}
+
+function nodeToml({name, dataCentre, region, environment, store, seeds}) {
+  return `
+[node]
+id = "${name}"
+environment = "${environment}"
+data_centre = "${dataCentre}"
+region = "${region}"
+
+[listen]
+callers = "127.0.0.1:0"
+wire = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+
+[store]
+endpoints = ["${store}"]
+
+[seeds]
+addresses = ${JSON.stringify(seeds)}
+
+[access]
+node_key = "${nodeKey}"
+operator_token = "${operatorToken}"
+`;
+}
+
+/** A small environment; every process belongs to it and ends with it. */
+export class Environment {
+  constructor(options = {}) {
+    this.environment = options.environment ?? 'production';
+    this.env = options.env ?? {};
+    this.stderr = options.stderr;
+    this.folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
+    this.instances = [];
+    this.processes = [];
+  }
+
+  async startStore() {
+    this.store = await this.#start([
+      'apps/store-standin/dist/main.js',
+      '--port',
+      '0',
+    ]);
+    return this.store;
+  }
+
+  /** Starts a node and, unless told otherwise, the upstream beside it. */
+  async startInstance(spec) {
+    const {name, service, version = 'v1', dataCentre, region = 'cz'} = spec;
+    const file = path.join(this.folder, `${name}.toml`);
+    const seeds = this.instances
+      .slice(0, 2)
+      .map(instance => instance.node.info.wire);
+    writeFileSync(
+      file,
+      nodeToml({
+        name,
+        dataCentre,
+        region,
+        environment: spec.environment ?? this.environment,
+        store: this.store.info.url,
+        seeds,
+      }),
+    );
+    const node = await this.#start([
+      'apps/node/dist/main.js',
+      '--config',
+      file,
+    ]);
+    const upstream =
+      spec.upstream === false
+        ? null
+        : await this.startUpstream({...spec, service, version, node});
+    const instance = {...spec, version, node, upstream};
+    this.instances.push(instance);
+    return instance;
+  }
+
+  async startUpstream({node, service, version, upstreamArgs = []}) {
+    return this.#start([
+      'apps/upstream-standin/dist/main.js',
+      ...['--service', service, '--version', version],
+      ...['--node', `http://${node.info.admin}`],
+      ...upstreamArgs,
+    ]);
+  }
+
+  /** Stops the upstream, then the node; false when one had to be killed. */
+  async stopInstance(instance) {
+    this.instances = this.instances.filter(other => other !== instance);
+    const graceful = [];
+    if (instance.upstream) graceful.push(await stopProcess(instance.upstream));
+    graceful.push(await stopProcess(instance.node));
+    return graceful.every(Boolean);
+  }
+
+  /** Runs the command line; resolves with its exit status and output. */
+  async cli(...args) {
+    const admin = this.instances[0].node.info.admin;
+    const child = spawn(
+      process.execPath,
+      ['apps/cli/dist/main.js', ...args, '--node', `http://${admin}`],
+      {env: {...process.env, VERBENABEAM_TOKEN: operatorToken}},
+    );
+    const out = [];
+    const err = [];
+    child.stdout.on('data', chunk => out.push(chunk));
+    child.stderr.on('data', chunk => err.push(chunk));
+    const status = await new Promise(resolve => child.once('close', resolve));
+    return {
+      status,
+      out: Buffer.concat(out).toString(),
+      err: Buffer.concat(err).toString(),
+    };
+  }
+
+  /** Writes a document to a file of the environment. */
+  writeDocument(name, text) {
+    const file = path.join(this.folder, name);
+    writeFileSync(file, text);
+    return file;
+  }
+
+  /** Stops everything; false when a process had to be killed. */
+  async stop() {
+    const graceful = [];
+    for (const instance of [...this.instances]) {
+      graceful.push(await this.stopInstance(instance));
+    }
+    for (const started of this.processes) {
+      graceful.push(await stopProcess(started));
+    }
+    rmSync(this.folder, {recursive: true, force: true});
+    return graceful.every(Boolean);
+  }
+
+  async #start(args) {
+    const started = await startProcess(args, {
+      env: this.env,
+      stderr: this.stderr,
+    });
+    this.processes.push(started);
+    return started;
+  }
+}
+
+/** Repeats a check until it holds; throws after the time limit. */
+export async function waitUntil(check, what, timeoutMs = 15_000) {
+  const endAt = Date.now() + timeoutMs;
+  while (Date.now() < endAt) {
+    if (await check()) return;
+    await sleep(pollMs);
+  }
+  throw new Error(`timed out waiting until ${what}`);
+}
