Add at-most-once claims by partition

Cause: non-idempotent routes need a durable record before a request may run. Only the client releases now. Every append also compares the checkpoint key, which changes with each deletion; create-if-absent alone lets a paused owner append at a folded sequence number. Ruled out: a checkpoint that holds all claims, because one value is limited to 1 MB; folding other than a prefix, which can remove a release but keep its grant.

--- /dev/null
+++ b/packages/claims/src/claims.test.ts
@@ -0,0 +1,240 @@
+import assert from 'node:assert/strict';
+import {Given, Then} from '@cucumber/cucumber';
+import {CLAIM_CODES, Invariants} from '@verbenabeam/core';
+import type {Store} from '@verbenabeam/store';
+import {ManualClock, MemoryStore} from '@verbenabeam/store/fakes';
+import {ClaimClient} from './claim-client.js';
+import type {ClaimSend} from './claim-client.js';
+import type {ClaimLimits} from './claim-limits.js';
+import {ClaimOwner} from './claim-owner.js';
+import {partitionCount} from './messages.js';
+
+const environment = 'production';
+const holdMs = 1_000;
+const answer = {status: 201, headers: {}, body: Buffer.from('made')};
+let clock: ManualClock;
+let store: MemoryStore;
+
+function setUp(): void {
+  clock = new ManualClock();
+  store = new MemoryStore({clock, sleep: clock.sleep});
+}
+
+function startOwner(
+  limits: Partial<ClaimLimits> = {},
+  view: Store = store,
+): ClaimOwner {
+  const {sleep} = clock;
+  const invariants = new Invariants(true);
+  const base = {environment, clock, sleep, invariants};
+  return new ClaimOwner({...base, store: view, limits});
+}
+
+function clientOf(owner: ClaimOwner): ClaimClient {
+  const send = ((_node: string, kind: string, body: never) =>
+    kind === 'claim.begin'
+      ? owner.begin(body)
+      : owner.finish(body)) as ClaimSend;
+  return new ClaimClient({nodes: () => ['n1'], send});
+}
+
+async function run<T>(promise: Promise<T>): Promise<T> {
+  const state = {done: false};
+  const ended = promise.finally(() => (state.done = true));
+  for (let i = 0; i < 1_000 && !state.done; i++) await clock.advance(5);
+  assert.ok(state.done, 'the call must end');
+  return ended;
+}
+
+const callOf = (key: string, callId: string) => ({
+  ...{environment, service: 's', callerClass: 'c', key, callId},
+});
+
+async function begin(owner: ClaimOwner, key: string, callId: string) {
+  const reply = await run(clientOf(owner).begin(callOf(key, callId), holdMs));
+  return reply.isOk ? reply.value.state : reply.error.details['cause'];
+}
+
+function finish(owner: ClaimOwner, key: string, outcome: 'ran' | 'notRun') {
+  const end = {outcome, answer: outcome === 'ran' ? answer : null};
+  return run(clientOf(owner).finish(callOf(key, 'c1'), end));
+}
+
+let resume: () => void;
+let paused: ClaimOwner;
+const direct = (claim: string, callId: string) => ({
+  ...{partition: 0, claim, callId, holdMs},
+});
+let held: ReturnType<ClaimOwner['begin']>;
+
+Given('a paused claim owner that has listed an empty partition', async () => {
+  setUp();
+  const gate = new Promise<void>(resolve => (resume = resolve));
+  const view: Pick<Store, 'get' | 'list' | 'txn'> = {
+    get: key => store.get(key),
+    list: prefix => store.list(prefix),
+    txn: async txn => {
+      await gate;
+      return store.txn(txn);
+    },
+  };
+  paused = startOwner({}, view as Store);
+  held = paused.begin(direct('k1', 'stale'));
+  await clock.advance(1);
+});
+
+Then(
+  'another claim owner grants claims until the first segments are folded',
+  async () => {
+    const owner = startOwner({foldAt: 4, foldCount: 3});
+    for (let i = 1; i <= 10; i++) {
+      const req = direct(`k${String(i)}`, 'other');
+      assert.equal((await run(owner.begin(req))).isOk, true);
+    }
+    const keys = store.state.range('/', true).map(e => e.key);
+    assert.ok(!keys.some(k => k.endsWith('/000000000001')));
+  },
+);
+
+Then(
+  'the paused claim owner does not grant a claim of the other owner',
+  async () => {
+    resume();
+    const reply = await run(held);
+    assert.deepEqual(reply.unwrapOr(null!), {state: 'inProgress'});
+  },
+);
+
+let owner: ClaimOwner;
+
+Given('a claim owner and a claim client', () => {
+  setUp();
+  owner = startOwner();
+});
+
+Then('a granted claim is in progress for another call', async () => {
+  assert.equal(await begin(owner, 'a', 'c1'), 'granted');
+  assert.equal(await begin(owner, 'a', 'c2'), 'inProgress');
+  assert.equal(await begin(owner, 'a', 'c1'), 'granted');
+});
+
+Then('a finished claim returns its answer at a new claim owner', async () => {
+  assert.ok((await finish(owner, 'a', 'ran')).isOk);
+  const client = clientOf(startOwner());
+  const reply = await run(client.begin(callOf('a', 'c3'), holdMs));
+  assert.ok(reply.isOk && reply.value.state === 'finished');
+  assert.equal(Buffer.from(reply.value.answer!.body).toString(), 'made');
+});
+
+Then('a claim that may have run is unknown after its hold time', async () => {
+  assert.equal(await begin(owner, 'b', 'c1'), 'granted');
+  await clock.advance(holdMs + 1);
+  assert.equal(await begin(startOwner(), 'b', 'c2'), 'unknown');
+});
+
+Then('a released claim is granted again', async () => {
+  assert.equal(await begin(owner, 'r', 'c1'), 'granted');
+  assert.ok((await finish(owner, 'r', 'notRun')).isOk);
+  assert.equal(await begin(owner, 'r', 'c2'), 'granted');
+});
+
+Then('a claim is refused as not run while the store is down', async () => {
+  store.setDown(true);
+  const {code} = CLAIM_CODES.unavailable;
+  assert.equal(await begin(owner, 'd', 'c1'), code);
+  assert.equal(await begin(startOwner(), 'd', 'c1'), code);
+  store.setDown(false);
+  assert.equal(await begin(owner, 'd', 'c2'), 'granted');
+});
+
+Then(
+  'a claim whose append lost its response is granted with one append',
+  async () => {
+    const before = store.counts.txn;
+    store.faults.loseResponses = 1;
+    const reply = await run(owner.begin(direct('lost', 'c1')));
+    assert.deepEqual(reply.unwrapOr(null!), {state: 'granted'});
+    assert.equal(store.counts.txn - before, 1);
+  },
+);
+
+Then(
+  'claims over the limit of the partition are refused as not run',
+  async () => {
+    const small = startOwner({maxClaims: 2});
+    for (const claim of ['x', 'y']) {
+      const req = {...direct(claim, 'c1'), partition: 9};
+      assert.ok((await run(small.begin(req))).isOk);
+    }
+    const reply = await run(small.begin({...direct('z', 'c1'), partition: 9}));
+    assert.ok(reply.isErr && reply.error.code === CLAIM_CODES.limitReached);
+  },
+);
+
+interface Load {
+  readonly perSecond: number;
+  readonly granted: number;
+  readonly writes: number;
+  readonly partitions: number;
+  readonly waits: number[];
+}
+
+let loads: Load[];
+const loadMs = 2_000;
+
+async function measure(perSecond: number, partitions: number): Promise<Load> {
+  setUp();
+  Object.assign(store.faults, {readMs: 5, writeMs: 5});
+  const served = startOwner();
+  const waits: number[] = [];
+  for (let i = 0; i < partitions; i++) {
+    await run(served.begin({...direct('warm', 'w'), partition: i}));
+  }
+  const before = store.counts.txn;
+  for (let at = 0, i = 0; at < loadMs; at++) {
+    await clock.advance(1);
+    for (; i < (at * perSecond) / 1_000; i++) {
+      const startedAt = clock.now();
+      const req = {...direct(`k${String(i)}`, 'c'), partition: i % partitions};
+      const ended = served.begin(req).then(reply => {
+        if (reply.isOk) waits.push(clock.now() - startedAt);
+      });
+      void ended;
+    }
+  }
+  await clock.advance(200);
+  waits.sort((a, b) => a - b);
+  const writes = store.counts.txn - before;
+  return {perSecond, granted: waits.length, writes, partitions, waits};
+}
+
+Given(
+  'claim loads of {int}, {int} and {int} begins per second',
+  async (low: number, middle: number, high: number) => {
+    loads = [];
+    for (const perSecond of [low, middle, high]) {
+      loads.push(await measure(perSecond, 1));
+      loads.push(await measure(perSecond, partitionCount));
+    }
+  },
+);
+
+Then(
+  'a claim load waits under {int} ms at p99 and writes at most {int} per second and partition',
+  (ms: number, rate: number) => {
+    for (const load of loads) {
+      const {granted, waits, writes, partitions, perSecond} = load;
+      const p50 = waits[Math.floor(granted * 0.5)]!;
+      const p99 = waits[Math.floor(granted * 0.99)]!;
+      const perWrite = (granted / writes).toFixed(1);
+      const writeRate = writes / (loadMs / 1_000);
+      const figures = {perSecond, partitions, perWrite, writeRate, p50, p99};
+      if (process.env['CLAIM_FIGURES']) {
+        process.stderr.write(`${JSON.stringify(figures)}\n`);
+      }
+      assert.ok(granted >= (perSecond * loadMs) / 1_000 - 1);
+      assert.ok(p99 < ms);
+      assert.ok(writeRate <= (rate + 1) * partitions);
+    }
+  },
+);
--- a/packages/core/src/codes/claims.ts
+++ b/packages/core/src/codes/claims.ts
@@ -34,4 +34,11 @@
     http: 409,
     text: 'A request with this key may have run; it is not run again.',
   },
+  limitReached: {
+    code: 1706,
+    exit: 17,
+    http: 503,
+    notRun: true,
+    text: 'The claim partition holds or queues its largest number of claims.',
+  },
 });
