--- a/packages/distribution/src/acceptance.ts
+++ b/packages/distribution/src/acceptance.ts
@@ -5,7 +5,7 @@
 import type {Change, CompiledDocument, Snapshot} from '@verbenabeam/document';
 import type {Entry, Store, Txn} from '@verbenabeam/store';
 import {checkBase, notReady} from './check-base.js';
-import type {FleetView} from './distributor.js';
+import type {FleetView} from './distributor-options.js';
 import {settledTxn} from './settled-txn.js';
 import type {SettleOptions} from './settled-txn.js';
 import {STORE_KEYS} from './store-keys.js';
--- a/packages/distribution/src/check-base.ts
+++ b/packages/distribution/src/check-base.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import {MeshError, VERSION_CODES} from '@verbenabeam/core';
-import type {FleetView} from './distributor.js';
+import type {FleetView} from './distributor-options.js';
 import type {HeadRecord} from './store-records.js';
 
 /**
--- a/packages/distribution/src/distributor.ts
+++ b/packages/distribution/src/distributor.ts
@@ -1,8 +1,9 @@
 import {Result} from 'true-myth';
-import {MeshError, VERSION_CODES} from '@verbenabeam/core';
-import type {RandomSource} from '@verbenabeam/core';
-import {applyDelta} from '@verbenabeam/document';
+import {VERSION_CODES} from '@verbenabeam/core';
+import type {MeshError, RandomSource} from '@verbenabeam/core';
 import type {Snapshot} from '@verbenabeam/document';
+import {decodeContent, isLasting, isUnusable} from './decode-content.js';
+import type {DistributorOptions, FleetView} from './distributor-options.js';
 import type {Effect} from './effect.js';
 import type {FullTextCap} from './full-text-cap.js';
 import type {VersionContent} from './messages/config-content.js';
@@ -14,31 +15,10 @@
 import type {ConfigPush} from './messages/config-push.js';
 import {Puller} from './puller.js';
 import type {PushPlanner} from './push-planner.js';
-import {fullText, RecentVersions} from './recent-versions.js';
+import {describe, fullText, RecentVersions} from './recent-versions.js';
 import {StartInquiry} from './start-inquiry.js';
-import {verifyText} from './verify-text.js';
 import type {Candidate, VersionTracker} from './version-tracker.js';
 
-/** Parts and identity of a {@link Distributor}. @public */
-export interface DistributorOptions {
-  readonly tracker: VersionTracker;
-  readonly planner: PushPlanner;
-  readonly cap: FullTextCap;
-  readonly random: RandomSource;
-}
-
-/** The highest version that a node knows of. @public */
-export interface FleetView {
-  readonly version: number;
-  /** Hash of the active version. */
-  readonly active: ConfigDigest;
-}
-
-/** Peers asked at once by a starting node. */
-const startPeers = 3;
-/** A starting node repeats its questions after 1 to 2 of these. */
-const startRetryMs = 1_000;
-
 /**
  * Distribution on one node, without I/O: takes messages and times, returns the
  * effects that the driver carries out.
@@ -56,7 +36,6 @@
   #forwarded = new Set<string>();
   #ready = false;
   #highestSeen = 0;
-  #askAgainAt = 0;
 
   constructor(options: DistributorOptions) {
     this.#tracker = options.tracker;
@@ -134,8 +113,9 @@
     if (res.status !== 'version') return [];
     this.#puller.done();
     const applied = this.#apply(res.value, now);
-    const isUnusable = applied.isErr && isDeltaError(applied.error);
-    if (isUnusable) this.#puller.deltaUnusable();
+    if (applied.isErr && isUnusable(applied.error)) {
+      this.#puller.deltaUnusable();
+    }
     return [...effectsOf(applied), ...this.#pullIfDue(now)];
   }
 
@@ -201,23 +181,11 @@
 
   /** Repeats pulls and, on a starting node, questions. */
   tick(now: number): readonly Effect[] {
-    return [...this.#askIfStarting(now), ...this.#pullIfDue(now)];
-  }
-
-  #askIfStarting(now: number): readonly Effect[] {
-    if (this.#ready || now < this.#askAgainAt) return [];
-    this.#askAgainAt = now + startRetryMs * (1 + this.#random.float());
-    const open = this.#inquiry.unasked(this.#planner.peers);
-    const chosen = this.#random.shuffle(open).slice(0, startPeers);
-    const message = this.digest;
-    const questions = chosen.map((to): Effect => ({
-      type: 'askDigest',
-      to,
-      message,
-    }));
-    const behind = this.#inquiry.highest > this.digest.version;
-    const askStore = this.#inquiry.needsStore || behind;
-    return askStore ? [{type: 'readHead'}, ...questions] : questions;
+    const {peers} = this.#planner;
+    const questions = this.#ready
+      ? []
+      : this.#inquiry.questions(peers, this.digest, this.#random, now);
+    return [...questions, ...this.#pullIfDue(now)];
   }
 
   #takePush(from: string, push: ConfigPush, now: number): readonly Effect[] {
@@ -227,29 +195,20 @@
       return [];
     }
     const applied = this.#apply(push, now);
-    if (applied.isErr && isDeltaError(applied.error)) {
+    if (applied.isErr && isUnusable(applied.error)) {
       this.#puller.noteNewer(from, push);
     }
     return effectsOf(applied);
   }
 
   #apply(value: VersionContent, now: number): Result<Snapshot, MeshError> {
-    return this.#textOf(value).andThen(text => {
+    return decodeContent(value.content, this.#tracker.current).andThen(text => {
       const {environment, version, hash, acceptedAt} = value;
       const candidate = {environment, version, hash, acceptedAt, text};
       return this.#offer(candidate, now);
     });
   }
 
-  #textOf({content}: VersionContent): Result<string, MeshError> {
-    if ('text' in content) return verifyText(content);
-    const active = this.#tracker.current;
-    if (active) return applyDelta(active.document.text, content.delta);
-    const details = {base: content.base, active: 0};
-    const code = VERSION_CODES.textMismatch;
-    return Result.err(new MeshError(code, 'the delta has no base', details));
-  }
-
   #offer(candidate: Candidate, now: number): Result<Snapshot, MeshError> {
     this.#see(candidate.version);
     const offered = this.#tracker.offer(candidate, now);
@@ -281,20 +240,14 @@
   }
 
   #pushAsRoot(snapshot: Snapshot): readonly Effect[] {
-    return this.#planner.toTree(this.#describeForPush(snapshot));
+    return this.#planner.toTree(this.#recent.describeForPush(snapshot));
   }
 
   #pushToOtherCentres(snapshot: Snapshot): readonly Effect[] {
-    const value = this.#describeForPush(snapshot);
+    const value = this.#recent.describeForPush(snapshot);
     return this.#planner.toOtherCentres(value, this.#random);
   }
 
-  #describeForPush(snapshot: Snapshot): VersionContent {
-    const {previous} = this.#recent;
-    const small = previous && this.#recent.deltaFrom(previous);
-    return describe(snapshot, small ?? fullText(snapshot));
-  }
-
   #pullIfDue(now: number): readonly Effect[] {
     const pull = this.#puller.next(this.digest, now);
     return pull ? [{type: 'pull', ...pull}] : [];
@@ -305,29 +258,6 @@
   }
 }
 
-function describe(
-  snapshot: Snapshot,
-  content: VersionContent['content'],
-): VersionContent {
-  const {environment, version, hash, acceptedAt} = snapshot;
-  return {environment, version, hash, acceptedAt, content};
-}
-
 function effectsOf(applied: Result<Snapshot, MeshError>): readonly Effect[] {
   return applied.isOk ? [{type: 'applied', snapshot: applied.value}] : [];
 }
-
-/** A delta or text that does not fit says nothing about the version itself. */
-function isDeltaError(err: MeshError): boolean {
-  return err.code.name !== 'versions.cannotCompile' && !isStale(err);
-}
-
-function isStale(err: MeshError): boolean {
-  const {notNewer, hashMismatch, otherEnvironment} = VERSION_CODES;
-  const stale = [notNewer, hashMismatch, otherEnvironment];
-  return stale.includes(err.code);
-}
-
-function isLasting(err: MeshError): boolean {
-  return err.code === VERSION_CODES.cannotCompile;
-}
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -17,7 +17,7 @@
   DistributionSender,
 } from './distribution-driver.js';
 export {Distributor} from './distributor.js';
-export type {DistributorOptions, FleetView} from './distributor.js';
+export type {DistributorOptions, FleetView} from './distributor-options.js';
 export type {Effect} from './effect.js';
 export {FullTextCap} from './full-text-cap.js';
 export type {FullTextCapOptions} from './full-text-cap.js';
--- a/packages/distribution/src/recent-versions.ts
+++ b/packages/distribution/src/recent-versions.ts
@@ -1,7 +1,7 @@
 import {hashText} from '@verbenabeam/core';
 import {delta} from '@verbenabeam/document';
 import type {Delta, Snapshot} from '@verbenabeam/document';
-import type {ConfigContent} from './messages/config-content.js';
+import type {ConfigContent, VersionContent} from './messages/config-content.js';
 
 /** Peers that are further behind get the full text. */
 const maxVersions = 8;
@@ -27,9 +27,11 @@
     this.#kept = kept;
   }
 
-  /** The newest version that is older than the active one. */
-  get previous(): Snapshot | null {
-    return this.#kept.at(-2) ?? null;
+  /** The active version with the smallest content for an unknown receiver. */
+  describeForPush(snapshot: Snapshot): VersionContent {
+    const previous = this.#kept.at(-2);
+    const small = previous && this.deltaFrom(previous);
+    return describe(snapshot, small ?? fullText(snapshot));
   }
 
   /** Returns null if no small delta from this base can be made. */
@@ -55,6 +57,15 @@
   }
 }
 
+/** A version with its content as it travels between nodes. @internal */
+export function describe(
+  snapshot: Snapshot,
+  content: VersionContent['content'],
+): VersionContent {
+  const {environment, version, hash, acceptedAt} = snapshot;
+  return {environment, version, hash, acceptedAt, content};
+}
+
 /** The whole text of a version as content. @internal */
 export function fullText(snapshot: Snapshot): ConfigContent {
   const {text} = snapshot.document;
--- a/packages/distribution/src/start-inquiry.ts
+++ b/packages/distribution/src/start-inquiry.ts
@@ -1,9 +1,13 @@
+import type {RandomSource} from '@verbenabeam/core';
+import type {Effect} from './effect.js';
 import type {ConfigDigest} from './messages/config-digest.js';
 
 type Version = Pick<ConfigDigest, 'version' | 'hash'>;
 
 /** Peers that a starting node asks at once, and that must agree in an outage. */
 const wantedPeers = 3;
+/** A starting node repeats its questions after 1 to 2 of these. */
+const retryMs = 1_000;
 
 /**
  * Collects what the store and the peers show to a node that starts empty. The
@@ -15,6 +19,7 @@
   #store: Version | 'pending' | 'down' = 'pending';
   readonly #answers = new Map<string, Version>();
   readonly #unreachable = new Set<string>();
+  #askAgainAt = 0;
 
   /** Notes the store's head; version 0 means that it has none. */
   storeShows(head: Version): void {
@@ -37,13 +42,28 @@
     if (!this.#answers.has(peer)) this.#unreachable.add(peer);
   }
 
-  /** True until the store has shown its head. */
-  get needsStore(): boolean {
-    return typeof this.#store === 'string';
+  /** Returns the questions that are due to the store and to peers. */
+  questions(
+    peers: readonly string[],
+    active: ConfigDigest,
+    random: RandomSource,
+    now: number,
+  ): readonly Effect[] {
+    if (now < this.#askAgainAt) return [];
+    this.#askAgainAt = now + retryMs * (1 + random.float());
+    const chosen = random.shuffle(this.#unasked(peers)).slice(0, wantedPeers);
+    const toPeers = chosen.map((to): Effect => ({
+      type: 'askDigest',
+      to,
+      message: active,
+    }));
+    const needsStore = typeof this.#store === 'string';
+    const isBehind = this.highest > active.version;
+    return needsStore || isBehind ? [{type: 'readHead'}, ...toPeers] : toPeers;
   }
 
   /** Peers that have not answered yet; those not tried come first. */
-  unasked(peers: readonly string[]): readonly string[] {
+  #unasked(peers: readonly string[]): readonly string[] {
     const open = peers.filter(peer => !this.#answers.has(peer));
     const untried = open.filter(peer => !this.#unreachable.has(peer));
     return untried.length > 0 ? untried : open;
