Report an unknown outcome when the store was restored

The response of the write was lost, then the store was restored to an older state, and the read-back showed another head, so the operator was told that another change had won. Nodes had the change active.

Acceptance now checks that the head found after a conflict descends from the base of the change; otherwise it reports 1302 with the operation id. A check of the version number alone was ruled out, because others may have accepted changes since the restore.

If the lost write was the first of an environment there is no base to compare, and the fault remains possible.

--- a/packages/distribution/src/acceptance.feature
+++ b/packages/distribution/src/acceptance.feature
@@ -41,6 +41,12 @@
       | applies and loses   |                                     |
       | drops and loses     | route r: timeout 2000ms -> 9000ms   |
 
+  Scenario: A lost response before a restore of the store stays unknown
+    Guards against "race lost" for a change that the fleet may have active.
+    Given the acceptance store applies, loses and restores the next response
+    When the acceptance operator submits timeout "9s"
+    Then the acceptance result is code 1302
+
   Scenario: A repeated operation is one change
     When the acceptance operator submits timeout "9s"
     And the acceptance operator repeats the operation after another change
--- a/packages/distribution/src/acceptance.test.ts
+++ b/packages/distribution/src/acceptance.test.ts
@@ -32,12 +32,14 @@
 }
 
 /** Loses the response of the next transaction. */
-function forgetful(store: Store): Store {
+function forgetful(store: SimStore): Store {
   const txn: Store['txn'] = async request => {
     if (fate === null) return store.txn(request);
     const applies = fate.startsWith('applies');
+    const restores = fate.includes('restores');
     fate = null;
     if (applies) await store.txn(request);
+    if (restores) store.restore();
     const code = STORE_CODES.unknownOutcome;
     return Result.err(new MeshError(code, code.text));
   };
--- a/packages/distribution/src/acceptance.ts
+++ b/packages/distribution/src/acceptance.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import {MeshError, VERSION_CODES} from '@verbenabeam/core';
+import {MeshError, STORE_CODES, VERSION_CODES} from '@verbenabeam/core';
 import type {Clock} from '@verbenabeam/core';
 import {checkDeadlines, compile, diff} from '@verbenabeam/document';
 import type {Change, CompiledDocument, Snapshot} from '@verbenabeam/document';
@@ -172,6 +172,7 @@
     // The first attempt may have been applied although its response was lost.
     const applied = findOperation(winner.value, draft.operationId);
     if (applied !== null) return this.#acceptedBefore(draft, applied);
+    if (!descends(winner.value, base)) return Result.err(restored(draft));
     return this.#raceLost(winner.value, draft);
   }
 
@@ -238,6 +239,20 @@
   return found?.version ?? null;
 }
 
+/** False if the store was restored to a state before the base. */
+function descends(head: HeadRecord | null, base: HeadRecord | null): boolean {
+  return base === null || findOperation(head, base.operationId) !== null;
+}
+
+/**
+ * A restored store does not show whether the change was applied before the
+ * restore, so neither "accepted" nor "race lost" would be true for certain.
+ */
+function restored({operationId}: Draft): MeshError {
+  const reason = 'the store was restored; the change may have been applied';
+  return new MeshError(STORE_CODES.unknownOutcome, reason, {operationId});
+}
+
 function withoutOperations(head: HeadRecord): VersionMetadata {
   const {version, hash, operationId, author, acceptedAt, promotedFrom} = head;
   return {version, hash, operationId, author, acceptedAt, promotedFrom};
