--- a/packages/moves/src/fakes/move-trial.ts
+++ b/packages/moves/src/fakes/move-trial.ts
@@ -1,7 +1,8 @@
 import {Invariants, seededRandom} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
 import {packEvidence, unpackEvidence} from '../evidence-codec.js';
-import type {Evidence} from '../evidence.js';
+import {emptyCounts} from '../evidence.js';
+import type {Counts, Evidence} from '../evidence.js';
 import {EvidenceAggregator} from '../evidence-tree.js';
 import {MoveController} from '../move-controller.js';
 import {MoveGate} from '../move-gate.js';
@@ -182,6 +183,7 @@
 
   #overTheWire(evidence: Evidence): Evidence {
     const received = unpackEvidence(packEvidence(evidence)) as Evidence;
+    if (!this.#config.mechanisms.tests) return withoutOutcomes(received);
     if (this.#config.mechanisms.crashLedger) return received;
     const crashes = received.crashes.map(c => ({...c, fingerprints: []}));
     return {...received, crashes};
@@ -293,7 +295,7 @@
     const {policy, entryNodes, mechanisms, baseline} = this.#config;
     const alphaPart = localAlphaPart(entryNodes);
     const routes = TRIAL_ROUTES.length;
-    const tests = mechanisms.localStop && !baseline;
+    const tests = mechanisms.tests && mechanisms.localStop && !baseline;
     const gate = new MoveGate({
       nodeId: `n${String(nth)}`,
       invariants: new Invariants(true),
@@ -313,3 +315,11 @@
     });
   }
 }
+
+function withoutOutcomes(evidence: Evidence): Evidence {
+  const blank = (counts: Counts) => ({...emptyCounts(), calls: counts.calls});
+  const cells = evidence.cells.map(c => {
+    return {...c, from: blank(c.from), to: blank(c.to)};
+  });
+  return {...evidence, cells, crashes: []};
+}
--- a/packages/moves/src/fakes/trial-config.ts
+++ b/packages/moves/src/fakes/trial-config.ts
@@ -35,6 +35,8 @@
 
 /** Mechanisms that a trial may turn off, to show that a proof can fail. */
 export interface Mechanisms {
+  /** The tests see failures and latencies; otherwise only numbers of calls. */
+  readonly tests: boolean;
   /** Entry nodes test their own evidence. */
   readonly localStop: boolean;
   /** Stops are pushed; otherwise nodes only see records, with the 5 s poll. */
@@ -68,6 +70,7 @@
 
 /** Everything on. @internal */
 export const allMechanisms: Mechanisms = {
+  tests: true,
   localStop: true,
   stopPush: true,
   crashLedger: true,
--- /dev/null
+++ b/packages/moves/src/moves-trials.feature
@@ -0,0 +1,50 @@
+@moves
+Feature: Trials of version moves
+  Guards against bad versions that keep their traffic and against good versions
+  that are taken back or late (promise P4). VERBENABEAM_TRIALS sets the number
+  of seeds per kind; the default is the small fixed set of CI.
+
+  Scenario Outline: A bad version is taken back: <effect>, <kind>
+    When move trials run with a version of fault "<effect>" "<kind>"
+    Then the move trials take back at least 99 in 100
+    And the median move trial gives the bad version at most 2% of the traffic
+    And no move trial sends a call later than 1 s after the stop was decided
+
+    Examples:
+      | effect   | kind      |
+      | errors   | atOnce    |
+      | slowness | atOnce    |
+      | crashes  | atOnce    |
+      | errors   | oneRoute  |
+      | slowness | oneRoute  |
+      | errors   | later     |
+      | slowness | later     |
+      | errors   | underLoad |
+      | slowness | underLoad |
+
+  Scenario Outline: A good version is finished on time: <kind>
+    When move trials run with a good version and "<kind>"
+    Then the move trials finish on time at least 99 in 100
+
+    Examples:
+      | kind            |
+      | slowStart       |
+      | noisy           |
+      | lowTraffic      |
+      | crashingRequest |
+
+  Scenario: The trials notice a sequential test that is turned off
+    When move trials run with errors at once and without the tests
+    Then the move trials take back none
+
+  Scenario: The trials notice a stop that is not pushed
+    When move trials run with errors at once and without the push of stops
+    Then a move trial sends a call later than 1 s after the stop was decided
+
+  Scenario: The trials notice crashes that are blamed on the version
+    When move trials run with a crashing request and without the crash ledger
+    Then the move trials take the good version back
+
+  Scenario: The trials notice latencies of cold instances that count
+    When move trials run with a slow start and without the cold filter
+    Then the move trials take the good version back
--- /dev/null
+++ b/packages/moves/src/moves-trials.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {Then, When} from '@cucumber/cucumber';
+import {testSeed} from '@verbenabeam/testing';
+import {FAULT_SIZES, allMechanisms} from './fakes/trial-config.js';
+import type {
+  FaultEffect,
+  FaultKind,
+  GoodKind,
+  TrialConfig,
+} from './fakes/trial-config.js';
+import {runTrials} from './fakes/trial-sets.js';
+import type {TrialSummary} from './fakes/trial-sets.js';
+
+const ciTrials = 1;
+const trials = Number(process.env['VERBENABEAM_TRIALS'] ?? ciTrials);
+const requiredPart = 0.99;
+const maxMedianShare = 0.02;
+const maxLateMs = 1_000;
+const seedStride = 10_000;
+/** A short move at low cost, where the kind of traffic does not matter. */
+const small = {callsPerSecond: 20, deadlineMs: 600_000};
+const timeout = 3_600_000;
+
+let summary: TrialSummary;
+
+async function run(kind: Partial<TrialConfig>, count = trials): Promise<void> {
+  summary = await runTrials(kind, count, testSeed() * seedStride);
+}
+
+function fault(effect: FaultEffect, kind: FaultKind): Partial<TrialConfig> {
+  return {fault: {effect, kind, size: FAULT_SIZES[effect]}};
+}
+
+const explain = () => JSON.stringify(summary, null, 1);
+
+When(
+  'move trials run with a version of fault {string} {string}',
+  {timeout},
+  (effect: FaultEffect, kind: FaultKind) => run(fault(effect, kind)),
+);
+
+When(
+  'move trials run with a good version and {string}',
+  {timeout},
+  (good: GoodKind) => run({good}),
+);
+
+When('move trials run with errors at once and without the tests', () => {
+  const mechanisms = {...allMechanisms, tests: false};
+  return run({...fault('errors', 'atOnce'), mechanisms, ...small}, 1);
+});
+
+When(
+  'move trials run with errors at once and without the push of stops',
+  () => {
+    const mechanisms = {...allMechanisms, stopPush: false};
+    return run({...fault('errors', 'atOnce'), mechanisms, ...small}, 3);
+  },
+);
+
+When(
+  'move trials run with a crashing request and without the crash ledger',
+  () => {
+    const mechanisms = {...allMechanisms, crashLedger: false};
+    return run({good: 'crashingRequest', mechanisms, ...small}, 3);
+  },
+);
+
+When('move trials run with a slow start and without the cold filter', () => {
+  const mechanisms = {...allMechanisms, coldFilter: false};
+  const callsPerSecond = 200;
+  return run({good: 'slowStart', mechanisms, ...small, callsPerSecond}, 2);
+});
+
+Then('the move trials take back at least 99 in 100', () => {
+  assert.ok(summary.takenBack >= requiredPart * summary.trials, explain());
+});
+
+Then(
+  'the median move trial gives the bad version at most 2% of the traffic',
+  () => {
+    assert.ok(summary.badShare <= maxMedianShare, explain());
+  },
+);
+
+Then(
+  'no move trial sends a call later than 1 s after the stop was decided',
+  () => {
+    assert.ok(summary.lateMs <= maxLateMs, explain());
+  },
+);
+
+Then(
+  'a move trial sends a call later than 1 s after the stop was decided',
+  () => {
+    assert.ok(summary.lateMs > maxLateMs, explain());
+  },
+);
+
+Then('the move trials finish on time at least 99 in 100', () => {
+  assert.ok(summary.onTime >= requiredPart * summary.trials, explain());
+});
+
+Then('the move trials take back none', () => {
+  assert.equal(summary.takenBack, 0, explain());
+});
+
+Then('the move trials take the good version back', () => {
+  assert.ok(summary.takenBack > 0, explain());
+});
