moves: keep the shortest step times free when the deadline paces a move

With a deadline in 600 s and 20 calls/s a good move was taken back at 16% with 99 s left: each step took its part of all the remaining time, and the last steps lacked their shortest time. The pace now shares out only what the shortest steps and the soak leave.

--- a/packages/moves/src/share-planner.ts
+++ b/packages/moves/src/share-planner.ts
@@ -123,10 +123,11 @@
   const weights = sharesFrom(input.share).map(s => 1 / s);
   const sum = weights.reduce((a, b) => a + b, 0);
   // The time already spent at this share belongs to the plan of this share.
-  const total =
-    (input.toDeadlineMs + input.atShareMs) * (1 - policy.margin) -
-    policy.soakMs;
-  return Math.max(policy.minStepMs, (total * (weights[0] ?? 0)) / sum);
+  const usable = (input.toDeadlineMs + input.atShareMs) * (1 - policy.margin);
+  // The shortest step times come first: without them, short deadlines left
+  // too little time for the last steps, and good moves were taken back.
+  const spare = usable - policy.soakMs - weights.length * policy.minStepMs;
+  return policy.minStepMs + (Math.max(0, spare) * (weights[0] ?? 0)) / sum;
 }
 
 /** True when even the shortest steps and the soak end after the deadline. */
