moves: check that each reported record was stored

A scratch build that took a write with an unknown outcome for applied passed the tests of lost responses, because the compare-and-swap repaired it later. The tests now compare the records that the controller reports with those that the store committed. That build fails 'A lost write is written again'.

--- a/packages/moves/src/fakes/fake-store.ts
+++ b/packages/moves/src/fakes/fake-store.ts
@@ -17,8 +17,8 @@
   down = false;
   /** Faults of the next transactions, in order. */
   readonly writeFaults: WriteFault[] = [];
-  /** Number of transactions that committed. */
-  commits = 0;
+  /** All values that were committed, in order. */
+  readonly committed: Uint8Array[] = [];
   readonly #entries = new Map<string, Entry>();
   readonly #leases = new Set<string>();
   #revision = 0;
@@ -89,7 +89,6 @@
       return {committed: false, current};
     }
     const revision = ++this.#revision;
-    this.commits += 1;
     for (const {key, value, lease} of txn.puts ?? []) {
       const createRevision = this.#entries.get(key)?.createRevision ?? revision;
       const entry = {
@@ -100,6 +99,7 @@
         lease: lease ?? null,
       };
       this.#entries.set(key, entry);
+      this.committed.push(value);
     }
     for (const key of txn.deletes ?? []) this.#entries.delete(key);
     return {committed: true, revision};
--- a/packages/moves/src/moves-controller.feature
+++ b/packages/moves/src/moves-controller.feature
@@ -27,12 +27,14 @@
     And the moves controller ticks for 1,000 s with clean evidence
     Then the stored move is "done" with a reason that contains "held at 100%"
     And each stored move step was written once
+    And each reported moves record was stored
 
   Scenario: A lost write is written again
     Given a moves controller with its store
     When the next write of the moves controller is lost
     And the moves controller ticks for 1,000 s with clean evidence
     Then the stored move is "done" with a reason that contains "held at 100%"
+    And each reported moves record was stored
 
   Scenario: Two moves controllers at once decide a move once
     Given a moves controller with its store
--- a/packages/moves/src/moves-controller.test.ts
+++ b/packages/moves/src/moves-controller.test.ts
@@ -167,6 +167,12 @@
   assert.equal((await stored()).step, Math.max(...steps));
 });
 
+Then('each reported moves record was stored', () => {
+  const records = store.committed.map(decodeRecord);
+  const operationIds = new Set(records.map(r => r?.operationId));
+  for (const id of seen.keys()) assert.ok(operationIds.has(id), id);
+});
+
 Then('both moves controllers report the same decision', () => {
   const [a, b] = controllers.map(c => c.record('m1'));
   assert.equal(a!.state, 'takenBack');
