--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -70,7 +70,8 @@
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
     this.#notRun = saysNotRun(headers);
-    if (!this.#notRun) this.#listener.onUpstreamHead(status, headers);
+    if (this.#notRun) return true;
+    this.#listener.onUpstreamHead(status, passedHeaders(headers));
     return true;
   }
 
@@ -94,7 +95,7 @@
   #headers(remainingMs: number): string[] {
     const {callId, depth, retriesLeft, headers} = this.#head;
     return [
-      ...passedHeaders(headers),
+      ...headers,
       CALL_HEADERS.callId,
       callId,
       CALL_HEADERS.deadlineMs,
