--- a/packages/node/src/calls/call-headers.ts
+++ b/packages/node/src/calls/call-headers.ts
@@ -82,10 +82,7 @@
   });
 }
 
-/**
- * Headers that are passed on, as a flat list of names and values. The side that
- * receives a message from outside filters it; the other side does not again.
- */
+/** Headers that are passed on, as a flat list of names and values. */
 export function passedHeaders(raw: readonly string[]): string[] {
   const named = connectionNames(raw);
   const passed: string[] = [];
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {MeshError} from '@verbenabeam/core';
 import type {AnswerHead} from './call-head.js';
+import {passedHeaders} from './call-headers.js';
 import type {StoredAnswer} from './entry-ports.js';
 import {markHeaders, sendRefusal} from './refusal.js';
 import type {ResponseMark} from './refusal.js';
@@ -17,8 +18,6 @@
   /** Null if no copy is needed or the body is too large. */
   #kept: Uint8Array[] | null;
   #headers: readonly string[] = [];
-  /** First bytes of the body, held until the end of the current read. */
-  #first: Uint8Array | null = null;
 
   constructor(res: ServerResponse, mark: ResponseMark, keep: boolean) {
     this.#res = res;
@@ -32,7 +31,7 @@
 
   head(answer: AnswerHead, code: number): void {
     this.status = answer.status;
-    this.#headers = answer.headers;
+    this.#headers = passedHeaders(answer.headers);
     const marks = markHeaders(this.#mark, code);
     this.#res.writeHead(answer.status, [...this.#headers, ...marks]);
   }
@@ -42,23 +41,11 @@
     this.bytes += chunk.length;
     if (this.bytes > keptLimitBytes) this.#kept = null;
     this.#kept?.push(chunk);
-    if (this.bytes === chunk.length) {
-      this.#first = chunk;
-      queueMicrotask(() => {
-        this.#writeFirst();
-      });
-      return true;
-    }
-    this.#writeFirst();
     return this.#res.write(chunk);
   }
 
-  /** An answer that arrived in one read leaves in one write. */
   end(): void {
-    const first = this.#first;
-    this.#first = null;
-    if (first) this.#res.end(first);
-    else this.#res.end();
+    this.#res.end();
   }
 
   refuse(err: MeshError): void {
@@ -75,16 +62,9 @@
 
   /** Cuts the connection, so that a part is not taken for the whole. */
   cut(): void {
-    this.#first = null;
     this.#res.destroy();
   }
 
-  #writeFirst(): void {
-    const first = this.#first;
-    this.#first = null;
-    if (first) this.#res.write(first);
-  }
-
   /** The answer as a claim stores it. */
   stored(): StoredAnswer {
     const body = this.#kept && Buffer.concat(this.#kept);
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -70,8 +70,7 @@
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
     this.#notRun = saysNotRun(headers);
-    if (this.#notRun) return true;
-    this.#listener.onUpstreamHead(status, passedHeaders(headers));
+    if (!this.#notRun) this.#listener.onUpstreamHead(status, headers);
     return true;
   }
 
@@ -95,7 +94,7 @@
   #headers(remainingMs: number): string[] {
     const {callId, depth, retriesLeft, headers} = this.#head;
     return [
-      ...headers,
+      ...passedHeaders(headers),
       CALL_HEADERS.callId,
       callId,
       CALL_HEADERS.deadlineMs,
