Never deny a change that was applied

After a lost response the read-back found the change in the head, but the read of its version failed, and that error says that nothing was applied.

Acceptance now uses the metadata that it wrote, and reports 1302 with the version where only the read of an earlier change fails.

--- a/packages/distribution/src/acceptance.feature
+++ b/packages/distribution/src/acceptance.feature
@@ -47,6 +47,15 @@
     When the acceptance operator submits timeout "9s"
     Then the acceptance result is code 1302
 
+  Scenario: An outage after an applied change does not deny the change
+    Guards against "not applied" for a change that the store has.
+    Given the acceptance store applies and loses the next response
+    And the acceptance versions cannot be read
+    When the acceptance operator submits timeout "9s"
+    Then the acceptance result is version 3 with the change ""
+    When the acceptance operator repeats the operation after another change
+    Then the acceptance result is code 1302
+
   Scenario: A repeated operation is one change
     When the acceptance operator submits timeout "9s"
     And the acceptance operator repeats the operation after another change
--- a/packages/distribution/src/acceptance.test.ts
+++ b/packages/distribution/src/acceptance.test.ts
@@ -22,6 +22,7 @@
 let fate: string | null;
 let largestValue: number;
 let operations: number;
+let isUnreadable: boolean;
 
 function textOf(timeout: string, extra = '') {
   return (
@@ -46,6 +47,10 @@
   return {
     txn,
     get: async key => {
+      if (isUnreadable && key.includes('/versions/')) {
+        const code = STORE_CODES.unavailable;
+        return Result.err(new MeshError(code, code.text));
+      }
       const got = await store.get(key);
       await scheduler.wait(readWaitMs);
       return got;
@@ -81,6 +86,7 @@
 Given('an acceptance store with 2 production versions', async () => {
   scheduler = new SimScheduler();
   [fleet, fate, largestValue, operations] = [null, null, 0, 0];
+  isUnreadable = false;
   const store = new SimStore(scheduler, seededRandom(1), puts => {
     const sizes = puts.map(row => row.value.length);
     largestValue = Math.max(largestValue, ...sizes);
@@ -103,6 +109,10 @@
   fleet = {version, active: {environment, version, hash: 'x'}};
 });
 
+Given('the acceptance versions cannot be read', () => {
+  isUnreadable = true;
+});
+
 Given('the acceptance fleet is unknown', () => {
   fleet = 'unknown';
 });
--- a/packages/distribution/src/acceptance.ts
+++ b/packages/distribution/src/acceptance.ts
@@ -171,6 +171,10 @@
     if (winner.isErr) return Result.err(winner.error);
     // The first attempt may have been applied although its response was lost.
     const applied = findOperation(winner.value, draft.operationId);
+    if (applied === metadata.version) {
+      const snapshot = snapshotOf(draft, metadata);
+      return Result.ok({metadata, changes: [], snapshot});
+    }
     if (applied !== null) return this.#acceptedBefore(draft, applied);
     if (!descends(winner.value, base)) return Result.err(restored(draft));
     return this.#raceLost(winner.value, draft);
@@ -195,11 +199,13 @@
     version: number,
   ): Promise<Result<Accepted, MeshError>> {
     const found = await this.#archive.read(draft.environment, version);
-    return found.map(({metadata}) => ({
-      metadata,
-      changes: [],
-      snapshot: snapshotOf(draft, metadata),
-    }));
+    return found
+      .map(({metadata}) => ({
+        metadata,
+        changes: [],
+        snapshot: snapshotOf(draft, metadata),
+      }))
+      .mapErr(err => unreadable(draft, version, err));
   }
 
   async #raceLost(
@@ -253,6 +259,17 @@
   return new MeshError(STORE_CODES.unknownOutcome, reason, {operationId});
 }
 
+/** The change was applied, so a code that says "not run" would be false. */
+function unreadable(
+  {operationId}: Draft,
+  version: number,
+  err: MeshError,
+): MeshError {
+  const reason = `version ${version} was accepted but cannot be read`;
+  const details = {operationId, version, cause: err.code.code};
+  return new MeshError(STORE_CODES.unknownOutcome, reason, details);
+}
+
 function withoutOperations(head: HeadRecord): VersionMetadata {
   const {version, hash, operationId, author, acceptedAt, promotedFrom} = head;
   return {version, hash, operationId, author, acceptedAt, promotedFrom};
