Ask suspects directly from each node that doubts them

Ruled out: passing refutations on as urgent updates, 1,300 of them at a reunion. Probe 0 carries no updates now. Not proven: pause detection, and partial tables with the island search.

--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -25,8 +25,8 @@
 const isolatedAfter = 5;
 /** A gap between ticks that shows that this process was paused. */
 const pauseMs = 1000;
-/** Suspects that are reminded of the doubt in one probe period. */
-const maxReminders = 3;
+/** Suspects that are asked directly in one probe period. */
+const maxAsked = 10;
 
 /** Probes members, directly and through helpers. @internal */
 export class FailureDetector {
@@ -34,8 +34,6 @@
   config: [number, string] = [0, ''];
   readonly #parts: ProtocolParts;
   readonly #round = new ProbeRound();
-  /** Members that this node itself found silent. */
-  readonly #doubted = new Set<string>();
   #lastTick = -Infinity;
   #probeAt = -Infinity;
   #reunionAt = -Infinity;
@@ -61,10 +59,13 @@
     if (now >= this.#reunionAt) this.#probeDead(now);
   }
 
-  /** Fields that probes and acknowledgements share. */
+  /**
+   * Fields that probes and acknowledgements share. Probe 0 goes to nodes that
+   * may not exist; updates on it would be used up without being heard.
+   */
   contact(number: number) {
     const {own, spreader, options} = this.#parts;
-    const u = spreader.take(options.maxUpdates);
+    const u = number === 0 ? [] : spreader.take(options.maxUpdates);
     return {n: number, s: own.key, c: this.config, u};
   }
 
@@ -99,16 +100,19 @@
     this.#round.dropRelayed(now, options.probeMs);
     const target = this.#round.next(table, own.value.nodeId, rng);
     if (target) this.#probe(target, this.#round.open(target, now));
-    this.#remindDoubted();
+    this.#askSuspects();
   }
 
-  /** Tells suspects of the doubt until they refute it or are dead. */
-  #remindDoubted(): void {
-    let reminders = 0;
-    for (const nodeId of this.#doubted) {
-      const record = this.#parts.table.get(nodeId);
-      if (record?.state !== NODE_STATES.suspect) this.#doubted.delete(nodeId);
-      else if (reminders++ < maxReminders) this.#probe(record, 0);
+  /**
+   * Asks suspects directly until they refute the doubt or are dead. Each holder
+   * of a doubt asks: in small tables a refutation that spreads by probes alone
+   * may come after the 3 s of the suspicion.
+   */
+  #askSuspects(): void {
+    const {table, rng} = this.#parts;
+    const suspects = table.live().filter(r => r.state === NODE_STATES.suspect);
+    for (const record of rng.shuffle(suspects).slice(0, maxAsked)) {
+      this.#probe(record, 0);
     }
   }
 
@@ -146,7 +150,6 @@
     this.#missed++;
     const key = keyOf(target);
     if (!table.suspect(key, now)) return;
-    this.#doubted.add(target.nodeId);
     if (this.#missed < isolatedAfter) spreader.add(key);
   }
 
--- a/packages/membership/src/membership-rules.feature
+++ b/packages/membership/src/membership-rules.feature
@@ -4,6 +4,8 @@
   Scenario: membership merges records in any order to one result
     Then membership tables agree after 200 random orders of the same records
     And membership ignores a stale death and accepts a refutation
+    And membership revokes a death after 60 s by a record of the same key
+    And membership equalises two tables by one exchange of digests
     And membership replaces a predecessor at the same address
     And membership lets a process with a slow clock keep its address
     And membership remembers at most 50 dead members of 1000
--- a/packages/membership/src/membership-rules.test.ts
+++ b/packages/membership/src/membership-rules.test.ts
@@ -75,6 +75,52 @@
   assert.equal(table.live().length, 1);
 });
 
+// Guards against regions that stay apart because each has buried the other.
+Then(
+  'membership revokes a death after 60 s by a record of the same key',
+  () => {
+    const table = new MemberTable();
+    table.merge(record(), 0);
+    table.suspect(['a', 1, 1], 0);
+    table.expire(3000, 3000);
+    assert.ok(!table.merge(record(), 62_999));
+    assert.ok(table.merge(record(), 63_000));
+    assert.equal(table.get('a')?.state, 'alive');
+  },
+);
+
+// Guards against changes that are lost when the updates about them run out.
+Then('membership equalises two tables by one exchange of digests', () => {
+  const addresses = ['a:1', 'b:1'];
+  const nodes = addresses.map(address => {
+    const own = record({nodeId: address, address});
+    return new Gossip(own, rng, {digestMs: 100, probeMs: 1e6});
+  });
+  const known = Array.from({length: 300}, (_, i) =>
+    record({nodeId: String(i), address: `${i}:1`, sequence: i}),
+  );
+  let pending = nodes.flatMap((node, i) => {
+    for (const other of nodes) node.table.merge(other.own, 0);
+    for (const r of known) if (r.sequence % 2 === i) node.table.merge(r, 0);
+    return node.start([], 0).map(action => ({from: i, action}));
+  });
+  for (let now = 0; now < 120_000; now += 100) {
+    const sent = pending;
+    pending = nodes.flatMap((node, i) =>
+      node.tick(now).map(action => ({from: i, action})),
+    );
+    for (const {from, action} of sent) {
+      const to = addresses.indexOf(action.to);
+      const replies = nodes[to]?.receive(addresses[from]!, action.message, now);
+      for (const reply of replies ?? [])
+        pending.push({from: to, action: reply});
+    }
+  }
+  const [a, b] = nodes.map(node => node.table);
+  assert.equal(b!.live().length, known.length + 2);
+  assert.deepEqual(a!.digest(), b!.digest());
+});
+
 Then('membership replaces a predecessor at the same address', () => {
   const table = new MemberTable();
   table.merge(record(), 0);
--- a/packages/membership/src/membership-runs.feature
+++ b/packages/membership/src/membership-runs.feature
@@ -30,6 +30,11 @@
     Then membership seeds serve at most 4 tables in a second
     And membership tables agree 60 s later
 
+  Scenario: membership starts again when all nodes restart at once
+    Given a membership cluster of 60 nodes
+    When membership restarts all nodes at once
+    Then membership tables agree 60 s later
+
   Scenario: membership keeps a node that one peer cannot reach
     Given a membership cluster of 12 nodes
     When membership link 1 to 2 works in one direction only for 120 s
@@ -38,8 +43,10 @@
   Scenario: membership survives a paused and an isolated node
     Given a membership cluster of 12 nodes
     When membership node 3 is paused for 2500 ms at a time
-    And membership node 4 hears nothing for 20 s
+    Then membership has suspected only node 3
+    When membership node 4 hears nothing for 20 s
     Then membership has declared no node dead except at or for node 4
+    And membership nodes other than 4 have suspected at most 4 others
 
   Scenario: membership costs two messages per node and second at rest
     Given a membership cluster of 30 nodes
--- a/packages/membership/src/membership-runs.test.ts
+++ b/packages/membership/src/membership-runs.test.ts
@@ -7,10 +7,16 @@
 import {randomRun} from './model/random-run.js';
 import type {RunFigures} from './model/random-run.js';
 
+interface Seen {
+  readonly observer: number;
+  readonly address: string;
+}
+
 interface World {
   cluster: FakeCluster;
   sent: {from: number; at: number; message: GossipMessage}[];
-  deaths: {observer: number; address: string}[];
+  deaths: Seen[];
+  suspicions: Seen[];
   runs: {seed: number; figures: RunFigures}[];
 }
 
@@ -73,6 +79,7 @@
   function (this: World, size: number) {
     this.sent = [];
     this.deaths = [];
+    this.suspicions = [];
     this.cluster = new FakeCluster({
       seed: testSeed(),
       size,
@@ -83,8 +90,9 @@
     this.cluster.startAll();
     for (const {index, gossip} of this.cluster.nodes) {
       gossip.table.onChange(({after}) => {
-        if (after.state !== 'dead') return;
-        this.deaths.push({observer: index, address: after.address});
+        const seen = {observer: index, address: after.address};
+        if (after.state === 'dead') this.deaths.push(seen);
+        if (after.state === 'suspect') this.suspicions.push(seen);
       });
     }
     this.cluster.run(5000);
@@ -212,6 +220,33 @@
   },
 );
 
+// Guards against a process that blames others for its own pause.
+Then(
+  'membership has suspected only node {int}',
+  function (this: World, index: number) {
+    const {address} = this.cluster.nodes[index]!;
+    const addresses = new Set(this.suspicions.map(s => s.address));
+    assert.deepEqual([...addresses], [address]);
+    this.suspicions.length = 0;
+  },
+);
+
+Then(
+  'membership nodes other than {int} have suspected at most {int} others',
+  function (this: World, index: number, most: number) {
+    const {address} = this.cluster.nodes[index]!;
+    const seen = this.suspicions.filter(
+      s => s.observer !== index && s.address !== address,
+    );
+    const addresses = new Set(seen.map(s => s.address));
+    assert.ok(addresses.size <= most, `${addresses.size} suspected`);
+  },
+);
+
+When('membership restarts all nodes at once', function (this: World) {
+  for (const {index} of [...this.cluster.nodes]) this.cluster.restart(index);
+});
+
 Then(
   'membership sends at most {float} valid messages per node and second',
   function (this: World, most: number) {
