--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -23,6 +23,13 @@
 /** Time in which a leave message reaches the peers, in milliseconds. */
 const leaveMs = 200;
 
+/**
+ * Idle connections of callers stay open longer than the usual 60 s of clients
+ * and proxies, so that no request meets a connection that is being closed. The
+ * route's timeout bounds a call, so uploads have no limit of their own.
+ */
+const callerServerOptions = {keepAliveTimeout: 75_000, requestTimeout: 0};
+
 /** Addresses of the listeners of a node, `ip:port`. @public */
 export interface NodeAddresses {
   readonly nodeId: string;
@@ -80,7 +87,7 @@
       invariants,
       signal: end.signal,
     });
-    const callers = createServer(parts.entry.handle);
+    const callers = createServer(callerServerOptions, parts.entry.handle);
     const admin = new AdminServer({
       routes: parts.adminRoutes,
       operatorToken: settings.operatorToken,
