Ignore records of moves that the document does not plan

Cause, found by reading: the store keeps the records of former moves, and a relay offers all of them to the gate. A record v1 -> v2 that is done would send the calls of a service to v2 although the document names v3. Also, an upstream that becomes ready while its node drains was published as ready. Ruled out: deleting records, because a late writer could create them again. Conclusion: a record counts only with the id, service and versions of a move of the active document; a draining node publishes draining.

--- a/packages/node/src/membership/membership-service.ts
+++ b/packages/node/src/membership/membership-service.ts
@@ -42,6 +42,7 @@
   readonly #gossip: Gossip;
   /** Ready instances by service and version; dropped on each change. */
   readonly #candidates = new Map<string, readonly Candidate[]>();
+  #draining = false;
 
   constructor(options: MembershipServiceOptions) {
     this.#options = options;
@@ -95,11 +96,11 @@
     this.#send(this.#gossip.setRelay(relay, this.#options.clock.now()));
   }
 
-  /** Publishes that the node takes no new calls. */
+  /** Publishes that the node takes no new calls, whatever its upstream says. */
   drain(): void {
+    this.#draining = true;
     const {upstream} = this.own;
-    if (!upstream) return;
-    this.#onUpstream({...upstream, state: UPSTREAM_STATES.draining});
+    if (upstream) this.#onUpstream(upstream);
   }
 
   /** Tells the peers that this node ends. */
@@ -140,7 +141,9 @@
     };
   }
 
-  #onUpstream(record: UpstreamRecord): void {
+  #onUpstream(announced: UpstreamRecord): void {
+    const draining = UPSTREAM_STATES.draining;
+    const record = this.#draining ? {...announced, state: draining} : announced;
     const {service, version, state} = record;
     log('Upstream changed.', {service, version, state});
     this.#candidates.clear();
--- a/packages/node/src/moves/moves-service.ts
+++ b/packages/node/src/moves/moves-service.ts
@@ -243,12 +243,25 @@
 
   /** Merges knowledge and returns what was new. */
   #merge({records, stops}: MoveKnowledge): MoveKnowledge {
-    const freshRecords = records.filter(row => this.gate.offerRecord(row));
+    const planned = records.filter(row => this.#isPlanned(row));
+    const freshRecords = planned.filter(row => this.gate.offerRecord(row));
     const freshStops = this.gate.offerStops(stops);
     if (freshStops.length > 0) this.#controller.addStops(freshStops);
     return {records: freshRecords, stops: freshStops};
   }
 
+  /**
+   * True for a move of the active document. The store keeps the records of
+   * former moves; a decided one would override the document's current version.
+   */
+  #isPlanned({moveId, service, from, to}: MoveRecord): boolean {
+    const moves = this.#snapshot?.document.moves ?? [];
+    const move = moves.find(row => row.id === moveId);
+    return (
+      move?.service.name === service && move.from === from && move.to === to
+    );
+  }
+
   /** Asks a peer for its knowledge while moves are planned. */
   async #sync(): Promise<void> {
     if (!this.#hasMoves()) return;
