moves: prove the push of stops at 200 calls/s

Cause: the proof ran 3 trials at 20 calls/s. At a share of 1% a node gets about one call to the new version in 20 s, so no call fell between the stop and the poll of the record, and the last late call was at 0 ms.

--- a/packages/moves/src/moves-trials.test.ts
+++ b/packages/moves/src/moves-trials.test.ts
@@ -19,6 +19,8 @@
 const seedStride = 10_000;
 /** A short move at low cost, where the kind of traffic does not matter. */
 const small = {callsPerSecond: 20, deadlineMs: 600_000};
+/** At a share of 1%, 20 calls/s bring too few calls to see a late one. */
+const dense = {...small, callsPerSecond: 200};
 const timeout = 3_600_000;
 
 let summary: TrialSummary;
@@ -54,7 +56,7 @@
   'move trials run with errors at once and without the push of stops',
   () => {
     const mechanisms = {...allMechanisms, stopPush: false};
-    return run({...fault('errors', 'atOnce'), mechanisms, ...small}, 3);
+    return run({...fault('errors', 'atOnce'), mechanisms, ...dense}, 5);
   },
 );
 
