Share the retries of a call among its levels

Cause: each entry node gave a call its own retries, so a refusal that the upstreams pass on was repeated at every level.

The serving node opens a ledger entry for each call that it passes to its upstream; the entry side of the node lends from it by the call id that the upstream repeats; the rest returns in the head of the answer, in the details of a failure and in vb-retries-left of the response.

One retry of two or more is not passed on. retriesAfter counts an answer without a report as having used all, so without that retry an idempotent call would not be repeated after the loss of a node. Keeping the sum constant was preferred to a free retry after a loss, which would multiply over the levels. A refusal that the upstream itself makes uses the report, because it may be the passed-on refusal of a sub-call.

--- a/packages/node/src/calls/call-head.ts
+++ b/packages/node/src/calls/call-head.ts
@@ -26,6 +26,8 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: readonly string[];
+  /** Unused retries of those that were passed; undefined if not reported. */
+  readonly retriesLeft?: number | undefined;
 }
 
 /** End of an answer, by which the entry side checks it. @public */
@@ -79,15 +81,15 @@
 
 /** @internal */
 export function encodeAnswerHead(head: AnswerHead): unknown[] {
-  return [head.status, head.headers];
+  return [head.status, head.headers, head.retriesLeft];
 }
 
 /** @internal */
 export function decodeAnswerHead(value: unknown): AnswerHead | null {
   if (!Array.isArray(value)) return null;
-  const [status, headers] = value as readonly unknown[];
+  const [status, headers, left] = value as readonly unknown[];
   if (!isNumber(status) || !isHeaderList(headers)) return null;
-  return {status, headers};
+  return {status, headers, retriesLeft: isNumber(left) ? left : undefined};
 }
 
 /** @internal */
--- a/packages/node/src/calls/call-headers.ts
+++ b/packages/node/src/calls/call-headers.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {Result} from 'true-myth';
 import {CALL_CODES, MeshError} from '@verbenabeam/core';
+import {parseRetriesLeft} from '@verbenabeam/routing';
 
 /** Headers of the system, in lower case. @public */
 export const CALL_HEADERS = {
@@ -28,8 +29,6 @@
   readonly bodyBytes: number | null;
 }
 
-const defaultRetries = 2;
-const maxRetries = 3;
 const maxKeyLength = 255;
 const otherCaller = 'other';
 
@@ -63,10 +62,10 @@
   const {headers} = req;
   const deadlineMs = readNumber(headers[CALL_HEADERS.deadlineMs], Infinity);
   const depth = readNumber(headers[CALL_HEADERS.depth], 0);
-  const left = readNumber(headers[CALL_HEADERS.retriesLeft], defaultRetries);
+  const left = headers[CALL_HEADERS.retriesLeft]?.toString();
   if (deadlineMs === null) return malformed(CALL_HEADERS.deadlineMs);
   if (depth === null) return malformed(CALL_HEADERS.depth);
-  if (left === null) return malformed(CALL_HEADERS.retriesLeft);
+  if (readNumber(left, 0) === null) return malformed(CALL_HEADERS.retriesLeft);
   const key = first(headers[CALL_HEADERS.idempotencyKey]);
   if (key !== null && (key === '' || key.length > maxKeyLength)) {
     return malformed(CALL_HEADERS.idempotencyKey);
@@ -75,7 +74,7 @@
     parentCallId: first(headers[CALL_HEADERS.callId]),
     deadlineMs,
     depth,
-    retriesLeft: Math.min(left, maxRetries),
+    retriesLeft: parseRetriesLeft(left),
     callerClass: first(headers[CALL_HEADERS.caller]) ?? otherCaller,
     idempotencyKey: key,
     bodyBytes: bodyBytesOf(req),
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -6,6 +6,9 @@
 import {markHeaders, sendRefusal} from './refusal.js';
 import type {ResponseMark} from './refusal.js';
 
+/** Marks that do not change during a call. @internal */
+export type CallMark = Omit<ResponseMark, 'retriesLeft'>;
+
 /** Answers of claims are kept up to this size. */
 const keptLimitBytes = 16_384;
 
@@ -14,12 +17,12 @@
   status = 0;
   bytes = 0;
   readonly #res: ServerResponse;
-  readonly #mark: ResponseMark;
+  readonly #mark: CallMark;
   /** Null if no copy is needed or the body is too large. */
   #kept: Uint8Array[] | null;
   #headers: readonly string[] = [];
 
-  constructor(res: ServerResponse, mark: ResponseMark, keep: boolean) {
+  constructor(res: ServerResponse, mark: CallMark, keep: boolean) {
     this.#res = res;
     this.#mark = mark;
     this.#kept = keep ? [] : null;
@@ -29,10 +32,10 @@
     return this.status !== 0;
   }
 
-  head(answer: AnswerHead, code: number): void {
+  head(answer: AnswerHead, code: number, retriesLeft: number): void {
     this.status = answer.status;
     this.#headers = passedHeaders(answer.headers);
-    const marks = markHeaders(this.#mark, code);
+    const marks = markHeaders({...this.#mark, retriesLeft}, code);
     this.#res.writeHead(answer.status, [...this.#headers, ...marks]);
   }
 
@@ -48,14 +51,15 @@
     this.#res.end();
   }
 
-  refuse(err: MeshError): void {
+  refuse(err: MeshError, retriesLeft: number): void {
     this.status = err.code.http;
-    sendRefusal(this.#res, err, this.#mark);
+    sendRefusal(this.#res, err, {...this.#mark, retriesLeft});
   }
 
   /** Repeats the stored answer of a finished claim. */
-  replay(answer: StoredAnswer, code: number): void {
-    this.head({status: answer.status, headers: answer.headers}, code);
+  replay(answer: StoredAnswer, code: number, retriesLeft: number): void {
+    const {status, headers} = answer;
+    this.head({status, headers}, code, retriesLeft);
     if (answer.body) this.write(answer.body);
     this.end();
   }
--- /dev/null
+++ b/packages/node/src/calls/calls-levels.feature
@@ -0,0 +1,15 @@
+@calls
+Feature: Calls over several levels
+  Guards against retries that multiply over the levels of a call chain, and
+  against a planned stop that harms calls which are in flight.
+
+  Scenario: Level calls whose deepest service fails do not multiply
+    Given 3 level nodes whose upstreams call again down to depth 4
+    When 5 level calls are made whose deepest service refuses as not run
+    Then each level call reached the deepest service at most 3 times
+    And each level call was refused as not run with no retries left
+
+  Scenario: A level call whose deepest service recovers is answered
+    Given 3 level nodes whose upstreams call again down to depth 4
+    When a level call is made whose deepest service refuses 1 time
+    Then the level call is answered and reports 1 retry left
--- /dev/null
+++ b/packages/node/src/calls/calls-levels.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import http from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {request} from 'undici';
+import {CALL_HEADERS} from './call-headers.js';
+import {drainCalls} from './drain-calls.js';
+import {TestClient, until} from './test-client.js';
+import type {Answer} from './test-client.js';
+import {TestNode} from './test-node.js';
+
+/** State of one scenario. */
+let client = new TestClient();
+let nodes: TestNode[] = [];
+let servers: http.Server[] = [];
+let broken: string[] = [];
+let depth = 0;
+let reached = 0;
+/** Refusals that the deepest service still makes. */
+let refusals = 0;
+let beforeSubCall: Promise<void>;
+let results: {answer: Answer; reached: number; left: string}[] = [];
+let running: Promise<Answer>;
+let drained: Promise<void>;
+
+/** An upstream that calls the same path through its own node. */
+async function startUpstreamOf(node: TestNode): Promise<void> {
+  const server = http.createServer((req, res) => {
+    if (Number(req.headers[CALL_HEADERS.depth]) < depth) {
+      void callAgain(node, req, res);
+      return;
+    }
+    reached++;
+    if (refusals-- > 0) res.writeHead(503, {[CALL_HEADERS.notRun]: 'true'});
+    res.end();
+  });
+  servers.push(server);
+  await once(server.listen(0, '127.0.0.1'), 'listening');
+  const {port} = server.address() as AddressInfo;
+  const own = node.ownUpstream.own!;
+  node.ownUpstream.own = {...own, address: `127.0.0.1:${port}`};
+}
+
+async function callAgain(
+  node: TestNode,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  await beforeSubCall;
+  const names = Object.keys(req.headers).filter(n => n.startsWith('vb-'));
+  const headers = Object.fromEntries(names.map(n => [n, req.headers[n]]));
+  const sub = await request(node.url + req.url!, {
+    headers,
+    dispatcher: client.agent,
+  });
+  await sub.body.dump();
+  const notRun = sub.headers[CALL_HEADERS.notRun];
+  res.writeHead(sub.statusCode, notRun ? {[CALL_HEADERS.notRun]: notRun} : {});
+  res.end();
+}
+
+async function callOnce(): Promise<void> {
+  reached = 0;
+  const res = await client.send(nodes[0]!, '/read');
+  await res.body.dump();
+  const code = Number(res.headers[CALL_HEADERS.result]);
+  const notRun = res.headers[CALL_HEADERS.notRun] === 'true';
+  const answer = {status: res.statusCode, code, notRun} as Answer;
+  const left = String(res.headers[CALL_HEADERS.retriesLeft]);
+  results.push({answer, reached, left});
+}
+
+After({tags: '@calls'}, async () => {
+  await Promise.all(nodes.map(n => n.stop()));
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  await client.close();
+  nodes = [];
+  servers = [];
+  assert.deepEqual(broken, []);
+});
+
+Given(
+  '{int} level nodes whose upstreams call again down to depth {int}',
+  async (count: number, levels: number) => {
+    client = new TestClient();
+    broken = [];
+    results = [];
+    depth = levels;
+    refusals = 0;
+    beforeSubCall = Promise.resolve();
+    const ids = Array.from({length: count}, (_, i) => `level${i}`);
+    nodes = ids.map(id => new TestNode(id, broken));
+    for (const node of nodes) {
+      await node.start({});
+      await startUpstreamOf(node);
+    }
+    for (const node of nodes) node.sendTo(...nodes);
+  },
+);
+
+When(
+  '{int} level calls are made whose deepest service refuses as not run',
+  async (count: number) => {
+    refusals = Infinity;
+    for (let i = 0; i < count; i++) await callOnce();
+  },
+);
+
+Then(
+  'each level call reached the deepest service at most {int} times',
+  (most: number) => {
+    const counts = results.map(r => r.reached);
+    assert.ok(
+      counts.every(n => n >= 1 && n <= most),
+      `reached ${counts.join(', ')} times`,
+    );
+  },
+);
+
+Then('each level call was refused as not run with no retries left', () => {
+  for (const {answer, left} of results) {
+    assert.deepEqual([answer.code, answer.notRun, left], [1613, true, '0']);
+  }
+});
+
+When(
+  'a level call is made whose deepest service refuses {int} time',
+  async (times: number) => {
+    refusals = times;
+    await callOnce();
+  },
+);
+
+Then(
+  'the level call is answered and reports {int} retry left',
+  (left: number) => {
+    const [result] = results;
+    assert.deepEqual([result!.answer.code, result!.left], [1600, `${left}`]);
+  },
+);
+
+When('level node 1 drains before its upstream makes a sub-call', async () => {
+  const [first, second] = nodes as [TestNode, TestNode];
+  let release: () => void = () => undefined;
+  beforeSubCall = new Promise(resolve => (release = resolve));
+  first.sendTo(first);
+  // Without retries, so that another node does not hide a refusal.
+  running = client.call(first, '/read', {[CALL_HEADERS.retriesLeft]: '0'});
+  await until(() => first.serving.inFlight === 1);
+  first.sendTo(second);
+  drained = drainCalls(first.entry, first.serving);
+  setTimeout(release, 50);
+});
+
+Then(
+  'a new level call to node 1 is refused with {int} as not run',
+  async (code: number) => {
+    const answer = await client.call(nodes[0]!, '/read');
+    assert.deepEqual([answer.code, answer.notRun], [code, true]);
+  },
+);
+
+Then('the level call in flight at node 1 is answered', async () => {
+  const {status, code} = await running;
+  assert.deepEqual([status, code], [200, 1600]);
+});
+
+Then('level node 1 has drained', async () => {
+  await drained;
+  const {entry, serving} = nodes[0]!;
+  assert.deepEqual([entry.inFlight, serving.inFlight], [0, 0]);
+  entry.checkDrained();
+});
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -13,6 +13,7 @@
 import {recordOf} from './entry-record.js';
 import type {RoutedCall} from './routed-call.js';
 import {CallerResponse} from './caller-response.js';
+import {CallRetries} from './call-retries.js';
 import {beginClaim} from './claim-step.js';
 import {OUTCOMES} from './entry-ports.js';
 import type {
@@ -22,7 +23,6 @@
   VersionChoice,
 } from './entry-ports.js';
 import {REPLAY_LIMIT_BYTES, ReplayBody} from './replay-body.js';
-import {mayRetry} from './retry-policy.js';
 
 /** One call on the entry side, from its route to its end. @internal */
 export class EntryCall implements AttemptListener {
@@ -35,10 +35,10 @@
   readonly #timer: NodeJS.Timeout;
   readonly #choice: VersionChoice;
   readonly #passed: string[];
+  readonly #retries: CallRetries;
   readonly #tried = new Set<string>();
   readonly #records: AttemptRecord[] = [];
   #attempt: Attempt | null = null;
-  #retriesLeft: number;
   #claim: ClaimKey | null = null;
   /** Whether an attempt that ended may have run the request. */
   #mayHaveRun = false;
@@ -54,11 +54,17 @@
     this.#call = call;
     this.#ports = ports;
     this.#done = done;
-    this.#retriesLeft = headers.retriesLeft;
     this.#passed = passedHeaders(req.rawHeaders);
     this.#choice = ports.versions.choose(snapshot, route.service, callId);
     const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
+    this.#retries = new CallRetries(ports, {
+      service: route.service.name,
+      idempotent: route.idempotent,
+      deadlineAt: this.#deadlineAt,
+      parentCallId: headers.parentCallId,
+      retriesLeft: headers.retriesLeft,
+    });
     this.#timer = setTimeout(() => {
       this.#expire();
     }, limitMs);
@@ -76,7 +82,6 @@
   start(): void {
     const {route, headers} = this.#call;
     const {idempotencyKey} = headers;
-    this.#ports.retries.onCall(route.service.name);
     if (!route.idempotent && idempotencyKey !== null) {
       void this.#startClaimed(idempotencyKey);
     } else if (!route.idempotent && route.idempotencyKey === 'required') {
@@ -89,7 +94,8 @@
   onHead(head: AnswerHead): void {
     clearTimeout(this.#timer);
     this.#headMs = performance.now() - this.#call.startAt;
-    this.#response.head(head, CALL_CODES.ok.code);
+    this.#retries.answered(head.retriesLeft);
+    this.#response.head(head, CALL_CODES.ok.code, this.#retries.toReport);
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -114,27 +120,16 @@
   }
 
   onFailure(err: MeshError): void {
-    const {route, callId} = this.#call;
     this.#record(outcomeOf(err), err.code);
     this.#attempt = null;
     this.#mayHaveRun ||= !err.code.notRun;
-    const retry =
-      mayRetry({
-        err,
-        route,
-        retriesLeft: this.#retriesLeft,
-        remainingMs: this.#remainingMs(),
-        replayable: this.#body.replayable,
-        answered: this.#response.started,
-      }) && this.#ports.retries.tryRetry(route.service.name);
-    if (retry) {
-      this.#retriesLeft--;
-      this.#try(err);
-    } else if (this.#response.started) {
+    if (this.#response.started) {
       this.#response.cut();
       this.#finish(err.code);
+    } else if (this.#body.replayable && this.#retries.tryAgain(err)) {
+      this.#try(err);
     } else {
-      this.#refuseWith(this.#asCallError(err, callId));
+      this.#refuseWith(this.#asCallError(err, this.#call.callId));
     }
   }
 
@@ -158,7 +153,8 @@
     } else if (step.kind === 'granted') {
       this.#begin();
     } else if (step.kind === 'replay') {
-      this.#response.replay(step.answer, CALL_CODES.ok.code);
+      const {toReport} = this.#retries;
+      this.#response.replay(step.answer, CALL_CODES.ok.code, toReport);
       this.#finish(CALL_CODES.ok);
     } else {
       this.#refuseWith(step.err);
@@ -202,7 +198,7 @@
       path: req.url ?? '/',
       remainingMs: this.#remainingMs(),
       depth: headers.depth + 1,
-      retriesLeft: this.#retriesLeft,
+      retriesLeft: this.#retries.pass(),
       bodyBytes: headers.bodyBytes,
       headers: this.#passed,
     };
@@ -254,7 +250,7 @@
       !err.code.notRun || !wasOpen,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(err);
+    this.#response.refuse(err, this.#retries.toReport);
     this.#finish(err.code);
   }
 
@@ -290,6 +286,7 @@
     this.#over = true;
     clearTimeout(this.#timer);
     this.#finishClaim();
+    this.#retries.end();
     this.#done(
       recordOf(this.#call, {
         choice: this.#choice,
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -96,7 +96,11 @@
 
   #refuse(call: ReceivedCall, err: MeshError): void {
     const configVersion = call.snapshot?.version ?? 0;
-    sendRefusal(call.res, err, {callId: call.callId, configVersion});
+    sendRefusal(call.res, err, {
+      callId: call.callId,
+      configVersion,
+      retriesLeft: null,
+    });
     this.#ports.observer.onCall(
       recordOf(call, {
         choice: null,
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -1,7 +1,7 @@
 import type {Result} from 'true-myth';
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
-import type {LoadReport} from '@verbenabeam/routing';
+import type {LoadReport, RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {ByteStream, PeerAddress, PeerBus} from '@verbenabeam/wire';
 import type {CallHead} from './call-head.js';
 import type {CallRecord} from './call-record.js';
@@ -91,13 +91,6 @@
   ended(outcome: AttemptOutcome): void;
 }
 
-/** Limits retries to a share of the calls of a service. @public */
-export interface RetryBudgetPort {
-  onCall(service: string): void;
-  /** Takes one retry; false if the budget is used up. */
-  tryRetry(service: string): boolean;
-}
-
 /** Identity of a claim. @public */
 export interface ClaimKey {
   readonly environment: string;
@@ -154,7 +147,9 @@
   readonly config: ConfigPort;
   readonly versions: VersionChooser;
   readonly instances: InstanceChooser;
-  readonly retries: RetryBudgetPort;
+  readonly retries: RetryBudget;
+  /** Shared with the serving side of this node. */
+  readonly ledger: RetryLedger;
   readonly claims: ClaimsPort;
   readonly bus: Pick<PeerBus, 'openStream'>;
   readonly serving: LocalServing;
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -22,7 +22,6 @@
   InstanceChooser,
   LocalServing,
   Outcome,
-  RetryBudgetPort,
   RouteQuery,
   StoredAnswer,
   Target,
--- a/packages/node/src/calls/refusal.ts
+++ b/packages/node/src/calls/refusal.ts
@@ -7,11 +7,13 @@
   readonly callId: string;
   /** 0 without a configuration. */
   readonly configVersion: number;
+  /** Retries that the call did not use; null if it had none to use. */
+  readonly retriesLeft: number | null;
 }
 
 /** Flat header list of a {@link ResponseMark} with its result code. */
 export function markHeaders(mark: ResponseMark, code: number): string[] {
-  return [
+  const headers = [
     CALL_HEADERS.result,
     String(code),
     CALL_HEADERS.configVersion,
@@ -19,6 +21,10 @@
     CALL_HEADERS.callId,
     mark.callId,
   ];
+  if (mark.retriesLeft !== null) {
+    headers.push(CALL_HEADERS.retriesLeft, String(mark.retriesLeft));
+  }
+  return headers;
 }
 
 /** Sends an error as JSON body of code, name, message and notRun. @internal */
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -1,11 +1,11 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
+import {fingerprintOf} from '@verbenabeam/routing';
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
 import type {CrashDetector} from './crash-detector.js';
-import {fingerprintOf} from './fingerprint.js';
 import {REPLAY_LIMIT_BYTES} from './replay-body.js';
 import type {
   LostRequest,
@@ -18,6 +18,8 @@
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
+const noBody = Buffer.alloc(0);
+
 /** What the calls of one serving handler share. @internal */
 export interface ServingContext {
   readonly ports: ServingPorts;
@@ -93,7 +95,9 @@
 
   onUpstreamHead(status: number, headers: string[]): void {
     this.#headMs = performance.now() - this.#dispatchAt;
-    this.#stream.sendHead(encodeAnswerHead({status, headers}));
+    // Sub-calls that begin after this report find no retries left.
+    const retriesLeft = this.#context.ports.ledger.borrow(this.#head.callId, 0);
+    this.#stream.sendHead(encodeAnswerHead({status, headers, retriesLeft}));
   }
 
   onUpstreamData(chunk: Uint8Array): boolean {
@@ -129,11 +133,7 @@
       return;
     }
     if (this.#upstream) crashes.onLost(this.#lostRequest(), this.#upstream);
-    this.#end(null);
-    const details = {load: encodeLoad(ports.admission.load()), suspect: true};
-    this.#stream.reset(
-      new MeshError(CALL_CODES.outcomeUnknown, err.message, details),
-    );
+    this.#reset(new MeshError(CALL_CODES.outcomeUnknown, err.message), true);
   }
 
   #enter(): void {
@@ -204,6 +204,7 @@
     });
     if (!upstream) return;
     this.#upstream = upstream;
+    ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#pieces = null;
     this.#dispatchAt = performance.now();
     const remainingMs = this.#deadlineAt - this.#dispatchAt;
@@ -219,9 +220,18 @@
       !code.notRun || !sent || saidByUpstream,
       {callId: this.#head.callId, code: code.code},
     );
+    this.#reset(new MeshError(code, code.text), false);
+  }
+
+  /** Reports a failure with the load and the retries that are left. */
+  #reset({code, message}: MeshError, suspect: boolean): void {
+    const {admission, ledger} = this.#context.ports;
+    const {callId} = this.#head;
+    const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
-    const details = {load: encodeLoad(ports.admission.load())};
-    this.#stream.reset(new MeshError(code, code.text, details));
+    const load = encodeLoad(admission.load());
+    const details = {load, ...left, ...(suspect ? {suspect} : {})};
+    this.#stream.reset(new MeshError(code, message, details));
   }
 
   #lostRequest(): LostRequest {
@@ -229,8 +239,10 @@
   }
 
   #fingerprint(): string {
-    const body = this.#body instanceof UpstreamBody ? null : this.#body;
-    return fingerprintOf(this.#head, body);
+    const {service, method, path} = this.#head;
+    // A body that is passed on while it arrives is not covered.
+    const body = Buffer.isBuffer(this.#body) ? this.#body : noBody;
+    return fingerprintOf({service, method, path, body});
   }
 
   /** Frees the slot; for an answer with the time until its head. */
@@ -239,7 +251,8 @@
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
     if (this.#body instanceof UpstreamBody) this.#body.destroy();
-    const {quarantine} = this.#context.ports;
+    const {quarantine, ledger} = this.#context.ports;
+    ledger.close(this.#head.callId);
     quarantine.ended(this.#head.callId, serviceMs !== null);
     this.#context.onEnd();
   }
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,6 +1,6 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {UpstreamState} from '@verbenabeam/membership';
-import type {LoadReport} from '@verbenabeam/routing';
+import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
 import type {Result} from 'true-myth';
 
 /** The upstream beside this node. @public */
@@ -80,5 +80,7 @@
   readonly upstream: OwnUpstreamPort;
   readonly admission: AdmissionPort;
   readonly quarantine: QuarantinePort;
+  /** Shared with the entry side of this node. */
+  readonly ledger: RetryLedger;
   readonly invariants: Invariants;
 }
--- a/packages/node/src/calls/test-node.ts
+++ b/packages/node/src/calls/test-node.ts
@@ -6,6 +6,7 @@
   StandinOptions,
   UpstreamStandin,
 } from '@verbenabeam/app-upstream-standin';
+import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {CALL_STREAM} from './call-head.js';
 import {CallLog} from './call-log.js';
@@ -42,19 +43,23 @@
     readonly broken: string[],
   ) {
     const {config, instances, admission, quarantine} = this;
+    const ledger = new RetryLedger();
     const invariants = collectingInvariants(broken);
     this.bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('test key')});
     this.serving = new ServingHandler({
       upstream: this.ownUpstream,
       admission,
       quarantine,
+      ledger,
       invariants,
     });
     this.entry = new EntryHandler({
       config,
       instances,
       versions: {choose: () => ({version: 'v1', moveId: null})},
-      retries: {onCall: () => undefined, tryRetry: () => true},
+      // The budget must not hide what the levels of a chain add up to.
+      retries: new RetryBudget({burst: 1e6}),
+      ledger,
       claims: new FakeClaims(),
       bus: this.bus,
       serving: this.serving,
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -8,6 +8,7 @@
 import type {Snapshot} from '@verbenabeam/document';
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
+import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
@@ -29,7 +30,6 @@
 import type {LagResponse} from './distribution/lag-report.js';
 import {CallEvidence} from './entry/call-evidence.js';
 import {InstanceAdapter} from './entry/instance-adapter.js';
-import {RetryAdapter} from './entry/retry-adapter.js';
 import {VersionAdapter} from './entry/version-adapter.js';
 import {every} from './every.js';
 import {
@@ -75,6 +75,8 @@
   readonly metrics: NodeMetrics;
   readonly adminRoutes: readonly AdminRoute[];
   readonly #options: NodePartsOptions;
+  readonly #retries: RetryBudget;
+  readonly #ledger = new RetryLedger();
   readonly #store: StoreHealth;
   readonly #admission: AdmissionAdapter;
   readonly #quarantine: QuarantineAdapter;
@@ -124,8 +126,10 @@
       upstream: new OwnUpstreamAdapter(this.membership.monitor),
       admission: this.#admission,
       quarantine: this.#quarantine,
+      ledger: this.#ledger,
       invariants,
     });
+    this.#retries = new RetryBudget({share: settings.limits.retry_share});
     this.entry = this.#createEntry();
     const adminContext = {
       ...shared,
@@ -184,15 +188,14 @@
   }
 
   #createEntry(): EntryHandler {
-    const {settings, bus, invariants, clock} = this.#options;
-    const share = settings.limits.retry_share;
-    const budget = new RetryAdapter({clock, share});
+    const {bus, invariants, clock} = this.#options;
     const evidence = new CallEvidence(this.membership, clock);
     return new EntryHandler({
       config: this.#configPort(),
       versions: new VersionAdapter(this.moves, this.membership),
       instances: this.#instances,
-      retries: budget,
+      retries: this.#retries,
+      ledger: this.#ledger,
       claims: this.claims,
       bus,
       serving: this.serving,
@@ -228,6 +231,7 @@
 
   #onApplied(snapshot: Snapshot): void {
     this.moves.onApplied(snapshot);
+    this.#retries.retain(new Set(snapshot.document.services.keys()));
     const delayMs = this.#options.clock.wallTime() - snapshot.acceptedAt;
     this.metrics.recordConvergence(Math.max(0, delayMs));
   }
--- a/scripts/call-overhead-node.mjs
+++ b/scripts/call-overhead-node.mjs
@@ -7,6 +7,7 @@
 import {EntryHandler} from '../packages/node/dist/calls/entry-handler.js';
 import {ServingHandler} from '../packages/node/dist/calls/serving-handler.js';
 import * as fakes from '../packages/node/dist/calls/test-ports.js';
+import {RetryBudget, RetryLedger} from '../packages/routing/dist/index.js';
 import {TcpPeerBus} from '../packages/wire/dist/index.js';
 
 const nodeId = process.argv[2];
@@ -14,17 +15,20 @@
 const ownUpstream = new fakes.FakeUpstream();
 const instances = new fakes.FakeInstances();
 const bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('benchmark key')});
+const ledger = new RetryLedger();
 const serving = new ServingHandler({
   upstream: ownUpstream,
   admission: new fakes.FakeAdmission(),
   quarantine: new fakes.FakeQuarantine(),
+  ledger,
   invariants,
 });
 const entry = new EntryHandler({
   config: new fakes.FakeConfig(),
   instances,
   versions: {choose: () => ({version: 'v1', moveId: null})},
-  retries: {onCall: () => undefined, tryRetry: () => true},
+  retries: new RetryBudget(),
+  ledger,
   claims: new fakes.FakeClaims(),
   bus,
   serving,
