Take sub-calls of calls in flight while a node drains

Cause: a draining entry side refused every call, also those that its own upstream made for a call in flight, so that call failed (scenario before the change: 503 with 1613 in place of 200 with 1600).

A call whose vb-call-id names a call at the own upstream is taken. The drain waits for the serving side first, because its calls may still make sub-calls. New calls are refused as not run (1605).

--- a/packages/node/src/calls/calls-levels.feature
+++ b/packages/node/src/calls/calls-levels.feature
@@ -13,3 +13,10 @@
     Given 3 level nodes whose upstreams call again down to depth 4
     When a level call is made whose deepest service refuses 1 time
     Then the level call is answered and reports 1 retry left
+
+  Scenario: A draining level node takes sub-calls of calls in flight
+    Given 2 level nodes whose upstreams call again down to depth 2
+    When level node 1 drains before its upstream makes a sub-call
+    Then a new level call to node 1 is refused with 1605 as not run
+    And the level call in flight at node 1 is answered
+    And level node 1 has drained
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -51,7 +51,10 @@
     }
   };
 
-  /** Refuses new calls and resolves when those in flight have ended. */
+  /**
+   * Refuses new calls, except those of calls at the own upstream, and resolves
+   * when those in flight have ended.
+   */
   async drain(): Promise<void> {
     this.#draining = true;
     await this.#inFlight.empty();
@@ -77,7 +80,7 @@
   }
 
   #refusalCode(call: ReceivedCall): ResultCode | null {
-    if (this.#draining) return CALL_CODES.draining;
+    if (this.#draining && !this.#isSubCall(call)) return CALL_CODES.draining;
     if (!call.snapshot) return CALL_CODES.noConfiguration;
     if ((call.headers?.depth ?? 0) > maxDepth) return CALL_CODES.tooDeep;
     if (!call.route) return CALL_CODES.noRoute;
@@ -85,6 +88,12 @@
     return null;
   }
 
+  /** Refusing a sub-call would harm the call that the own upstream runs. */
+  #isSubCall({headers}: ReceivedCall): boolean {
+    const parent = headers?.parentCallId ?? null;
+    return parent !== null && this.#ports.serving.isRunning(parent);
+  }
+
   #start(call: RoutedCall): void {
     this.#inFlight.enter();
     const done = (record: CallRecord) => {
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -140,6 +140,8 @@
 /** The serving side of this node. @public */
 export interface LocalServing {
   serve(head: CallHead, stream: ByteStream): void;
+  /** Whether the own upstream runs the call now. */
+  isRunning(callId: string): boolean;
 }
 
 /** What the entry side of the data path depends on. @public */
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -8,6 +8,7 @@
 export {CALL_HEADERS} from './call-headers.js';
 export {CallLog} from './call-log.js';
 export type {AttemptRecord, CallRecord} from './call-record.js';
+export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
 export {OUTCOMES} from './entry-ports.js';
 export type {
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -25,6 +25,8 @@
   readonly ports: ServingPorts;
   readonly pool: UpstreamPool;
   readonly crashes: CrashDetector;
+  /** Ids of the calls that were passed to the upstream and have not ended. */
+  readonly running: Set<string>;
   readonly isDraining: () => boolean;
   /** Called once for each call. */
   readonly onEnd: () => void;
@@ -195,7 +197,7 @@
       this.#refuse(refusal);
       return;
     }
-    const {ports, pool} = this.#context;
+    const {ports, pool, running} = this.#context;
     const upstream = ports.upstream.current();
     const ready = upstream?.state === UPSTREAM_STATES.ready;
     ports.invariants.check(INVARIANT_CODES.workAfterLeave, ready, {
@@ -204,6 +206,7 @@
     });
     if (!upstream) return;
     this.#upstream = upstream;
+    running.add(this.#head.callId);
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#pieces = null;
     this.#dispatchAt = performance.now();
@@ -251,7 +254,9 @@
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
     if (this.#body instanceof UpstreamBody) this.#body.destroy();
-    const {quarantine, ledger} = this.#context.ports;
+    const {running, ports} = this.#context;
+    const {quarantine, ledger} = ports;
+    running.delete(this.#head.callId);
     ledger.close(this.#head.callId);
     quarantine.ended(this.#head.callId, serviceMs !== null);
     this.#context.onEnd();
--- a/packages/node/src/calls/serving-handler.ts
+++ b/packages/node/src/calls/serving-handler.ts
@@ -20,6 +20,7 @@
   readonly #ports: ServingPorts;
   readonly #pool = new UpstreamPool();
   readonly #inFlight = new InFlight();
+  readonly #running = new Set<string>();
   readonly #context: ServingContext;
   #draining = false;
 
@@ -29,6 +30,7 @@
       ports,
       pool: this.#pool,
       crashes: new CrashDetector(ports),
+      running: this.#running,
       isDraining: () => this.#draining,
       onEnd: () => {
         this.#inFlight.leave();
@@ -51,6 +53,10 @@
     }
   };
 
+  isRunning(callId: string): boolean {
+    return this.#running.has(callId);
+  }
+
   serve(head: CallHead, stream: ByteStream): void {
     this.#inFlight.enter();
     new ServingCall(head, stream, this.#context).start();
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -20,6 +20,7 @@
 import {
   CALL_STREAM,
   CallLog,
+  drainCalls,
   EntryHandler,
   ServingHandler,
 } from './calls/index.js';
@@ -173,7 +174,7 @@
    */
   async drain(maxWaitMs: number): Promise<void> {
     this.membership.drain();
-    const drained = Promise.all([this.entry.drain(), this.serving.drain()]);
+    const drained = drainCalls(this.entry, this.serving);
     if (maxWaitMs === 0) await drained;
     else await Promise.race([drained, wait(maxWaitMs)]);
     this.entry.checkDrained();
