Ask for the version at each attempt and after the queue

Cause: the version was chosen once, before the claim and the body, so a call could be sent or repeated to a version whose move had been stopped meanwhile.

The chooser is asked for each attempt, leaves out instances that refused, and falls back to the old version when no other instance of the new one is left. The serving node refuses a call that waited in its queue with 1616 (new, not run) if the move was stopped meanwhile; the entry node then chooses again.

--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -105,4 +105,11 @@
     notRun: true,
     text: 'The request may crash instances and another such request runs now.',
   },
+  versionStopped: {
+    code: 1616,
+    exit: 16,
+    http: 503,
+    notRun: true,
+    text: 'The move to the version was stopped while the call waited.',
+  },
 });
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -33,7 +33,8 @@
   readonly #response: CallerResponse;
   readonly #deadlineAt: number;
   readonly #timer: NodeJS.Timeout;
-  readonly #choice: VersionChoice;
+  /** Version of the last attempt; null before the first. */
+  #choice: VersionChoice | null = null;
   readonly #passed: string[];
   readonly #retries: CallRetries;
   readonly #tried = new Set<string>();
@@ -55,7 +56,6 @@
     this.#ports = ports;
     this.#done = done;
     this.#passed = passedHeaders(req.rawHeaders);
-    this.#choice = ports.versions.choose(snapshot, route.service, callId);
     const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
     this.#retries = new CallRetries(ports, {
@@ -171,7 +171,17 @@
   /** Makes an attempt; without an instance the last refusal is the answer. */
   #try(last?: MeshError): void {
     if (this.#over) return;
-    const {name} = this.#call.route.service;
+    const {snapshot, route, callId} = this.#call;
+    const {versions} = this.#ports;
+    const {name} = route.service;
+    // Asked for each attempt, because a move may have been stopped while the
+    // call waited for its claim, its body or an instance.
+    this.#choice = versions.choose(
+      snapshot,
+      route.service,
+      callId,
+      this.#tried,
+    );
     const {version} = this.#choice;
     const target = this.#ports.instances.pick(name, version, this.#tried);
     if (!target) {
@@ -179,21 +189,22 @@
         CALL_CODES.noInstance,
         `No instance of ${name} ${version} can take the call`,
       );
-      this.#refuseWith(this.#asCallError(last ?? none, this.#call.callId));
+      this.#refuseWith(this.#asCallError(last ?? none, callId));
       return;
     }
     this.#tried.add(target.nodeId);
-    const head = this.#callHead();
+    const head = this.#callHead(version);
+    versions.onSent(name, version);
     this.#attempt = new Attempt(this.#ports, target, head, this.#body, this);
     this.#attempt.start();
   }
 
-  #callHead(): CallHead {
+  #callHead(version: string): CallHead {
     const {callId, req, route, headers} = this.#call;
     return {
       callId,
       service: route.service.name,
-      version: this.#choice.version,
+      version,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       remainingMs: this.#remainingMs(),
@@ -259,7 +270,7 @@
     if (!attempt) return;
     this.#records.push({
       nodeId: attempt.target.nodeId,
-      version: this.#choice.version,
+      version: this.#choice?.version ?? '',
       outcome,
       code,
       atMs: attempt.startAt - this.#call.startAt,
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -24,8 +24,18 @@
 
 /** Chooses the upstream version of a call by the moves' shares. @public */
 export interface VersionChooser {
-  /** The same call id gets the same version while the shares are unchanged. */
-  choose(snapshot: Snapshot, service: Service, callId: string): VersionChoice;
+  /**
+   * The same call id gets the same version while the shares are unchanged and
+   * an instance of it is outside `exclude` (node ids).
+   */
+  choose(
+    snapshot: Snapshot,
+    service: Service,
+    callId: string,
+    exclude: ReadonlySet<string>,
+  ): VersionChoice;
+  /** Called when a call is sent to an instance of the version. */
+  onSent(service: string, version: string): void;
 }
 
 /** A version and the move that led to it. @public */
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -39,5 +39,6 @@
   OwnUpstreamPort,
   QuarantinePort,
   ServingPorts,
+  StoppedVersions,
   Ticket,
 } from './serving-ports.js';
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -160,7 +160,7 @@
       this.#cancelQueue = decision.cancel;
       void decision.decided.then(result => {
         this.#cancelQueue = null;
-        if (result.isOk) this.#dispatch(result.value);
+        if (result.isOk) this.#dispatchQueued(result.value);
         else if (!this.#over) this.#refuse(result.error.code);
       });
     }
@@ -186,6 +186,18 @@
     return null;
   }
 
+  /** Dispatches after the queue, in which the move may have been stopped. */
+  #dispatchQueued(ticket: Ticket): void {
+    const {service, version} = this.#head;
+    const {stopped} = this.#context.ports;
+    if (this.#over || !stopped.isStopped(service, version)) {
+      this.#dispatch(ticket);
+      return;
+    }
+    this.#ticket = ticket;
+    this.#refuse(CALL_CODES.versionStopped);
+  }
+
   #dispatch(ticket: Ticket): void {
     if (this.#over) {
       ticket.leave(null);
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -75,11 +75,18 @@
   crashed(lost: readonly LostRequest[]): void;
 }
 
+/** Knows the upstream versions that must receive no more calls. @public */
+export interface StoppedVersions {
+  /** Whether the move to the version was stopped or taken back. */
+  isStopped(service: string, version: string): boolean;
+}
+
 /** What the serving side of the data path depends on. @public */
 export interface ServingPorts {
   readonly upstream: OwnUpstreamPort;
   readonly admission: AdmissionPort;
   readonly quarantine: QuarantinePort;
+  readonly stopped: StoppedVersions;
   /** Shared with the entry side of this node. */
   readonly ledger: RetryLedger;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/test-node.ts
+++ b/packages/node/src/calls/test-node.ts
@@ -20,6 +20,7 @@
   FakeInstances,
   FakeQuarantine,
   FakeUpstream,
+  FakeVersions,
 } from './test-ports.js';
 
 /** A data path on real sockets with an upstream and fakes of the rest. */
@@ -28,7 +29,10 @@
   readonly instances = new FakeInstances();
   readonly admission = new FakeAdmission();
   readonly quarantine = new FakeQuarantine();
+  readonly versions = new FakeVersions();
   readonly ownUpstream = new FakeUpstream();
+  /** Nodes may share them. */
+  claims = new FakeClaims();
   readonly log = new CallLog();
   readonly bus: TcpPeerBus;
   readonly serving: ServingHandler;
@@ -50,17 +54,21 @@
       upstream: this.ownUpstream,
       admission,
       quarantine,
+      stopped: this.versions,
       ledger,
       invariants,
     });
     this.entry = new EntryHandler({
       config,
       instances,
-      versions: {choose: () => ({version: 'v1', moveId: null})},
+      versions: this.versions,
       // The budget must not hide what the levels of a chain add up to.
       retries: new RetryBudget({burst: 1e6}),
       ledger,
-      claims: new FakeClaims(),
+      claims: {
+        begin: claim => this.claims.begin(claim),
+        finish: (claim, end) => this.claims.finish(claim, end),
+      },
       bus: this.bus,
       serving: this.serving,
       observer: this.log,
--- a/packages/node/src/calls/test-ports.ts
+++ b/packages/node/src/calls/test-ports.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {CALL_CODES, Invariants, MeshError} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
@@ -10,6 +11,8 @@
   ConfigPort,
   InstanceChooser,
   Target,
+  VersionChoice,
+  VersionChooser,
 } from './entry-ports.js';
 import type {
   AdmissionDecision,
@@ -18,6 +21,7 @@
   OwnUpstreamPort,
   LostRequest,
   QuarantinePort,
+  StoppedVersions,
   Ticket,
 } from './serving-ports.js';
 
@@ -107,7 +111,11 @@
       };
     });
     this.#queue.push(granted);
-    return {kind: 'queued', decided, cancel: () => undefined};
+    const cancel = () => {
+      const at = this.#queue.indexOf(granted);
+      if (at >= 0) this.#queue.splice(at, 1);
+    };
+    return {kind: 'queued', decided, cancel};
   }
 
   load(): LoadReport {
@@ -129,13 +137,43 @@
   }
 }
 
+/** Chooses the versions that the test sets, one after the other. */
+export class FakeVersions implements VersionChooser, StoppedVersions {
+  /** The last one stays. */
+  next = ['v1'];
+  stopped: string[] = [];
+  readonly sent = new Set<string>();
+
+  choose(): VersionChoice {
+    const [version = 'v1'] = this.next;
+    if (this.next.length > 1) this.next.shift();
+    return {version, moveId: null};
+  }
+
+  onSent(_service: string, version: string): void {
+    this.sent.add(version);
+  }
+
+  isStopped(_service: string, version: string): boolean {
+    return this.stopped.includes(version);
+  }
+}
+
 /** Records what it is told and admits everything. */
 export class FakeQuarantine implements QuarantinePort {
-  active = false;
+  /** Refuses every request if set. */
+  refusal: MeshError | null = null;
   readonly crashes: string[][] = [];
-  readonly admit = () => null;
   readonly ended = () => undefined;
 
+  get active(): boolean {
+    return this.refusal !== null;
+  }
+
+  admit(): MeshError | null {
+    return this.refusal;
+  }
+
   crashed(lost: readonly LostRequest[]): void {
     this.crashes.push(lost.map(request => request.fingerprint));
   }
@@ -156,24 +194,33 @@
 
 /** Claims in memory. */
 export class FakeClaims implements ClaimsPort {
-  readonly #results = new Map<string, ClaimResult | null>();
+  readonly results = new Map<string, ClaimResult | null>();
+  /** What `begin` returns in place of its own decision. */
+  forced: Result<ClaimDecision, MeshError> | null = null;
+  /** Time until `begin` returns. */
+  delayMs = 0;
+
+  async begin(claim: ClaimKey): Promise<Result<ClaimDecision, MeshError>> {
+    if (this.delayMs > 0) await sleep(this.delayMs);
+    return this.forced ?? this.#decide(claim);
+  }
 
-  begin({key}: ClaimKey): Promise<Result<ClaimDecision, MeshError>> {
-    const known = this.#results.get(key);
+  #decide({key}: ClaimKey): Result<ClaimDecision, MeshError> {
+    const known = this.results.get(key);
     if (known === undefined || known?.kind === 'notRun') {
-      this.#results.set(key, null);
-      return Promise.resolve(Result.ok({kind: 'granted'}));
+      this.results.set(key, null);
+      return Result.ok({kind: 'granted'});
     }
-    if (known === null) return Promise.resolve(Result.ok({kind: 'inProgress'}));
+    if (known === null) return Result.ok({kind: 'inProgress'});
     if (known.kind === 'unknown') {
-      return Promise.resolve(Result.ok({kind: 'unknown'}));
+      return Result.ok({kind: 'unknown'});
     }
     const {answer} = known as Extract<ClaimResult, {kind: 'answered'}>;
-    return Promise.resolve(Result.ok({kind: 'finished', answer}));
+    return Result.ok({kind: 'finished', answer});
   }
 
   finish({key}: ClaimKey, result: ClaimResult): void {
-    this.#results.set(key, result);
+    this.results.set(key, result);
   }
 }
 
--- a/packages/node/src/entry/version-adapter.ts
+++ b/packages/node/src/entry/version-adapter.ts
@@ -13,17 +13,31 @@
     this.#membership = membership;
   }
 
-  choose(snapshot: Snapshot, service: Service, callId: string): VersionChoice {
+  choose(
+    snapshot: Snapshot,
+    service: Service,
+    callId: string,
+    exclude: ReadonlySet<string>,
+  ): VersionChoice {
     const {name, current} = service;
     const version = this.#moves.gate.choose(name, callId, current, wanted =>
-      this.#isReady(name, wanted),
+      this.#isReady(name, wanted, exclude),
     );
     const move = snapshot.document.moves.find(row => row.service === service);
-    this.#moves.gate.onSent(name, version);
     return {version, moveId: move?.id ?? null};
   }
 
-  #isReady(service: string, version: string): boolean {
-    return this.#membership.candidates(service, version).length > 0;
+  onSent(service: string, version: string): void {
+    this.#moves.gate.onSent(service, version);
+  }
+
+  #isReady(
+    service: string,
+    version: string,
+    exclude: ReadonlySet<string>,
+  ): boolean {
+    return this.#membership
+      .candidates(service, version)
+      .some(({nodeId}) => !exclude.has(nodeId));
   }
 }
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -42,6 +42,7 @@
 import {MovesService} from './moves/moves-service.js';
 import {AdmissionAdapter} from './serving/admission-adapter.js';
 import {OwnUpstreamAdapter} from './serving/own-upstream-adapter.js';
+import {StoppedVersionsAdapter} from './serving/stopped-versions-adapter.js';
 import {QuarantineAdapter} from './serving/quarantine-adapter.js';
 import type {NodeSettings} from './settings/node-settings.js';
 import {StoreHealth} from './store/store-health.js';
@@ -127,6 +128,7 @@
       upstream: new OwnUpstreamAdapter(this.membership.monitor),
       admission: this.#admission,
       quarantine: this.#quarantine,
+      stopped: new StoppedVersionsAdapter(this.moves.gate),
       ledger: this.#ledger,
       invariants,
     });
--- a/scripts/call-overhead-node.mjs
+++ b/scripts/call-overhead-node.mjs
@@ -16,17 +16,19 @@
 const instances = new fakes.FakeInstances();
 const bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('benchmark key')});
 const ledger = new RetryLedger();
+const versions = new fakes.FakeVersions();
 const serving = new ServingHandler({
   upstream: ownUpstream,
   admission: new fakes.FakeAdmission(),
   quarantine: new fakes.FakeQuarantine(),
+  stopped: versions,
   ledger,
   invariants,
 });
 const entry = new EntryHandler({
   config: new fakes.FakeConfig(),
   instances,
-  versions: {choose: () => ({version: 'v1', moveId: null})},
+  versions,
   retries: new RetryBudget(),
   ledger,
   claims: new fakes.FakeClaims(),
