--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -13,6 +13,7 @@
 import {recordOf} from './entry-record.js';
 import type {RoutedCall} from './routed-call.js';
 import {CallerResponse} from './caller-response.js';
+import {CallRetries} from './call-retries.js';
 import {beginClaim} from './claim-step.js';
 import {OUTCOMES} from './entry-ports.js';
 import type {
@@ -22,7 +23,6 @@
   VersionChoice,
 } from './entry-ports.js';
 import {REPLAY_LIMIT_BYTES, ReplayBody} from './replay-body.js';
-import {mayRetry} from './retry-policy.js';
 
 /** One call on the entry side, from its route to its end. @internal */
 export class EntryCall implements AttemptListener {
@@ -33,12 +33,13 @@
   readonly #response: CallerResponse;
   readonly #deadlineAt: number;
   readonly #timer: NodeJS.Timeout;
-  readonly #choice: VersionChoice;
+  /** Version of the last attempt; null before the first. */
+  #choice: VersionChoice | null = null;
   readonly #passed: string[];
+  readonly #retries: CallRetries;
   readonly #tried = new Set<string>();
   readonly #records: AttemptRecord[] = [];
   #attempt: Attempt | null = null;
-  #retriesLeft: number;
   #claim: ClaimKey | null = null;
   /** Whether an attempt that ended may have run the request. */
   #mayHaveRun = false;
@@ -54,11 +55,16 @@
     this.#call = call;
     this.#ports = ports;
     this.#done = done;
-    this.#retriesLeft = headers.retriesLeft;
     this.#passed = passedHeaders(req.rawHeaders);
-    this.#choice = ports.versions.choose(snapshot, route.service, callId);
     const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
+    this.#retries = new CallRetries(ports, {
+      service: route.service.name,
+      idempotent: route.idempotent,
+      deadlineAt: this.#deadlineAt,
+      parentCallId: headers.parentCallId,
+      retriesLeft: headers.retriesLeft,
+    });
     this.#timer = setTimeout(() => {
       this.#expire();
     }, limitMs);
@@ -76,7 +82,6 @@
   start(): void {
     const {route, headers} = this.#call;
     const {idempotencyKey} = headers;
-    this.#ports.retries.onCall(route.service.name);
     if (!route.idempotent && idempotencyKey !== null) {
       void this.#startClaimed(idempotencyKey);
     } else if (!route.idempotent && route.idempotencyKey === 'required') {
@@ -89,7 +94,8 @@
   onHead(head: AnswerHead): void {
     clearTimeout(this.#timer);
     this.#headMs = performance.now() - this.#call.startAt;
-    this.#response.head(head, CALL_CODES.ok.code);
+    this.#retries.answered(head.retriesLeft);
+    this.#response.head(head, CALL_CODES.ok.code, this.#retries.toReport);
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -114,27 +120,16 @@
   }
 
   onFailure(err: MeshError): void {
-    const {route, callId} = this.#call;
     this.#record(outcomeOf(err), err.code);
     this.#attempt = null;
     this.#mayHaveRun ||= !err.code.notRun;
-    const retry =
-      mayRetry({
-        err,
-        route,
-        retriesLeft: this.#retriesLeft,
-        remainingMs: this.#remainingMs(),
-        replayable: this.#body.replayable,
-        answered: this.#response.started,
-      }) && this.#ports.retries.tryRetry(route.service.name);
-    if (retry) {
-      this.#retriesLeft--;
-      this.#try(err);
-    } else if (this.#response.started) {
+    if (this.#response.started) {
       this.#response.cut();
       this.#finish(err.code);
+    } else if (this.#body.replayable && this.#retries.tryAgain(err)) {
+      this.#try(err);
     } else {
-      this.#refuseWith(this.#asCallError(err, callId));
+      this.#refuseWith(this.#asCallError(err, this.#call.callId));
     }
   }
 
@@ -158,7 +153,8 @@
     } else if (step.kind === 'granted') {
       this.#begin();
     } else if (step.kind === 'replay') {
-      this.#response.replay(step.answer, CALL_CODES.ok.code);
+      const {toReport} = this.#retries;
+      this.#response.replay(step.answer, CALL_CODES.ok.code, toReport);
       this.#finish(CALL_CODES.ok);
     } else {
       this.#refuseWith(step.err);
@@ -175,7 +171,17 @@
   /** Makes an attempt; without an instance the last refusal is the answer. */
   #try(last?: MeshError): void {
     if (this.#over) return;
-    const {name} = this.#call.route.service;
+    const {snapshot, route, callId} = this.#call;
+    const {versions} = this.#ports;
+    const {name} = route.service;
+    // Asked for each attempt, because a move may have been stopped while the
+    // call waited for its claim, its body or an instance.
+    this.#choice = versions.choose(
+      snapshot,
+      route.service,
+      callId,
+      this.#tried,
+    );
     const {version} = this.#choice;
     const target = this.#ports.instances.pick(name, version, this.#tried);
     if (!target) {
@@ -183,26 +189,27 @@
         CALL_CODES.noInstance,
         `No instance of ${name} ${version} can take the call`,
       );
-      this.#refuseWith(this.#asCallError(last ?? none, this.#call.callId));
+      this.#refuseWith(this.#asCallError(last ?? none, callId));
       return;
     }
     this.#tried.add(target.nodeId);
-    const head = this.#callHead();
+    const head = this.#callHead(version);
+    versions.onSent(name, version);
     this.#attempt = new Attempt(this.#ports, target, head, this.#body, this);
     this.#attempt.start();
   }
 
-  #callHead(): CallHead {
+  #callHead(version: string): CallHead {
     const {callId, req, route, headers} = this.#call;
     return {
       callId,
       service: route.service.name,
-      version: this.#choice.version,
+      version,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       remainingMs: this.#remainingMs(),
       depth: headers.depth + 1,
-      retriesLeft: this.#retriesLeft,
+      retriesLeft: this.#retries.pass(),
       bodyBytes: headers.bodyBytes,
       headers: this.#passed,
     };
@@ -254,7 +261,7 @@
       !err.code.notRun || !wasOpen,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(err);
+    this.#response.refuse(err, this.#retries.toReport);
     this.#finish(err.code);
   }
 
@@ -263,7 +270,7 @@
     if (!attempt) return;
     this.#records.push({
       nodeId: attempt.target.nodeId,
-      version: this.#choice.version,
+      version: this.#choice?.version ?? '',
       outcome,
       code,
       atMs: attempt.startAt - this.#call.startAt,
@@ -290,6 +297,7 @@
     this.#over = true;
     clearTimeout(this.#timer);
     this.#finishClaim();
+    this.#retries.end();
     this.#done(
       recordOf(this.#call, {
         choice: this.#choice,
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -1,7 +1,7 @@
 import type {Result} from 'true-myth';
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
-import type {LoadReport} from '@verbenabeam/routing';
+import type {LoadReport, RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {ByteStream, PeerAddress, PeerBus} from '@verbenabeam/wire';
 import type {CallHead} from './call-head.js';
 import type {CallRecord} from './call-record.js';
@@ -24,8 +24,18 @@
 
 /** Chooses the upstream version of a call by the moves' shares. @public */
 export interface VersionChooser {
-  /** The same call id gets the same version while the shares are unchanged. */
-  choose(snapshot: Snapshot, service: Service, callId: string): VersionChoice;
+  /**
+   * The same call id gets the same version while the shares are unchanged and
+   * an instance of it is outside `exclude` (node ids).
+   */
+  choose(
+    snapshot: Snapshot,
+    service: Service,
+    callId: string,
+    exclude: ReadonlySet<string>,
+  ): VersionChoice;
+  /** Called when a call is sent to an instance of the version. */
+  onSent(service: string, version: string): void;
 }
 
 /** A version and the move that led to it. @public */
@@ -91,13 +101,6 @@
   ended(outcome: AttemptOutcome): void;
 }
 
-/** Limits retries to a share of the calls of a service. @public */
-export interface RetryBudgetPort {
-  onCall(service: string): void;
-  /** Takes one retry; false if the budget is used up. */
-  tryRetry(service: string): boolean;
-}
-
 /** Identity of a claim. @public */
 export interface ClaimKey {
   readonly environment: string;
@@ -147,6 +150,8 @@
 /** The serving side of this node. @public */
 export interface LocalServing {
   serve(head: CallHead, stream: ByteStream): void;
+  /** Whether the own upstream runs the call now. */
+  isRunning(callId: string): boolean;
 }
 
 /** What the entry side of the data path depends on. @public */
@@ -154,7 +159,9 @@
   readonly config: ConfigPort;
   readonly versions: VersionChooser;
   readonly instances: InstanceChooser;
-  readonly retries: RetryBudgetPort;
+  readonly retries: RetryBudget;
+  /** Shared with the serving side of this node. */
+  readonly ledger: RetryLedger;
   readonly claims: ClaimsPort;
   readonly bus: Pick<PeerBus, 'openStream'>;
   readonly serving: LocalServing;
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -8,6 +8,7 @@
 export {CALL_HEADERS} from './call-headers.js';
 export {CallLog} from './call-log.js';
 export type {AttemptRecord, CallRecord} from './call-record.js';
+export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
 export {OUTCOMES} from './entry-ports.js';
 export type {
@@ -22,7 +23,6 @@
   InstanceChooser,
   LocalServing,
   Outcome,
-  RetryBudgetPort,
   RouteQuery,
   StoredAnswer,
   Target,
@@ -39,5 +39,6 @@
   OwnUpstreamPort,
   QuarantinePort,
   ServingPorts,
+  StoppedVersions,
   Ticket,
 } from './serving-ports.js';
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -1,11 +1,11 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
+import {fingerprintOf} from '@verbenabeam/routing';
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
 import type {CrashDetector} from './crash-detector.js';
-import {fingerprintOf} from './fingerprint.js';
 import {REPLAY_LIMIT_BYTES} from './replay-body.js';
 import type {
   LostRequest,
@@ -18,11 +18,15 @@
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
+const noBody = Buffer.alloc(0);
+
 /** What the calls of one serving handler share. @internal */
 export interface ServingContext {
   readonly ports: ServingPorts;
   readonly pool: UpstreamPool;
   readonly crashes: CrashDetector;
+  /** Ids of the calls that were passed to the upstream and have not ended. */
+  readonly running: Set<string>;
   readonly isDraining: () => boolean;
   /** Called once for each call. */
   readonly onEnd: () => void;
@@ -93,7 +97,9 @@
 
   onUpstreamHead(status: number, headers: string[]): void {
     this.#headMs = performance.now() - this.#dispatchAt;
-    this.#stream.sendHead(encodeAnswerHead({status, headers}));
+    // Sub-calls that begin after this report find no retries left.
+    const retriesLeft = this.#context.ports.ledger.borrow(this.#head.callId, 0);
+    this.#stream.sendHead(encodeAnswerHead({status, headers, retriesLeft}));
   }
 
   onUpstreamData(chunk: Uint8Array): boolean {
@@ -129,11 +135,7 @@
       return;
     }
     if (this.#upstream) crashes.onLost(this.#lostRequest(), this.#upstream);
-    this.#end(null);
-    const details = {load: encodeLoad(ports.admission.load()), suspect: true};
-    this.#stream.reset(
-      new MeshError(CALL_CODES.outcomeUnknown, err.message, details),
-    );
+    this.#reset(new MeshError(CALL_CODES.outcomeUnknown, err.message), true);
   }
 
   #enter(): void {
@@ -158,7 +160,7 @@
       this.#cancelQueue = decision.cancel;
       void decision.decided.then(result => {
         this.#cancelQueue = null;
-        if (result.isOk) this.#dispatch(result.value);
+        if (result.isOk) this.#dispatchQueued(result.value);
         else if (!this.#over) this.#refuse(result.error.code);
       });
     }
@@ -184,6 +186,18 @@
     return null;
   }
 
+  /** Dispatches after the queue, in which the move may have been stopped. */
+  #dispatchQueued(ticket: Ticket): void {
+    const {service, version} = this.#head;
+    const {stopped} = this.#context.ports;
+    if (this.#over || !stopped.isStopped(service, version)) {
+      this.#dispatch(ticket);
+      return;
+    }
+    this.#ticket = ticket;
+    this.#refuse(CALL_CODES.versionStopped);
+  }
+
   #dispatch(ticket: Ticket): void {
     if (this.#over) {
       ticket.leave(null);
@@ -195,7 +209,7 @@
       this.#refuse(refusal);
       return;
     }
-    const {ports, pool} = this.#context;
+    const {ports, pool, running} = this.#context;
     const upstream = ports.upstream.current();
     const ready = upstream?.state === UPSTREAM_STATES.ready;
     ports.invariants.check(INVARIANT_CODES.workAfterLeave, ready, {
@@ -204,6 +218,8 @@
     });
     if (!upstream) return;
     this.#upstream = upstream;
+    running.add(this.#head.callId);
+    ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#pieces = null;
     this.#dispatchAt = performance.now();
     const remainingMs = this.#deadlineAt - this.#dispatchAt;
@@ -219,9 +235,18 @@
       !code.notRun || !sent || saidByUpstream,
       {callId: this.#head.callId, code: code.code},
     );
+    this.#reset(new MeshError(code, code.text), false);
+  }
+
+  /** Reports a failure with the load and the retries that are left. */
+  #reset({code, message}: MeshError, suspect: boolean): void {
+    const {admission, ledger} = this.#context.ports;
+    const {callId} = this.#head;
+    const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
-    const details = {load: encodeLoad(ports.admission.load())};
-    this.#stream.reset(new MeshError(code, code.text, details));
+    const load = encodeLoad(admission.load());
+    const details = {load, ...left, ...(suspect ? {suspect} : {})};
+    this.#stream.reset(new MeshError(code, message, details));
   }
 
   #lostRequest(): LostRequest {
@@ -229,8 +254,10 @@
   }
 
   #fingerprint(): string {
-    const body = this.#body instanceof UpstreamBody ? null : this.#body;
-    return fingerprintOf(this.#head, body);
+    const {service, method, path} = this.#head;
+    // A body that is passed on while it arrives is not covered.
+    const body = Buffer.isBuffer(this.#body) ? this.#body : noBody;
+    return fingerprintOf({service, method, path, body});
   }
 
   /** Frees the slot; for an answer with the time until its head. */
@@ -239,7 +266,10 @@
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
     if (this.#body instanceof UpstreamBody) this.#body.destroy();
-    const {quarantine} = this.#context.ports;
+    const {running, ports} = this.#context;
+    const {quarantine, ledger} = ports;
+    running.delete(this.#head.callId);
+    ledger.close(this.#head.callId);
     quarantine.ended(this.#head.callId, serviceMs !== null);
     this.#context.onEnd();
   }
--- a/packages/node/src/calls/test-node.ts
+++ b/packages/node/src/calls/test-node.ts
@@ -6,6 +6,7 @@
   StandinOptions,
   UpstreamStandin,
 } from '@verbenabeam/app-upstream-standin';
+import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {CALL_STREAM} from './call-head.js';
 import {CallLog} from './call-log.js';
@@ -19,6 +20,7 @@
   FakeInstances,
   FakeQuarantine,
   FakeUpstream,
+  FakeVersions,
 } from './test-ports.js';
 
 /** A data path on real sockets with an upstream and fakes of the rest. */
@@ -27,7 +29,10 @@
   readonly instances = new FakeInstances();
   readonly admission = new FakeAdmission();
   readonly quarantine = new FakeQuarantine();
+  readonly versions = new FakeVersions();
   readonly ownUpstream = new FakeUpstream();
+  /** Nodes may share them. */
+  claims = new FakeClaims();
   readonly log = new CallLog();
   readonly bus: TcpPeerBus;
   readonly serving: ServingHandler;
@@ -42,20 +47,28 @@
     readonly broken: string[],
   ) {
     const {config, instances, admission, quarantine} = this;
+    const ledger = new RetryLedger();
     const invariants = collectingInvariants(broken);
     this.bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('test key')});
     this.serving = new ServingHandler({
       upstream: this.ownUpstream,
       admission,
       quarantine,
+      stopped: this.versions,
+      ledger,
       invariants,
     });
     this.entry = new EntryHandler({
       config,
       instances,
-      versions: {choose: () => ({version: 'v1', moveId: null})},
-      retries: {onCall: () => undefined, tryRetry: () => true},
-      claims: new FakeClaims(),
+      versions: this.versions,
+      // The budget must not hide what the levels of a chain add up to.
+      retries: new RetryBudget({burst: 1e6}),
+      ledger,
+      claims: {
+        begin: claim => this.claims.begin(claim),
+        finish: (claim, end) => this.claims.finish(claim, end),
+      },
       bus: this.bus,
       serving: this.serving,
       observer: this.log,
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -8,6 +8,7 @@
 import type {Snapshot} from '@verbenabeam/document';
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
+import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
@@ -19,6 +20,7 @@
 import {
   CALL_STREAM,
   CallLog,
+  drainCalls,
   EntryHandler,
   ServingHandler,
 } from './calls/index.js';
@@ -29,7 +31,6 @@
 import type {LagResponse} from './distribution/lag-report.js';
 import {CallEvidence} from './entry/call-evidence.js';
 import {InstanceAdapter} from './entry/instance-adapter.js';
-import {RetryAdapter} from './entry/retry-adapter.js';
 import {VersionAdapter} from './entry/version-adapter.js';
 import {every} from './every.js';
 import {
@@ -41,6 +42,7 @@
 import {MovesService} from './moves/moves-service.js';
 import {AdmissionAdapter} from './serving/admission-adapter.js';
 import {OwnUpstreamAdapter} from './serving/own-upstream-adapter.js';
+import {StoppedVersionsAdapter} from './serving/stopped-versions-adapter.js';
 import {QuarantineAdapter} from './serving/quarantine-adapter.js';
 import type {NodeSettings} from './settings/node-settings.js';
 import {StoreHealth} from './store/store-health.js';
@@ -75,6 +77,8 @@
   readonly metrics: NodeMetrics;
   readonly adminRoutes: readonly AdminRoute[];
   readonly #options: NodePartsOptions;
+  readonly #retries: RetryBudget;
+  readonly #ledger = new RetryLedger();
   readonly #store: StoreHealth;
   readonly #admission: AdmissionAdapter;
   readonly #quarantine: QuarantineAdapter;
@@ -124,8 +128,11 @@
       upstream: new OwnUpstreamAdapter(this.membership.monitor),
       admission: this.#admission,
       quarantine: this.#quarantine,
+      stopped: new StoppedVersionsAdapter(this.moves.gate),
+      ledger: this.#ledger,
       invariants,
     });
+    this.#retries = new RetryBudget({share: settings.limits.retry_share});
     this.entry = this.#createEntry();
     const adminContext = {
       ...shared,
@@ -169,7 +176,7 @@
    */
   async drain(maxWaitMs: number): Promise<void> {
     this.membership.drain();
-    const drained = Promise.all([this.entry.drain(), this.serving.drain()]);
+    const drained = drainCalls(this.entry, this.serving);
     if (maxWaitMs === 0) await drained;
     else await Promise.race([drained, wait(maxWaitMs)]);
     this.entry.checkDrained();
@@ -184,15 +191,14 @@
   }
 
   #createEntry(): EntryHandler {
-    const {settings, bus, invariants, clock} = this.#options;
-    const share = settings.limits.retry_share;
-    const budget = new RetryAdapter({clock, share});
+    const {bus, invariants, clock} = this.#options;
     const evidence = new CallEvidence(this.membership, clock);
     return new EntryHandler({
       config: this.#configPort(),
       versions: new VersionAdapter(this.moves, this.membership),
       instances: this.#instances,
-      retries: budget,
+      retries: this.#retries,
+      ledger: this.#ledger,
       claims: this.claims,
       bus,
       serving: this.serving,
@@ -228,6 +234,7 @@
 
   #onApplied(snapshot: Snapshot): void {
     this.moves.onApplied(snapshot);
+    this.#retries.retain(new Set(snapshot.document.services.keys()));
     const delayMs = this.#options.clock.wallTime() - snapshot.acceptedAt;
     this.metrics.recordConvergence(Math.max(0, delayMs));
   }
