--- a/packages/distribution/src/acceptance.ts
+++ b/packages/distribution/src/acceptance.ts
@@ -3,19 +3,31 @@
 import type {Clock} from '@verbenabeam/core';
 import {checkDeadlines, compile, diff} from '@verbenabeam/document';
 import type {Change, CompiledDocument, Snapshot} from '@verbenabeam/document';
-import type {Entry, Store, Txn} from '@verbenabeam/store';
+import {settledTxn} from '@verbenabeam/store';
+import type {Entry, Sleep, Store, Txn} from '@verbenabeam/store';
 import {checkBase, notReady} from './check-base.js';
 import type {FleetView} from './distributor-options.js';
-import {settledTxn} from './settled-txn.js';
-import type {SettleOptions} from './settled-txn.js';
 import {STORE_KEYS} from './store-keys.js';
 import {decodeJson, headRecordSchema} from './store-records.js';
 import type {HeadRecord, VersionMetadata} from './store-records.js';
 import {VersionArchive} from './version-archive.js';
 import {versionTxn} from './version-txn.js';
 
+/**
+ * Reads back after 100 ms, then after twice the wait before: 3.1 s in all. Each
+ * head names the operations before it, so a changed head always decides; the
+ * acceptance looks for its own operation there.
+ */
+const settleOptions = {
+  attempts: 5,
+  pauseMs: 100,
+  backoff: 2,
+  immutable: true,
+  isOurs: () => false,
+};
+
 /** Parts of {@link Acceptance}. @public */
-export interface AcceptanceOptions extends SettleOptions {
+export interface AcceptanceOptions {
   readonly store: Store;
   readonly clock: Clock;
   /**
@@ -23,6 +35,8 @@
    * environment, `unknown` before its start inquiry is complete.
    */
   readonly fleet: (environment: string) => FleetView | 'unknown' | null;
+  /** Waits before an unknown outcome is read back. Default: the system's. */
+  readonly sleep?: Sleep;
 }
 
 /** An operator's change. @public */
@@ -157,7 +171,9 @@
     base: HeadRecord | null,
   ): Promise<Result<Accepted, MeshError>> {
     const key = STORE_KEYS.head(draft.environment);
-    const outcome = await settledTxn(this.#options.store, txn, this.#options);
+    const {store, sleep} = this.#options;
+    const settle = {...settleOptions, witness: key, sleep};
+    const outcome = await settledTxn(store, txn, settle);
     if (outcome.isErr) {
       const {code, message, details} = outcome.error;
       const {operationId} = draft;
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -47,7 +47,6 @@
 export type {RelayDriverOptions} from './relay-driver.js';
 export {RELAY_LEASE_MS, RELAY_SLOTS, RelayPolicy} from './relay-policy.js';
 export type {RelaySlot, RelayStep} from './relay-policy.js';
-export type {SettleOptions} from './settled-txn.js';
 export {StartInquiry} from './start-inquiry.js';
 export {STORE_KEYS} from './store-keys.js';
 export {headRecordSchema, versionMetadataSchema} from './store-records.js';
--- a/packages/store/src/settled-put.ts
+++ b/packages/store/src/settled-put.ts
@@ -14,12 +14,18 @@
   readonly witness: string;
   /** True when the value of the witness was written by this operation. */
   readonly isOurs: (value: Uint8Array) => boolean;
-  /** True when nothing overwrites or deletes the witness. Default false. */
+  /**
+   * True when a foreign value of the witness shows that this operation did not
+   * commit, or lets the caller find that out: nothing overwrites the witness,
+   * or each value names the operations before it. Default false.
+   */
   readonly immutable?: boolean;
   /** Reads back at most this often. Default 5. */
   readonly attempts?: number;
-  /** Wait before each read, in milliseconds. Default 50. */
+  /** Wait before the first read, in milliseconds. Default 50. */
   readonly pauseMs?: number;
+  /** Factor from one wait to the next. Default 1. */
+  readonly backoff?: number;
   readonly sleep?: Sleep;
 }
 
@@ -53,7 +59,8 @@
   if (first.isOk || !isUnknownOutcome(first.error)) return first;
   const attempts = options.attempts ?? defaultAttempts;
   for (let i = 0; i < attempts && !options.signal?.aborted; i++) {
-    const pauseMs = options.pauseMs ?? defaultPauseMs;
+    const firstMs = options.pauseMs ?? defaultPauseMs;
+    const pauseMs = firstMs * (options.backoff ?? 1) ** i;
     await (options.sleep ?? systemSleep)(pauseMs, options.signal);
     const read = await store.get(options.witness, options);
     if (read.isErr) continue;
