--- a/packages/membership/src/membership-rules.test.ts
+++ b/packages/membership/src/membership-rules.test.ts
@@ -6,7 +6,7 @@
 import {Gossip} from './gossip.js';
 import type {InstanceRecord} from './instance-record.js';
 import {MemberTable} from './member-table.js';
-import type {FakeCluster} from './model/fake-cluster.js';
+import type {FakeCluster} from './fakes/fake-cluster.js';
 import {decodeRecord, encodeRecord, updateSchema} from './update.js';
 import {UpstreamMonitor} from './upstream-monitor.js';
 
--- a/packages/membership/src/membership-runs.test.ts
+++ b/packages/membership/src/membership-runs.test.ts
@@ -3,9 +3,9 @@
 import {testSeed} from '@verbenabeam/testing';
 import {gossipMessageSchema} from './messages.js';
 import type {GossipMessage} from './messages.js';
-import {FakeCluster} from './model/fake-cluster.js';
-import {randomRun} from './model/random-run.js';
-import type {RunFigures} from './model/random-run.js';
+import {FakeCluster} from './fakes/fake-cluster.js';
+import {randomRun} from './fakes/random-run.js';
+import type {RunFigures} from './fakes/random-run.js';
 
 interface Seen {
   readonly observer: number;
--- /dev/null
+++ b/packages/routing/src/fakes/crash-model.ts
@@ -0,0 +1,117 @@
+import {seededRandom} from '@verbenabeam/core';
+import {CrashQuarantine} from '../crash-quarantine.js';
+import type {CrashNotice} from '../crash-notice.js';
+import {fingerprintOf} from '../fingerprint.js';
+import {Timeline} from './timeline.js';
+
+/** Which parts of the quarantine are in use. */
+export interface CrashSetup {
+  readonly seed: number;
+  readonly quarantine: boolean;
+  readonly notices: boolean;
+  /** Callers that repeat the crashing request at once. */
+  readonly repeaters: number;
+}
+
+/** What one run gave. */
+export interface CrashFigures {
+  readonly crashes: number;
+  /** Calls of innocent requests that ended with 1609. */
+  readonly innocentQuarantined: number;
+  readonly innocentBusy: number;
+  readonly innocentCalls: number;
+}
+
+const nodes = 5;
+const noticeMs = 5;
+const restartMs = 3000;
+const repeatMs = 500;
+const crashAfterMs = 5;
+const durationMs = 60_000;
+const commonPaths = 20;
+const rareShare = 0.2;
+
+/** Five nodes with common and rare requests and one request that crashes. */
+export function runCrashes(setup: CrashSetup): CrashFigures {
+  const rng = seededRandom(setup.seed);
+  const time = new Timeline();
+  const pool = Array.from({length: nodes}, () => ({
+    quarantine: new CrashQuarantine(),
+    upAt: 0,
+    life: 0,
+  }));
+  type Member = (typeof pool)[number];
+  const counts = {
+    crashes: 0,
+    innocentQuarantined: 0,
+    innocentBusy: 0,
+    innocentCalls: 0,
+  };
+  let ids = 0;
+  const print = (path: string) =>
+    fingerprintOf({service: 's', method: 'GET', path, body: new Uint8Array()});
+
+  const spread = (from: Member, notices: CrashNotice[]) => {
+    if (!setup.notices) return;
+    for (const member of pool.filter(m => m !== from)) {
+      time.after(noticeMs, () => {
+        for (const n of notices) {
+          spread(member, member.quarantine.receive(n, time.now));
+        }
+      });
+    }
+  };
+  const start = (member: Member, id: string, fingerprint: string) =>
+    setup.quarantine
+      ? member.quarantine.tryStart(id, fingerprint, time.now)
+      : ({kind: 'allowed'} as const);
+  const upMember = () => {
+    const up = pool.filter(m => m.upAt <= time.now);
+    return up.length > 0 ? rng.pick(up) : null;
+  };
+
+  const innocent = () => {
+    time.after(rng.float() * 2, innocent);
+    const member = upMember();
+    if (!member) return;
+    const id = `i${ids++}`;
+    const rare = rng.float() < rareShare;
+    const path = rare ? `/rare/${ids}` : `/${rng.below(commonPaths)}`;
+    counts.innocentCalls++;
+    const decision = start(member, id, print(path));
+    if (decision.kind === 'refused') {
+      const busy = decision.code.name === 'calls.suspectBusy';
+      if (busy) counts.innocentBusy++;
+      else counts.innocentQuarantined++;
+      return;
+    }
+    const life = member.life;
+    time.after(5 + rng.float() * 25, () => {
+      if (member.life !== life) return;
+      const notice = member.quarantine.finish(id, true, time.now);
+      if (notice) spread(member, [notice]);
+    });
+  };
+  const crasher = () => {
+    time.after(repeatMs, crasher);
+    const member = upMember();
+    if (!member) return;
+    const decision = start(member, `c${ids++}`, print('/crash'));
+    const life = member.life;
+    if (decision.kind === 'refused') return;
+    time.after(crashAfterMs, () => {
+      if (member.life !== life) return;
+      counts.crashes++;
+      member.life++;
+      member.upAt = time.now + restartMs;
+      const crashId = `k${ids++}`;
+      spread(member, member.quarantine.crashed(crashId, time.now));
+    });
+  };
+  time.after(0, innocent);
+  for (let i = 0; i < setup.repeaters; i++) {
+    time.after(1000 + (i * repeatMs) / setup.repeaters, crasher);
+  }
+  time.runUntil(durationMs);
+  return counts;
+}
--- a/packages/routing/src/routing-measured.test.ts
+++ b/packages/routing/src/routing-measured.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {testSeed} from '@verbenabeam/testing';
-import {runChain} from './model/chain-model.js';
-import {runCrashes} from './model/crash-model.js';
-import {faults, policies, runPool} from './model/pool-model.js';
-import type {PoolFigures} from './model/pool-model.js';
-import {goodput} from './model/overload-model.js';
-import type {OverloadSetup} from './model/overload-model.js';
+import {runChain} from './fakes/chain-model.js';
+import {runCrashes} from './fakes/crash-model.js';
+import {faults, policies, runPool} from './fakes/pool-model.js';
+import type {PoolFigures} from './fakes/pool-model.js';
+import {goodput} from './fakes/overload-model.js';
+import type {OverloadSetup} from './fakes/overload-model.js';
 
 interface World {
   fault: keyof typeof faults;
