Back off claim read-backs and never acknowledge an unrecorded finish

Cause: (1) an append with an unknown outcome was read back every 250 ms for the whole outage. (2) A finish for a claim that the owner does not know was acknowledged although nothing was recorded, so its repetition became "may have run" after the hold time, or ran again after a restore of the store. Changes: read-backs double from 250 ms to 1 s, half of the settle time, so that a begin at the end of an outage is decided in time. A finish without a known claim waits for a list that began after its arrival (at most one such list per second and partition); then "ran" is recorded even without a grant, and a release, or the end of another call's claim, is refused with the new code 1707. Ruled out: refusing at once, because an owner that was replaced for a while has an outdated table; answering without a limit on lists, because each refused begin sends a release. New tests: back-off, expiry of claims and segments after 24 h, unknown finishes.

--- a/packages/claims/src/claim-limits.ts
+++ b/packages/claims/src/claim-limits.ts
@@ -8,6 +8,13 @@
   readonly intervalMs: number;
   /** Begins wait at most this long for an uncertain append. */
   readonly settleMs: number;
+  /**
+   * Most time between two reads of an uncertain append. Half of `settleMs`, so
+   * that a begin that arrives at the end of an outage is decided in time.
+   */
+  readonly maxReadBackMs: number;
+  /** Least time between two lists for finishes without a known claim. */
+  readonly reloadMs: number;
   /** Claims are remembered this long. */
   readonly retentionMs: number;
   /** Claims in memory; further begins are refused as not run. */
@@ -37,6 +44,8 @@
 export const defaultClaimLimits: ClaimLimits = {
   intervalMs: 250,
   settleMs: 2_000,
+  maxReadBackMs: 1_000,
+  reloadMs: 1_000,
   retentionMs: 24 * 60 * 60 * 1_000,
   maxClaims: 100_000,
   maxPending: 5_000,
--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -56,7 +56,7 @@
   finish(req: FinishRequest): Promise<Result<true, MeshError>> {
     const partition = this.#partition(req.partition);
     return new Promise(resolve => {
-      partition.log.finish(req, resolve);
+      partition.log.finish(req, resolve, this.#time());
       this.#start(req.partition, partition);
     });
   }
--- /dev/null
+++ b/packages/claims/src/claim-records.ts
@@ -0,0 +1,32 @@
+import type {ClaimTable} from './claim-table.js';
+import type {BeginRequest, FinishRequest} from './messages.js';
+import type {ClaimRecord} from './segment.js';
+
+/** Record of a claim that is granted to a call. @internal */
+export function grantOf(
+  req: Pick<BeginRequest, 'claim' | 'callId' | 'holdMs'>,
+  wall: number,
+): ClaimRecord {
+  const {claim, callId, holdMs} = req;
+  return {
+    claim,
+    callId,
+    grantedAt: wall,
+    holdMs,
+    state: 'granted',
+    answer: null,
+  };
+}
+
+/** Record of the end of a call, even if its grant is unknown. @internal */
+export function endOf(
+  req: FinishRequest,
+  table: ClaimTable,
+  wall: number,
+): ClaimRecord {
+  const {claim, callId, outcome, answer} = req;
+  const held = table.get(claim);
+  const granted = held ?? grantOf({claim, callId, holdMs: 0}, wall);
+  const state = outcome === 'ran' ? 'ran' : 'released';
+  return {...granted, state, answer};
+}
--- a/packages/claims/src/claim-table.ts
+++ b/packages/claims/src/claim-table.ts
@@ -43,10 +43,9 @@
     return {state: running ? 'inProgress' : 'unknown'};
   }
 
-  /** The recorded claim, if this call holds it. */
-  heldBy(claim: string, callId: string): ClaimRecord | null {
-    const record = this.#rows.get(claim)?.record;
-    return record?.callId === callId ? record : null;
+  /** The recorded state of a claim, if any. */
+  get(claim: string): ClaimRecord | null {
+    return this.#rows.get(claim)?.record ?? null;
   }
 
   /** Applies a committed record in log order. */
@@ -74,8 +73,9 @@
       .filter(r => wall - r.grantedAt <= this.limits.retentionMs);
   }
 
-  /** Forgets claims that are older than the retention. */
-  purge(wall: number): void {
+  /** Forgets claims older than the retention once the table is full. */
+  makeRoom(maxClaims: number, wall: number): void {
+    if (this.size < maxClaims) return;
     for (const claim of this.#rows.keys()) {
       if (!this.#live(claim, wall)) this.#remove(claim);
     }
--- a/packages/claims/src/claims.feature
+++ b/packages/claims/src/claims.feature
@@ -23,6 +23,24 @@
     And a claim whose append lost its response is granted with one append
     And claims over the limit of the partition are refused as not run
 
+  Scenario: Reads of an uncertain append back off during an outage
+    Given a claim owner whose append is cut off by an outage of 60 s
+    Then the claim owner has read the store at most 65 times
+    And a claim after the outage is granted within 2 s
+
+  Scenario: Claims and segments expire after the retention
+    Given a claim owner with a claim that has ended 24 hours less 1 s ago
+    Then the claim is finished and its segment remains
+    And 2 s later the claim is granted again and its segment is removed
+    And a full claim partition has room again 24 hours later
+
+  Scenario: The end of an unknown claim is recorded or refused
+    Given a claim owner that has loaded a partition before another owner grants
+    Then the claim owner records the end of the other owner's claim
+    And a claim that ran without a grant is finished for another call
+    And the end of another call's claim is refused
+    And the release of an unknown claim is refused
+
   Scenario: Begins are batched
     Given claim loads of 50, 200 and 1000 begins per second
     Then a claim load waits under 510 ms at p99 and writes at most 4 per second and partition
--- a/packages/claims/src/partition-log.ts
+++ b/packages/claims/src/partition-log.ts
@@ -1,21 +1,21 @@
 import {Result} from 'true-myth';
-import {CLAIM_CODES, MeshError} from '@verbenabeam/core';
-import type {Invariants} from '@verbenabeam/core';
+import type {Invariants, MeshError} from '@verbenabeam/core';
 import {isUnknownOutcome} from '@verbenabeam/store';
 import type {Entry, TxnOutcome} from '@verbenabeam/store';
-import {ClaimTable} from './claim-table.js';
 import {defaultClaimLimits} from './claim-limits.js';
 import type {ClaimLimits} from './claim-limits.js';
+import {endOf, grantOf} from './claim-records.js';
+import {ClaimQueue} from './claim-queue.js';
+import {ClaimTable} from './claim-table.js';
 import type {BeginRequest, FinishRequest} from './messages.js';
 import type {
   Action,
   Append,
-  Begin,
   BeginCallback,
-  Finish,
   FinishCallback,
   Time,
 } from './partition-types.js';
+import {unavailable} from './refusals.js';
 import {SegmentIndex} from './segment-index.js';
 import {
   checkpointKey,
@@ -23,9 +23,7 @@
   encodeSegment,
   segmentKey,
 } from './segment.js';
-import type {ClaimRecord, Segment} from './segment.js';
-
-const recordOverheadBytes = 200;
+import type {Segment} from './segment.js';
 
 /**
  * Decides the claims of one partition. A grant is given only after its record
@@ -39,13 +37,13 @@
   readonly #limits: ClaimLimits;
   readonly #invariants: Invariants;
   readonly #newId: () => string;
+  readonly #queue: ClaimQueue;
   #table: ClaimTable;
   #phase: 'unloaded' | 'listing' | 'ready' = 'unloaded';
-  #begins: Begin[] = [];
-  #finishes: Finish[] = [];
   #append: Append | null = null;
   #index: SegmentIndex;
   #nextAppendAt = 0;
+  #listedAt = -Infinity;
 
   constructor(
     prefix: string,
@@ -57,38 +55,33 @@
     this.#invariants = invariants;
     this.#newId = newId;
     this.#limits = {...defaultClaimLimits, ...limits};
+    this.#queue = new ClaimQueue(this.#limits);
     this.#table = new ClaimTable(this.#limits, invariants);
     this.#index = new SegmentIndex(prefix, this.#limits);
   }
 
   begin(req: BeginRequest, reply: BeginCallback, time: Time): void {
-    if (this.#begins.length >= this.#limits.maxPending) {
-      reply(refusal(CLAIM_CODES.limitReached, 'too many claims are waiting'));
-      return;
-    }
-    this.#begins.push({req, reply, since: time.now});
+    this.#queue.begin({req, reply, since: time.now});
   }
 
-  finish(req: FinishRequest, reply: FinishCallback): void {
-    if (this.#finishes.length >= this.#limits.maxPending) {
-      reply(refusal(CLAIM_CODES.limitReached, 'too many finishes are waiting'));
-      return;
-    }
-    this.#finishes.push({req, reply});
+  finish(req: FinishRequest, reply: FinishCallback, time: Time): void {
+    this.#queue.finish({req, reply, since: time.now});
   }
 
   /** Returns the next action; `idle` until the next request. */
   next(time: Time): Action {
     if (this.#append) return this.#continueAppend(this.#append, time);
-    const isEmpty = this.#begins.length + this.#finishes.length === 0;
-    if (isEmpty) return {type: 'idle'};
-    if (this.#phase !== 'ready') {
-      this.#phase = 'listing';
-      return {type: 'list'};
+    const queue = this.#queue;
+    if (queue.isEmpty && !queue.hasUnmatched) return {type: 'idle'};
+    if (this.#phase !== 'ready') return this.#list(time);
+    queue.answerKnown(this.#table, time, this.#listedAt);
+    const reloadInMs = this.#listedAt + this.#limits.reloadMs - time.now;
+    if (queue.hasUnmatched && reloadInMs <= 0) return this.#list(time);
+    if (queue.isEmpty) {
+      if (!queue.hasUnmatched) return {type: 'idle'};
+      // Begins that arrive in the meantime must not wait for the reload.
+      return {type: 'wait', ms: Math.min(reloadInMs, this.#limits.intervalMs)};
     }
-    this.#answerKnown(time);
-    if (this.#begins.length + this.#finishes.length === 0)
-      return this.next(time);
     const ms = this.#nextAppendAt - time.now;
     if (ms > 0) return {type: 'wait', ms};
     this.#append = this.#buildAppend(time);
@@ -99,9 +92,10 @@
   onListed(listed: Result<readonly Entry[], MeshError>): void {
     if (listed.isErr) {
       this.#phase = 'unloaded';
-      this.#refuseAll(listed.error);
+      this.#queue.refuseAll(listed.error);
       return;
     }
+    this.#queue.requeueUnmatched();
     this.#table = new ClaimTable(this.#limits, this.#invariants);
     this.#index = new SegmentIndex(this.#prefix, this.#limits);
     for (const entry of listed.value) this.#load(entry);
@@ -120,8 +114,7 @@
     if (isUnknownOutcome(outcome.error)) append.uncertain = true;
     if (append.uncertain) {
       // A copy may be in transit; only the store's content can settle it.
-      append.step = 'readBack';
-      this.#nextAppendAt = time.now + this.#limits.intervalMs;
+      this.#backOff(append, time);
       return;
     }
     this.#append = null;
@@ -133,17 +126,33 @@
   onReadBack(read: Result<Entry | null, MeshError>, time: Time): void {
     const append = this.#append;
     if (!append) return;
-    this.#nextAppendAt = time.now + this.#limits.intervalMs;
-    append.step = 'readBack';
+    this.#backOff(append, time);
     if (read.isErr) return;
+    append.failures = 0;
+    this.#nextAppendAt = time.now + this.#limits.intervalMs;
     if (!read.value) append.step = 'send';
     else if (this.#isOurs(append, read.value)) {
       this.#commit(append, read.value.revision);
     } else this.#onConflict(append, [read.value]);
   }
 
+  #list(time: Time): Action {
+    this.#phase = 'listing';
+    this.#listedAt = time.now;
+    return {type: 'list'};
+  }
+
+  /** Reads back later, and less often while the store does not respond. */
+  #backOff(append: Append, time: Time): void {
+    const {intervalMs, maxReadBackMs} = this.#limits;
+    const ms = Math.min(intervalMs * 2 ** append.failures, maxReadBackMs);
+    append.failures++;
+    append.step = 'readBack';
+    this.#nextAppendAt = time.now + ms;
+  }
+
   #continueAppend(append: Append, time: Time): Action {
-    if (append.uncertain) this.#refuseLate(append, time);
+    if (append.uncertain) this.#queue.refuseLate(append, time);
     const ms = this.#nextAppendAt - time.now;
     if (append.uncertain && ms > 0) return {type: 'wait', ms};
     if (append.step === 'readBack') {
@@ -155,41 +164,13 @@
     return {type: 'append', txn: append.txn};
   }
 
-  /** Replies to begins that the recorded claims decide. */
-  #answerKnown(time: Time): void {
-    const first = new Map<string, string>();
-    this.#begins = this.#begins.filter(({req, reply}) => {
-      const known = this.#table.decide(req, time.wall);
-      if (known) {
-        reply(Result.ok(known));
-        return false;
-      }
-      const holder = first.get(req.claim) ?? req.callId;
-      first.set(req.claim, holder);
-      if (holder === req.callId) return true;
-      reply(Result.ok({state: 'inProgress'}));
-      return false;
-    });
-    this.#finishes = this.#finishes.filter(({req, reply}) => {
-      const held = this.#table.heldBy(req.claim, req.callId);
-      if (held?.state === 'granted') return true;
-      reply(Result.ok(true));
-      return false;
-    });
-    if (this.#table.size < this.#limits.maxClaims) return;
-    this.#table.purge(time.wall);
-    if (this.#table.size < this.#limits.maxClaims) return;
-    const error = refusal(CLAIM_CODES.limitReached, 'the partition is full');
-    for (const begin of this.#begins.splice(0)) begin.reply(error);
-  }
-
   #buildAppend(time: Time): Append {
-    const begins = this.#begins.splice(0, this.#limits.maxBatch);
-    const finishes = this.#takeFinishes();
+    const begins = this.#queue.takeBegins();
+    const finishes = this.#queue.takeFinishes();
     const grants = new Map(
       begins.map(({req}) => [req.claim, grantOf(req, time.wall)]),
     );
-    const ends = finishes.flatMap(({req}) => this.#endOf(req) ?? []);
+    const ends = finishes.map(({req}) => endOf(req, this.#table, time.wall));
     const foldedUpTo = this.#index.chooseFold(time.wall);
     const segment: Segment = {
       operationId: this.#newId(),
@@ -208,27 +189,11 @@
       begins,
       finishes,
       uncertain: false,
+      failures: 0,
       step: 'send',
     };
   }
 
-  #takeFinishes(): Finish[] {
-    let bytes = 0;
-    const limit = this.#limits.maxSegmentBytes;
-    const count = this.#finishes.findIndex(({req}) => {
-      bytes += recordOverheadBytes + (req.answer?.body.byteLength ?? 0);
-      return bytes > limit;
-    });
-    return this.#finishes.splice(0, count < 0 ? this.#finishes.length : count);
-  }
-
-  #endOf(req: FinishRequest): ClaimRecord | null {
-    const held = this.#table.heldBy(req.claim, req.callId);
-    if (!held) return null;
-    const state = req.outcome === 'ran' ? 'ran' : 'released';
-    return {...held, state, answer: req.answer};
-  }
-
   #commit(append: Append, revision: number): void {
     this.#append = null;
     const {sequence, segment, foldedUpTo} = append;
@@ -251,8 +216,7 @@
     }
     this.#append = null;
     this.#phase = 'unloaded';
-    this.#begins.unshift(...append.begins);
-    this.#finishes.unshift(...append.finishes);
+    this.#queue.restore(append);
   }
 
   #isOurs(append: Append, entry: Entry): boolean {
@@ -275,50 +239,4 @@
     for (const r of segment.records) this.#table.apply(r, sequence);
     this.#index.add(sequence, bytes, segment.at);
   }
-
-  /**
-   * The claims of refused begins stay recorded. Only the client may release
-   * them: it may repeat the begin and be granted by the record.
-   */
-  #refuseLate(append: Append, time: Time): void {
-    const isLate = (b: Begin) => time.now - b.since > this.#limits.settleMs;
-    const late = append.begins.filter(isLate);
-    append.begins = append.begins.filter(b => !isLate(b));
-    const waiting = this.#begins.filter(isLate);
-    this.#begins = this.#begins.filter(b => !isLate(b));
-    const message = 'the record of the claim is not settled yet';
-    for (const {reply} of [...late, ...waiting]) {
-      reply(refusal(CLAIM_CODES.unavailable, message));
-    }
-  }
-
-  #refuseAll(error: MeshError): void {
-    for (const {reply} of this.#begins.splice(0)) reply(unavailable(error));
-    for (const {reply} of this.#finishes.splice(0)) reply(Result.err(error));
-  }
-}
-
-function grantOf(req: BeginRequest, wall: number): ClaimRecord {
-  const {claim, callId, holdMs} = req;
-  return {
-    claim,
-    callId,
-    grantedAt: wall,
-    holdMs,
-    state: 'granted',
-    answer: null,
-  };
-}
-
-function unavailable(cause: MeshError): Result<never, MeshError> {
-  const details = {cause: cause.code.code};
-  return refusal(CLAIM_CODES.unavailable, cause.message, details);
-}
-
-function refusal(
-  code: (typeof CLAIM_CODES)['unavailable'],
-  message: string,
-  details = {},
-): Result<never, MeshError> {
-  return Result.err(new MeshError(code, message, details));
 }
--- a/packages/claims/src/partition-types.ts
+++ b/packages/claims/src/partition-types.ts
@@ -36,6 +36,8 @@
 export interface Finish {
   readonly req: FinishRequest;
   readonly reply: FinishCallback;
+  /** Monotonic time of arrival. */
+  readonly since: number;
 }
 
 /** @internal */
@@ -49,5 +51,7 @@
   readonly finishes: Finish[];
   /** Set once a copy may have been applied. */
   uncertain: boolean;
+  /** Successive calls without a response since the last read. */
+  failures: number;
   step: 'send' | 'sent' | 'readBack' | 'reading';
 }
--- a/packages/core/src/codes/claims.ts
+++ b/packages/core/src/codes/claims.ts
@@ -41,4 +41,10 @@
     notRun: true,
     text: 'The claim partition holds or queues its largest number of claims.',
   },
+  notHeld: {
+    code: 1707,
+    exit: 17,
+    http: 409,
+    text: 'The call does not hold the claim, so its end was not recorded.',
+  },
 });
