Test changes and refused input with real processes

Four instances in two data centres take a submit and a promotion while 80 calls a second run, and callers see versions 1, 2 and 3. Wrong documents, settings, tokens, node keys and frames are refused with their code. Two submits on one base have one winner. The node reports the code of a refused frame only in its log, so the tests read it there (DEBUG=verbenabeam:wire).

--- a/apps/upstream-standin/src/main.ts
+++ b/apps/upstream-standin/src/main.ts
@@ -19,6 +19,8 @@
   readonly serviceMs: number;
   readonly misleading: boolean;
   readonly node?: string;
+  readonly runLog?: string;
+  readonly lingerMs: number;
   readonly seed: number;
   readonly fault?: string | string[];
 }
@@ -73,6 +75,10 @@
     default: false,
   })
   .option('--node <url>', 'Node to which it announces itself')
+  .option('--run-log <file>', 'File that gets a line per execution')
+  .option('--linger-ms <ms>', 'Time it takes requests after leaving', {
+    default: 0,
+  })
   .option('--seed <seed>', 'Seed of fault shares', {default: 1})
   .option(
     '--fault <fault>',
--- a/apps/upstream-standin/src/options.ts
+++ b/apps/upstream-standin/src/options.ts
@@ -26,13 +26,20 @@
   readonly announceEveryMs?: number;
   /** Seed of the fault shares. Default 1. */
   readonly seed?: number;
+  /** File that gets a line per execution, which survives a kill. Default: none. */
+  readonly runLog?: string;
+  /** Time in which it still takes requests after it announced leaving. Default 0. */
+  readonly lingerMs?: number;
   /** Called by a crashing request after the connections were cut. */
   readonly onCrash?: () => void;
 }
 
 /** Options with defaults applied. @internal */
-export type StandinSettings = Required<Omit<StandinOptions, 'node'>> & {
+export type StandinSettings = Required<
+  Omit<StandinOptions, 'node' | 'runLog'>
+> & {
   readonly node: string | null;
+  readonly runLog: string | null;
 };
 
 /** Applies the defaults. @internal */
@@ -48,8 +55,10 @@
     misleading: false,
     announceEveryMs: 1000,
     seed: 1,
+    lingerMs: 0,
     onCrash: () => undefined,
     ...options,
     node: options.node ?? null,
+    runLog: options.runLog ?? null,
   };
 }
--- a/apps/upstream-standin/src/upstream-standin.ts
+++ b/apps/upstream-standin/src/upstream-standin.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {logger, seededRandom} from '@verbenabeam/core';
 import {Announcer} from './announcer.js';
 import type {AnnouncedState} from './announcer.js';
@@ -10,6 +11,7 @@
 import type {StandinOptions, StandinSettings} from './options.js';
 import {planOf, runRequest} from './request-run.js';
 import {RunCounter} from './run-counter.js';
+import {appendRunLog} from './run-log.js';
 import {Slots} from './slots.js';
 
 /** A running upstream. @public */
@@ -95,7 +97,10 @@
 
   async stop(): Promise<void> {
     if (this.#coldTimer) clearTimeout(this.#coldTimer);
+    const {lingerMs, runLog} = this.#settings;
     await this.#announcer?.change('leaving');
+    appendRunLog(runLog, {event: 'leaving'});
+    if (lingerMs > 0) await sleep(lingerMs);
     const closed = new Promise(resolve => this.#server.close(resolve));
     this.#server.closeIdleConnections();
     const sweep = setInterval(() => {
@@ -148,10 +153,11 @@
     url: URL,
     signal: AbortSignal,
   ): Promise<void> {
-    this.runs.add(
-      req.headers['vb-call-id']?.toString(),
-      req.headers['idempotency-key']?.toString(),
-    );
+    const callId = req.headers['vb-call-id']?.toString();
+    const key = req.headers['idempotency-key']?.toString();
+    this.runs.add(callId, key);
+    const path = url.pathname;
+    appendRunLog(this.#settings.runLog, {event: 'run', path, key, callId});
     if (url.pathname === crashPath) {
       this.crash();
       return;
--- a/scripts/lib/environment.mjs
+++ b/scripts/lib/environment.mjs
@@ -11,10 +11,11 @@
 
 const startTimeoutMs = 15_000;
 const stopTimeoutMs = 15_000;
+const runTimeoutMs = 30_000;
 const pollMs = 100;
 
 export const operatorToken = 'demo-operator-token-0123456789';
-const nodeKey = 'demo-node-key-0123456789';
+export const nodeKey = 'demo-node-key-0123456789';
 
 /** Starts a program and resolves with the JSON of its first output line. */
 export async function startProcess(args, options = {}) {
@@ -36,7 +37,35 @@
     child.kill('SIGKILL');
     throw new Error(`${args[0]} did not start: ${Buffer.concat(errors)}`);
   }
-  return {child, exited, info: JSON.parse(first), args};
+  const log = () => Buffer.concat(errors).toString();
+  return {child, exited, info: JSON.parse(first), args, log};
+}
+
+/** Runs a program to its end; resolves with its exit status and output. */
+export async function runProcess(args, env = {}) {
+  const child = spawn(process.execPath, args, {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    timeout: runTimeoutMs,
+    killSignal: 'SIGKILL',
+    env: {...process.env, ...env},
+  });
+  const out = [];
+  const err = [];
+  child.stdout.on('data', chunk => out.push(chunk));
+  child.stderr.on('data', chunk => err.push(chunk));
+  const status = await new Promise(resolve => child.once('close', resolve));
+  return {
+    status,
+    out: Buffer.concat(out).toString(),
+    err: Buffer.concat(err).toString(),
+  };
+}
+
+/** Kills a process, which may be frozen, and waits for its end. */
+export async function killProcess({child, exited}) {
+  if (child.exitCode !== null || child.signalCode !== null) return;
+  child.kill('SIGKILL');
+  await exited;
 }
 
 /** Stops a process by SIGTERM; false when it had to be killed. */
@@ -86,6 +115,10 @@
     this.folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
     this.instances = [];
     this.processes = [];
+    // A test run that ends early must not leave processes behind.
+    process.once('exit', () => {
+      for (const {child} of this.processes) child.kill('SIGKILL');
+    });
   }
 
   async startStore() {
@@ -149,22 +182,23 @@
 
   /** Runs the command line; resolves with its exit status and output. */
   async cli(...args) {
-    const admin = this.instances[0].node.info.admin;
-    const child = spawn(
-      process.execPath,
+    return this.cliAt(this.instances[0], args);
+  }
+
+  /** Runs the command line against the node of one instance. */
+  async cliAt(instance, args, token = operatorToken) {
+    const admin = instance.node.info.admin;
+    return runProcess(
       ['apps/cli/dist/main.js', ...args, '--node', `http://${admin}`],
-      {env: {...process.env, VERBENABEAM_TOKEN: operatorToken}},
+      {VERBENABEAM_TOKEN: token},
     );
-    const out = [];
-    const err = [];
-    child.stdout.on('data', chunk => out.push(chunk));
-    child.stderr.on('data', chunk => err.push(chunk));
-    const status = await new Promise(resolve => child.once('close', resolve));
-    return {
-      status,
-      out: Buffer.concat(out).toString(),
-      err: Buffer.concat(err).toString(),
-    };
+  }
+
+  /** Kills the node and the upstream of an instance. */
+  async killInstance(instance) {
+    this.instances = this.instances.filter(other => other !== instance);
+    await killProcess(instance.node);
+    if (instance.upstream) await killProcess(instance.upstream);
   }
 
   /** Writes a document to a file of the environment. */
@@ -187,6 +221,12 @@
     return graceful.every(Boolean);
   }
 
+  /** Kills every process at once. */
+  async kill() {
+    await Promise.all(this.processes.map(killProcess));
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
   async #start(args) {
     const started = await startProcess(args, {
       env: this.env,
