--- a/apps/node/src/test/steady-load.ts
+++ b/apps/node/src/test/steady-load.ts
@@ -37,6 +37,8 @@
 /** Open-loop load of reads and keyed writes, sent to the nodes in turn. @internal */
 export class SteadyLoad {
   readonly seen: SeenCall[] = [];
+  /** Sends no more writes. */
+  readsOnly = false;
   readonly #agent = new Agent({connections: 64});
   readonly #pending = new Set<Promise<SeenCall>>();
   #targets: readonly string[] = [];
@@ -96,7 +98,9 @@
   #next(): Promise<SeenCall> {
     const n = this.#sent++;
     const target = this.#targets[n % this.#targets.length] ?? '';
-    const isWrite = Math.floor(n / this.#targets.length) % writeEvery === 0;
+    const isWrite =
+      !this.readsOnly &&
+      Math.floor(n / this.#targets.length) % writeEvery === 0;
     return this.send(
       target,
       isWrite
