Do not lower the limit of an instance for streams or noise

Cause: a process test saw calls refused as 1604 on a lightly loaded service after streams of 5 s had ended. Admission measured the time until a stream ended in place of the time until its head, so the gradient limit fell to a quarter of the slots and the expected wait grew. Noise of a busy machine at low concurrency lowered the limit as well. Change: admission takes the measured time; the limit falls only when at least three quarters of it were in use.

--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -68,9 +68,8 @@
   #ticket(callId: string): Ticket {
     return {
       leave: serviceMs => {
-        const measured = serviceMs !== null;
         const now = this.#clock.now();
-        this.#carryOut(this.#admission.finish(callId, now, measured));
+        this.#carryOut(this.#admission.finish(callId, now, serviceMs));
       },
     };
   }
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -83,14 +83,21 @@
    * Ends a running call and fills the free slots. An unknown id is ignored,
    * because an end may be reported twice.
    *
-   * @param measured - False for calls whose time says nothing about the
-   * upstream (cancelled, reset); they do not count for the limit.
+   * @param serviceMs - Time that the upstream took, in milliseconds; default
+   * the time since admission. Null for calls whose time says nothing about the
+   * upstream (cancelled, reset); they do not count for the limit. A streamed
+   * answer counts until its head, since its length is no sign of load.
    */
-  finish(callId: string, now: number, measured = true): AdmissionDecision[] {
+  finish(
+    callId: string,
+    now: number,
+    serviceMs?: number | null,
+  ): AdmissionDecision[] {
     const startedAt = this.#running.get(callId);
     if (startedAt === undefined) return [];
+    const measuredMs = serviceMs === undefined ? now - startedAt : serviceMs;
+    if (measuredMs !== null) this.#limit.record(measuredMs, now, this.inFlight);
     this.#running.delete(callId);
-    if (measured) this.#limit.record(now - startedAt, now);
     return this.#fill(now);
   }
 
--- a/packages/routing/src/gradient-limit.ts
+++ b/packages/routing/src/gradient-limit.ts
@@ -10,9 +10,20 @@
   readonly windowMs?: number;
 }
 
+const defaults: Required<GradientOptions> = {
+  tolerance: 1.5,
+  minShare: 0.25,
+  windowMs: 100,
+};
 /** A window with fewer samples is extended: its mean is mostly noise. */
 const minSamples = 10;
 const maxDecrease = 0.8;
+/**
+ * Use of the limit from which slow calls may stem from too many at once. Below
+ * it they have another cause, such as a busy machine, and a lower limit would
+ * only refuse calls.
+ */
+const busyShare = 0.75;
 /** The baseline follows a lasting change of the workload in about 1 minute. */
 const baselineRise = 0.002;
 const initialServiceMs = 10;
@@ -33,10 +44,11 @@
   #windowSum = 0;
   #windowCount = 0;
   #windowMin = Infinity;
+  #windowPeak = 0;
   readonly #serviceMs = new Smoothed(initialServiceMs, 0.1);
 
   constructor(slots: number, options: GradientOptions = {}) {
-    this.#options = {tolerance: 1.5, minShare: 0.25, windowMs: 100, ...options};
+    this.#options = {...defaults, ...options};
     this.#slots = slots;
     this.#limit = slots;
   }
@@ -63,13 +75,18 @@
     this.#limit = full ? slots : Math.min(this.#limit, slots);
   }
 
-  /** Records the time that one call took in the upstream. */
-  record(serviceMs: number, now: number): void {
+  /**
+   * Records the time that one call took in the upstream.
+   *
+   * @param inFlight - Calls that ran when it ended, itself among them.
+   */
+  record(serviceMs: number, now: number, inFlight: number): void {
     this.#serviceMs.add(serviceMs);
     if (this.#windowCount === 0) this.#windowStart = now;
     this.#windowSum += serviceMs;
     this.#windowCount++;
     this.#windowMin = Math.min(this.#windowMin, serviceMs);
+    this.#windowPeak = Math.max(this.#windowPeak, inFlight);
     const elapsed = now - this.#windowStart;
     if (this.#windowCount < minSamples || elapsed < this.#options.windowMs) {
       return;
@@ -87,7 +104,8 @@
         ? this.#windowMin
         : this.#floorMs + 0.05 * (this.#windowMin - this.#floorMs);
     const gradient = (this.#options.tolerance * this.#baselineMs) / meanMs;
-    const factor = Math.max(maxDecrease, Math.min(1, gradient));
+    const isBusy = this.#windowPeak >= busyShare * this.limit;
+    const factor = isBusy ? Math.max(maxDecrease, Math.min(1, gradient)) : 1;
     const growth = factor < 1 ? 0 : Math.sqrt(this.#limit);
     const lowest = Math.max(1, this.#slots * this.#options.minShare);
     const next = this.#limit * factor + growth;
@@ -95,6 +113,7 @@
     this.#windowSum = 0;
     this.#windowCount = 0;
     this.#windowMin = Infinity;
+    this.#windowPeak = 0;
   }
 }
 
--- a/packages/routing/src/routing-rules.feature
+++ b/packages/routing/src/routing-rules.feature
@@ -45,3 +45,15 @@
 
   Scenario: routing reads headers strictly
     Then routing accepts the deadline header "250" and refuses "-1,1e3,x,9999999"
+
+  Scenario: Long streams do not lower the limit of routing admission
+    Guards against calls refused as 1604 on an idle instance whose streams end.
+    Given a routing admission with 12 slots whose calls take 2 ms
+    When 20 routing streams of 5 s end one after the other
+    Then the routing admission still admits 12 calls at once
+
+  Scenario: Noise of some milliseconds does not lower the limit of routing admission
+    Guards against refusals under light load on a busy machine.
+    Given a routing admission with 12 slots whose calls take 2 ms
+    When 100 routing calls take 9 ms
+    Then the routing admission still admits 12 calls at once
