Count HTTP 5xx answers as failures of an upstream version

Cause: the entry side recorded every complete answer as ok, whatever its status, so a new version that answered 500 to all calls looked clean. The picker was not affected; it takes its outcome from the attempt. Ruled out: the stand-in's fault (a direct request got 500). Before: a move to a version that fails at once was still running after 60 s, 19 new calls with 0 failures in 'moves'.

--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -103,7 +103,6 @@
   onEnd(value: unknown): void {
     if (this.#over) return;
     const trailer = decodeTrailer(value);
-    const failedFrom = 500;
     const outcome = this.#status < failedFrom ? OUTCOMES.ok : OUTCOMES.failed;
     this.#finish(outcome, trailer?.load ?? null);
     this.#listener.onEnd(trailer, this.#bytes);
@@ -163,6 +162,9 @@
   }
 }
 
+/** Lowest HTTP status that counts as a failure of the upstream. @internal */
+export const failedFrom = 500;
+
 /** Outcome of an attempt that failed with this error. @internal */
 export function outcomeOf({code}: MeshError): Outcome {
   const unreachable: unknown[] = [
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -5,7 +5,7 @@
   MeshError,
 } from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
-import {Attempt, outcomeOf} from './attempt.js';
+import {Attempt, failedFrom, outcomeOf} from './attempt.js';
 import type {AttemptListener} from './attempt.js';
 import type {AnswerHead, AnswerTrailer, CallHead} from './call-head.js';
 import {passedHeaders} from './call-headers.js';
@@ -108,7 +108,8 @@
       this.onFailure(new MeshError(CALL_CODES.outcomeUnknown, 'Bad trailer'));
       return;
     }
-    this.#record(OUTCOMES.ok, CALL_CODES.ok);
+    const fails = this.#response.status >= failedFrom;
+    this.#record(fails ? OUTCOMES.failed : OUTCOMES.ok, CALL_CODES.ok);
     this.#response.end();
     this.#finish(CALL_CODES.ok);
   }
