--- a/apps/node/src/test/steady-load.ts
+++ b/apps/node/src/test/steady-load.ts
@@ -52,6 +52,10 @@
     this.#loop = this.#run(callsPerSecond);
   }
 
+  get running(): boolean {
+    return this.#running;
+  }
+
   /** Sends the next calls to these nodes. */
   aim(targets: readonly string[]): void {
     this.#targets = targets;
