--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -2,6 +2,8 @@
  * Runs the cucumber suite, then prints one closing line "N passed, N failed".
  * Scenarios listed in KNOWN-RED.txt are printed and do not fail the run.
  *
+ * Scenarios tagged `@long` run only with `VERBENABEAM_LONG=1`.
+ *
  * Usage: node scripts/run-tests.mjs [cucumber arguments]
  */
 import {spawnSync} from 'node:child_process';
@@ -49,9 +51,15 @@
 }
 
 mkdirSync('tmp', {recursive: true});
+const tags =
+  process.env.VERBENABEAM_LONG === '1' ? [] : ['--tags', 'not @long'];
 const run = spawnSync(
   process.execPath,
-  ['node_modules/@cucumber/cucumber/bin/cucumber.js', ...process.argv.slice(2)],
+  [
+    'node_modules/@cucumber/cucumber/bin/cucumber.js',
+    ...process.argv.slice(2),
+    ...tags,
+  ],
   {
     stdio: 'inherit',
     env: {
