Test goAway, silence and credit of the wire; move test support

Scenarios for a peer that goes away, a quiet link that pings keep, a dead link that is closed, and a stream that exceeds its credit.

Test support of wire and calls moves into folders named test/.

--- a/packages/node/src/calls/calls-levels.test.ts
+++ b/packages/node/src/calls/calls-levels.test.ts
@@ -7,9 +7,9 @@
 import {request} from 'undici';
 import {CALL_HEADERS} from './call-headers.js';
 import {drainCalls} from './drain-calls.js';
-import {TestClient, until} from './test-client.js';
-import type {Answer} from './test-client.js';
-import {TestNode} from './test-node.js';
+import {TestClient, until} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
 
 /** State of one scenario. */
 let client = new TestClient();
--- a/packages/node/src/calls/calls-waits.test.ts
+++ b/packages/node/src/calls/calls-waits.test.ts
@@ -18,9 +18,9 @@
 import {StoppedVersionsAdapter} from '../serving/stopped-versions-adapter.js';
 import {CALL_HEADERS} from './call-headers.js';
 import type {ClaimDecision} from './entry-ports.js';
-import {TestClient, until} from './test-client.js';
-import type {Answer} from './test-client.js';
-import {TestNode} from './test-node.js';
+import {TestClient, until} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
 
 /** State of one scenario. */
 let client = new TestClient();
--- a/packages/node/src/calls/calls.test.ts
+++ b/packages/node/src/calls/calls.test.ts
@@ -6,9 +6,9 @@
 import {seededRandom} from '@verbenabeam/core';
 import type {StandinOptions} from '@verbenabeam/app-upstream-standin';
 import {testSeed} from '@verbenabeam/testing';
-import {TestClient, until} from './test-client.js';
-import type {Answer} from './test-client.js';
-import {TestNode} from './test-node.js';
+import {TestClient, until} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
 
 /** State of one scenario. */
 let client = new TestClient();
--- a/packages/node/src/calls/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -8,10 +8,10 @@
 } from '@verbenabeam/app-upstream-standin';
 import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import {TcpPeerBus} from '@verbenabeam/wire';
-import {CALL_STREAM} from './call-head.js';
-import {CallLog} from './call-log.js';
-import {EntryHandler} from './entry-handler.js';
-import {ServingHandler} from './serving-handler.js';
+import {CALL_STREAM} from '../call-head.js';
+import {CallLog} from '../call-log.js';
+import {EntryHandler} from '../entry-handler.js';
+import {ServingHandler} from '../serving-handler.js';
 import {
   collectingInvariants,
   FakeAdmission,
--- a/packages/node/src/calls/test-ports.ts
+++ b/packages/node/src/calls/test/test-ports.ts
@@ -13,7 +13,7 @@
   Target,
   VersionChoice,
   VersionChooser,
-} from './entry-ports.js';
+} from '../entry-ports.js';
 import type {
   AdmissionDecision,
   AdmissionPort,
@@ -23,7 +23,7 @@
   QuarantinePort,
   StoppedVersions,
   Ticket,
-} from './serving-ports.js';
+} from '../serving-ports.js';
 
 /** Small fakes of the ports, for tests and the overhead benchmark. */
 const service: Service = {name: 'files', versions: ['v1'], current: 'v1'};
--- a/packages/wire/src/test-peers.ts
+++ b/packages/wire/src/test/test-peers.ts
@@ -1,10 +1,10 @@
 import {once} from 'node:events';
 import net from 'node:net';
-import {FRAME_TYPES} from './frame.js';
-import type {Frame} from './frame.js';
-import {FrameSocket} from './frame-socket.js';
-import {handshakeAsClient} from './handshake.js';
-import {parseAddress} from './bus-options.js';
+import {FRAME_TYPES} from '../frame.js';
+import type {Frame} from '../frame.js';
+import {FrameSocket} from '../frame-socket.js';
+import {handshakeAsClient} from '../handshake.js';
+import {parseAddress} from '../bus-options.js';
 
 /** A test client that writes raw bytes on an authenticated socket. @internal */
 export class RawPeer {
--- /dev/null
+++ b/packages/wire/src/wire-links.feature
@@ -0,0 +1,26 @@
+@wire @wire-links
+Feature: Wire links that fail or end
+  Guards against exchanges that are lost in a planned end, connections that
+  hang on a dead link, and peers that send more than they may.
+
+  Scenario: A wire link peer that goes away gets no new exchange
+    Given a wire link between two buses
+    And a request on the wire link that waits for its response
+    When the answering side of the wire link sends goAway
+    Then the next request on the wire link uses a second connection
+    And the waiting request on the wire link gets its response
+
+  Scenario: A quiet wire link is kept by pings and a dead one is closed
+    Given a wire link between two buses that allow 1500 ms of silence
+    And a request on the wire link that waits for its response
+    Then the request on the wire link is still open after 3500 ms
+    When the wire link falls silent
+    Then the waiting request on the wire link fails with "wire.connectionLost"
+
+  Scenario: A wire link peer that exceeds its credit is disconnected
+    Given a wire link between two buses
+    And a request on the wire link that waits for its response
+    When another peer sends 300000 bytes beside the wire link without credit
+    Then the other peer beside the wire link is disconnected
+    And at most 262144 of its bytes were taken beside the wire link
+    And the waiting request on the wire link gets its response
--- /dev/null
+++ b/packages/wire/src/wire-links.test.ts
@@ -0,0 +1,133 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {Result} from 'true-myth';
+import type {MeshError} from '@verbenabeam/core';
+import type {TcpPeerBusOptions} from './bus-options.js';
+import {encodeChunkHeader} from './chunk-frame.js';
+import {encodeFrame, FRAME_TYPES} from './frame.js';
+import {TcpPeerBus} from './tcp-peer-bus.js';
+import {TestLink} from './test/test-link.js';
+import {RawPeer} from './test/test-peers.js';
+
+const nodeKey = Buffer.from('a node key for the tests');
+const timeoutMs = 15_000;
+
+/** State of one scenario. */
+let client: TcpPeerBus;
+let server: TcpPeerBus;
+let serverAddress: string;
+let link: TestLink;
+let release: () => void;
+let held: Promise<Result<unknown, MeshError>>;
+let isOpen: boolean;
+let raw: RawPeer;
+let taken: number;
+
+async function start(extra: Partial<TcpPeerBusOptions>): Promise<void> {
+  client = new TcpPeerBus({nodeId: 'client', nodeKey, ...extra});
+  server = new TcpPeerBus({nodeId: 'server', nodeKey});
+  const gate = new Promise<void>(resolve => (release = resolve));
+  server.onRequest('hold', () => gate.then(() => Result.ok('held')));
+  server.onRequest('echo', body => Result.ok(body));
+  server.onStream('count', (_head, stream) => {
+    stream.pause();
+    stream.listen({
+      onChunk: chunk => (taken += chunk.length),
+      onEnd: () => undefined,
+      onReset: () => undefined,
+    });
+  });
+  taken = 0;
+  serverAddress = (await server.start('127.0.0.1:0')).unwrapOr('');
+  // Only a started bus looks for silent connections.
+  await client.start('127.0.0.1:0');
+  link = new TestLink(serverAddress);
+  await link.start();
+}
+
+After({tags: '@wire-links'}, async () => {
+  release();
+  await Promise.all([client.close(), server.close()]);
+  link.close();
+});
+
+Given('a wire link between two buses', () => start({}));
+
+Given(
+  'a wire link between two buses that allow {int} ms of silence',
+  (silenceLimitMs: number) => start({silenceLimitMs, pingAfterMs: 100}),
+);
+
+Given('a request on the wire link that waits for its response', async () => {
+  held = client.request(link.address, 'hold', null, {timeoutMs});
+  isOpen = true;
+  void held.then(() => (isOpen = false));
+  await client.request(link.address, 'echo', 1, {timeoutMs});
+});
+
+When('the answering side of the wire link sends goAway', async () => {
+  link.inject([FRAME_TYPES.goAway]);
+  await sleep(50);
+});
+
+Then('the next request on the wire link uses a second connection', async () => {
+  assert.equal(link.connections, 1);
+  const answer = await client.request(link.address, 'echo', 2, {timeoutMs});
+  assert.deepEqual(answer, Result.ok(2));
+  assert.equal(link.connections, 2);
+});
+
+Then('the waiting request on the wire link gets its response', async () => {
+  release();
+  assert.deepEqual(await held, Result.ok('held'));
+});
+
+Then(
+  'the request on the wire link is still open after {int} ms',
+  async (ms: number) => {
+    await sleep(ms);
+    assert.ok(isOpen);
+    assert.equal(link.connections, 1);
+  },
+);
+
+When('the wire link falls silent', () => {
+  link.silent = true;
+});
+
+Then(
+  'the waiting request on the wire link fails with {string}',
+  async (name: string) => {
+    const result = await held;
+    assert.equal(result.isErr && result.error.code.name, name);
+  },
+);
+
+When(
+  'another peer sends {int} bytes beside the wire link without credit',
+  async (size: number) => {
+    raw = new RawPeer(serverAddress);
+    await raw.authenticate(nodeKey);
+    raw.socket.write(encodeFrame([FRAME_TYPES.open, 1, 'count', null]));
+    const pieces = 5;
+    const piece = Buffer.alloc(size / pieces);
+    for (let i = 0; i < pieces; i++) {
+      raw.socket.write(encodeChunkHeader(1, piece.length));
+      raw.socket.write(piece);
+    }
+  },
+);
+
+Then('the other peer beside the wire link is disconnected', async () => {
+  const limitMs = 2000;
+  const late = sleep(limitMs, 'late', {ref: false});
+  assert.notEqual(await Promise.race([raw.closed, late]), 'late');
+});
+
+Then(
+  'at most {int} of its bytes were taken beside the wire link',
+  (limit: number) => {
+    assert.ok(taken <= limit);
+  },
+);
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -3,11 +3,11 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
 import {MeshError, WIRE_CODES} from '@verbenabeam/core';
-import {testTls} from './fixtures/test-certificate.js';
+import {testTls} from './test/test-certificate.js';
 import type {ByteStream} from './peer-bus.js';
 import type {TcpPeerBusOptions, WireTls} from './bus-options.js';
 import {TcpPeerBus} from './tcp-peer-bus.js';
-import {RawPeer} from './test-peers.js';
+import {RawPeer} from './test/test-peers.js';
 
 const nodeKey = Buffer.from('a node key for the tests');
 const timeoutMs = 3000;
@@ -93,7 +93,7 @@
   return result.isErr ? result.error.code.name : 'ok';
 }
 
-After({tags: '@wire'}, async () => {
+After({tags: '@wire and not @wire-links'}, async () => {
   release();
   await Promise.all([client.close(), server.close()]);
 });
--- a/scripts/call-overhead-node.mjs
+++ b/scripts/call-overhead-node.mjs
@@ -6,7 +6,7 @@
 import {CallLog} from '../packages/node/dist/calls/call-log.js';
 import {EntryHandler} from '../packages/node/dist/calls/entry-handler.js';
 import {ServingHandler} from '../packages/node/dist/calls/serving-handler.js';
-import * as fakes from '../packages/node/dist/calls/test-ports.js';
+import * as fakes from '../packages/node/dist/calls/test/test-ports.js';
 import {RetryBudget, RetryLedger} from '../packages/routing/dist/index.js';
 import {TcpPeerBus} from '../packages/wire/dist/index.js';
 
