Test that a release by an outdated claim owner is recorded

Cause: with the reload of an owner's table turned off, all claim tests passed. The release of a claim that another owner granted now comes before any append.

--- a/packages/claims/src/claims-rules.test.ts
+++ b/packages/claims/src/claims-rules.test.ts
@@ -137,11 +137,16 @@
   async () => {
     setUp();
     assert.equal(await begin('first', 'c1'), 'granted');
-    assert.equal(await begin('moved', 'c1', newOwner()), 'granted');
+    const other = newOwner();
+    assert.equal(await begin('moved', 'c1', other), 'granted');
+    assert.equal(await begin('freed', 'c1', other), 'granted');
   },
 );
 
 Then("the claim owner records the end of the other owner's claim", async () => {
+  // The release comes first: no append has shown the other owner yet.
+  assert.equal(await finish('freed', 'c1', 'notRun'), 'recorded');
+  assert.equal(await begin('freed', 'c2', newOwner()), 'granted');
   assert.equal(await finish('moved', 'c1', 'ran'), 'recorded');
   assert.equal(await begin('moved', 'c2', newOwner()), 'finished');
 });
