Return the relay lease at a planned stop

Cause: RelayDriver.stop() ended only the watch, so the slot stayed taken until the lease ended, up to 10 s later. It now waits for a tick in progress, gives the slot up and revokes the lease; a stopped driver takes none again.

--- a/packages/distribution/src/distribution.feature
+++ b/packages/distribution/src/distribution.feature
@@ -53,6 +53,12 @@
     Then the distribution relay waits a random time before it takes a slot
     And the distribution relay renews after 3 seconds and ends after 10
 
+  Scenario: A relay that stops returns its slot
+    Guards against a planned stop that leaves a data centre with one relay until
+    the lease ends, 10 s later.
+    Then the distribution relay returns its slot when it stops
+    And the distribution relay that stops during a take keeps no slot
+
   Scenario: Malformed messages are refused
     Guards against a node that fails on a message of another release.
     Then each malformed distribution message is refused with code 1211
--- a/packages/distribution/src/fakes/sim-node.ts
+++ b/packages/distribution/src/fakes/sim-node.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {Invariants, seededRandom} from '@verbenabeam/core';
 import type {RandomSource, ResultCode} from '@verbenabeam/core';
 import {Acceptance} from '../acceptance.js';
@@ -12,6 +13,7 @@
 import type {SimLink} from './sim-link.js';
 import type {SimScheduler} from './sim-scheduler.js';
 import type {SimStore} from './sim-store.js';
+import type {Store} from '@verbenabeam/store';
 import {gatedStore} from './gated-store.js';
 
 /** Parts that all nodes of a run share. @internal */
@@ -42,13 +44,21 @@
   observedVersion = 0;
   /** Outages of the store before this process started; null within one. */
   readonly outagesBefore: number | null;
+  #isKilled = false;
 
   constructor(world: SimWorld, node: SimNode) {
     const {environment, scheduler, link} = world;
     const {nodeId, dataCentre} = node;
     const random = seededRandom(world.random.below(maxSeed));
     this.outagesBefore = world.store.outages;
-    const store = gatedStore(world.store, () => node.whenRunning());
+    const gated = gatedStore(world.store, () => node.whenRunning());
+    const store: Store = {
+      ...gated,
+      revoke: lease =>
+        this.#isKilled
+          ? Promise.resolve(Result.ok(false))
+          : gated.revoke(lease),
+    };
     const invariants = new Invariants(false);
     invariants.onBroken(code => world.onBroken(code));
     const members = () => world.nodes().map(row => row.member);
@@ -103,6 +113,12 @@
       sleep: ms => scheduler.wait(ms),
     });
   }
+
+  /** Ends the process without a planned stop: its lease runs on. */
+  kill(): void {
+    this.#isKilled = true;
+    void this.relay.stop();
+  }
 }
 
 /** A node that can be paused and restarted empty. @internal */
@@ -137,7 +153,7 @@
   }
 
   restart(): void {
-    this.#process.relay.stop();
+    this.#process.kill();
     this.#process = new SimProcess(this.#world, this);
     this.setPaused(false);
   }
--- a/packages/distribution/src/relay-driver.ts
+++ b/packages/distribution/src/relay-driver.ts
@@ -27,7 +27,8 @@
 export class RelayDriver {
   readonly #options: RelayDriverOptions;
   #watch: AbortController | null = null;
-  #isBusy = false;
+  #running: Promise<void> | null = null;
+  #isStopped = false;
   #pollAt = 0;
 
   constructor(options: RelayDriverOptions) {
@@ -40,19 +41,26 @@
 
   /** Call about every 500 ms. Store calls of one tick never overlap. */
   async tick(): Promise<void> {
-    if (this.#isBusy) return;
-    this.#isBusy = true;
+    if (this.#running || this.#isStopped) return;
+    this.#running = this.#step();
     try {
-      await this.#step();
+      await this.#running;
     } finally {
-      this.#isBusy = false;
+      this.#running = null;
     }
   }
 
-  /** Ends the watch. The slot ends with its lease. */
-  stop(): void {
-    this.#watch?.abort();
-    this.#watch = null;
+  /**
+   * Ends the role for good and returns the slot, so that another node need not
+   * wait for the end of the lease. A take in progress is awaited first.
+   */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    this.#stopWatch();
+    await this.#running;
+    this.#stopWatch();
+    const held = this.#options.policy.release();
+    if (held) await this.#options.store.revoke(held.lease);
   }
 
   async #step(): Promise<void> {
@@ -60,7 +68,7 @@
     const step = policy.next(countRelays(), clock.now());
     if (step.type === 'take') await this.#take(step.firstSlot);
     if (step.type === 'renew') await this.#renew(step.lease);
-    if (!this.isRelay) this.stop();
+    if (!this.isRelay) this.#stopWatch();
     else await this.#watchOrPoll();
   }
 
@@ -144,6 +152,11 @@
     this.#endWatch(watch);
   }
 
+  #stopWatch(): void {
+    this.#watch?.abort();
+    this.#watch = null;
+  }
+
   /** A lost watch ends both; the next poll starts them again. */
   #endWatch(watch: AbortController): void {
     watch.abort();
--- a/packages/distribution/src/relay-policy.ts
+++ b/packages/distribution/src/relay-policy.ts
@@ -71,6 +71,13 @@
     this.#validUntil = askedAt + RELAY_LEASE_MS;
   }
 
+  /** Gives the slot up and returns it, or null when none is held. */
+  release(): RelaySlot | null {
+    const held = this.#held;
+    this.lost();
+    return held;
+  }
+
   /** The lease has ended; the slot may belong to another node. */
   lost(): void {
     this.#held = null;
--- a/packages/node/src/distribution/distribution-service.ts
+++ b/packages/node/src/distribution/distribution-service.ts
@@ -143,9 +143,9 @@
     return this.#spread(await this.acceptance.promote(promotion));
   }
 
-  /** Ends the relay role. */
+  /** Ends the relay role and starts to return its lease. */
   stop(): void {
-    this.#relay.stop();
+    void this.#relay.stop();
   }
 
   #spread(accepted: Result<Accepted, MeshError>): Result<Accepted, MeshError> {
