--- a/apps/cli/src/commands/all-commands.ts
+++ b/apps/cli/src/commands/all-commands.ts
@@ -6,6 +6,7 @@
 import {historyCommand} from './history.js';
 import {movesCommand, takeBackCommand} from './moves.js';
 import {promoteCommand} from './promote.js';
+import {reassertCommand} from './reassert.js';
 import {statusCommand} from './status.js';
 import {submitCommand} from './submit.js';
 
@@ -13,6 +14,7 @@
   checkCommand,
   submitCommand,
   promoteCommand,
+  reassertCommand,
   historyCommand,
   diffCommand,
   statusCommand,
--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -20,7 +20,11 @@
 export type {MoveStatus, MovesResponse} from './moves.js';
 export {nodeStatusSchema, statusResponseSchema} from './status.js';
 export type {NodeStatus, StatusResponse} from './status.js';
-export {promoteRequestSchema, submitRequestSchema} from './submit.js';
-export type {PromoteRequest, SubmitRequest} from './submit.js';
+export {
+  promoteRequestSchema,
+  reassertRequestSchema,
+  submitRequestSchema,
+} from './submit.js';
+export type {PromoteRequest, ReassertRequest, SubmitRequest} from './submit.js';
 export {versionMetaSchema} from './version-meta.js';
 export type {VersionMeta} from './version-meta.js';
--- a/packages/admin-api/src/submit.ts
+++ b/packages/admin-api/src/submit.ts
@@ -24,3 +24,11 @@
 
 /** Body of a promote request. @public */
 export type PromoteRequest = z.infer<typeof promoteRequestSchema>;
+
+/** Body of a reassert request. */
+export const reassertRequestSchema = z.strictObject({
+  author: z.string().min(1),
+});
+
+/** Body of a reassert request. @public */
+export type ReassertRequest = z.infer<typeof reassertRequestSchema>;
--- a/packages/node/src/admin/document-routes.ts
+++ b/packages/node/src/admin/document-routes.ts
@@ -1,5 +1,6 @@
 import {
   promoteRequestSchema,
+  reassertRequestSchema,
   submitRequestSchema,
 } from '@verbenabeam/admin-api';
 import type {
@@ -44,6 +45,12 @@
       admission: operator,
       handle: call => promote(ctx, call),
     },
+    {
+      method: 'POST',
+      path: `${base}/reassert`,
+      admission: operator,
+      handle: call => reassert(ctx, call),
+    },
     {
       method: 'GET',
       path: `${base}/history`,
@@ -108,6 +115,24 @@
   return answer(accepted);
 }
 
+/** Only the environment of the node can be reasserted; 1903 for another. */
+async function reassert(
+  {distribution}: AdminContext,
+  {params, body}: AdminCall,
+): Promise<Result<VersionMeta, MeshError>> {
+  const req = parseBody(reassertRequestSchema, body);
+  if (req.isErr) return Result.err(req.error);
+  const environment = params['environment'] ?? '';
+  const active = distribution.current();
+  if (active?.environment !== environment) {
+    const text = `this node has no active version of "${environment}"`;
+    return Result.err(new MeshError(ACCESS_CODES.badRequest, text));
+  }
+  const {author} = req.value;
+  const operator = {author, operationId: newId()};
+  return answer(await distribution.reassert(active, operator));
+}
+
 async function history(
   {distribution}: AdminContext,
   {params}: AdminCall,
--- a/packages/node/src/distribution/distribution-service.ts
+++ b/packages/node/src/distribution/distribution-service.ts
@@ -143,6 +143,14 @@
     return this.#spread(await this.acceptance.promote(promotion));
   }
 
+  /** Writes the active version above a restored store's head and spreads it. */
+  async reassert(
+    active: Snapshot,
+    operator: Pick<Submission, 'author' | 'operationId'>,
+  ): Promise<Result<Accepted, MeshError>> {
+    return this.#spread(await this.acceptance.reassert(active, operator));
+  }
+
   /** Ends the relay role and starts to return its lease. */
   stop(): void {
     void this.#relay.stop();
