moves: count evidence of roots once, take capacity from the evidence

Cause: (1) the root of an evidence tree that does not know the controller sends to all relays, and each relay that is not the controller sent it on, also back to its source. With 6 relays and 30 nodes 166,980 of 300 calls arrived within 8 s. Evidence that is counted twice stops good versions. Roots now use a notice of their own that only the controller takes. (2) The controller multiplied the call rate of its own entry side by the number of nodes. The load now comes from the evidence that arrives, and the ready slots of the old version stand for it until it is known. Ruled out for (1): a hop count, because two relays may take each other for the controller for 5 s. Tests: spreading, evidence path, sync of a fresh node, uneven entry. With the new notice passed on like the old one, both evidence scenarios fail (166,980 for 300 calls; 18 messages on the way for 0). The trials get a fault kind under load of 1 s, low traffic, policies, store outages, a lost controller and two controllers; test support moves from fakes/ to test/.

--- a/packages/moves/src/capacity-share.ts
+++ b/packages/moves/src/capacity-share.ts
@@ -1,8 +1,11 @@
-/** Load of a service and the ready slots of its new version. @public */
+import type {LoadEstimate} from './service-load.js';
+
+/** Load of a service and the ready slots of both versions. @public */
 export interface CapacityInput {
-  readonly readySlots: number;
-  readonly callsPerSecond: number;
-  readonly serviceMs: number;
+  readonly oldSlots: number;
+  readonly newSlots: number;
+  /** Null while it is not known. */
+  readonly load: LoadEstimate | null;
 }
 
 /** Part of the slots that a move may plan with. */
@@ -10,13 +13,16 @@
 
 /**
  * Largest share of the calls that the ready instances of the new version
- * carry, 0 to 1.
+ * carry, 0 to 1. While the load is not known, the slots of the old version
+ * stand for it, because they carry the service.
  *
  * @public
  */
 export function capacityShare(input: CapacityInput): number {
-  if (input.readySlots <= 0) return 0;
-  const busySlots = (input.callsPerSecond * input.serviceMs) / 1000;
+  const {oldSlots, newSlots, load} = input;
+  if (newSlots <= 0) return 0;
+  if (!load) return oldSlots <= 0 ? 1 : Math.min(1, newSlots / oldSlots);
+  const busySlots = (load.callsPerSecond * load.serviceMs) / 1000;
   if (busySlots === 0) return 1;
-  return Math.min(1, (input.readySlots * usableSlots) / busySlots);
+  return Math.min(1, (newSlots * usableSlots) / busySlots);
 }
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -55,6 +55,8 @@
 export {StopSet, moveStopSchema, parseMoveStop} from './move-stop.js';
 export type {MoveStop} from './move-stop.js';
 export {moveKey, movesPrefix} from './move-store.js';
+export {ServiceLoad} from './service-load.js';
+export type {LoadEstimate} from './service-load.js';
 export {firstShare, planShare} from './share-planner.js';
 export type {Plan, PlannerInput} from './share-planner.js';
 export type {Verdict} from './verdict.js';
--- a/packages/moves/src/moves-controller.test.ts
+++ b/packages/moves/src/moves-controller.test.ts
@@ -3,7 +3,7 @@
 import {MOVE_CODES} from '@verbenabeam/core';
 import {emptyCounts} from './evidence.js';
 import type {Evidence} from './evidence.js';
-import {FakeStore} from './fakes/fake-store.js';
+import {FakeStore} from './test/fake-store.js';
 import {MoveController} from './move-controller.js';
 import type {MovePlan} from './move-machine.js';
 import {MOVE_POLICIES} from './move-policy.js';
--- a/packages/moves/src/moves-trials.feature
+++ b/packages/moves/src/moves-trials.feature
@@ -21,6 +21,8 @@
       | slowness | later     |
       | errors   | underLoad |
       | slowness | underLoad |
+      | errors   | underPeakLoad |
+      | slowness | underPeakLoad |
 
   Scenario Outline: A good version is finished on time: <kind>
     When move trials run with a good version and "<kind>"
@@ -33,6 +35,52 @@
       | lowTraffic      |
       | crashingRequest |
 
+  Scenario Outline: A bad version is taken back at 1 call/s: <effect>
+    When move trials run at 1 call/s with a version of fault "<effect>" "atOnce"
+    Then the move trials take back at least 99 in 100
+    And the median move trial gives the bad version at most 2% of the traffic
+    And no move trial sends a call later than 1 s after the stop was decided
+
+    Examples:
+      | effect   |
+      | errors   |
+      | slowness |
+
+  Scenario Outline: Policies are as safe and as punctual: <policy>
+    When move trials run under policy "<policy>" with a version of fault "errors" "atOnce"
+    Then the move trials take back at least 99 in 100
+    And the median move trial gives the bad version at most 2% of the traffic
+    And no move trial sends a call later than 1 s after the stop was decided
+    When move trials run under policy "<policy>" with a good version and "crashingRequest"
+    Then the move trials finish on time at least 99 in 100
+
+    Examples:
+      | policy   |
+      | balanced |
+      | fast     |
+
+  Scenario Outline: A bad version is taken back in spite of <disturbance>
+    When move trials with "<disturbance>" run with a version of fault "errors" "atOnce"
+    Then the move trials take back at least 99 in 100
+    And the median move trial gives the bad version at most 2% of the traffic
+    And no move trial sends a call later than 1 s after the stop was decided
+
+    Examples:
+      | disturbance    |
+      | outageAtStop   |
+      | controllerLost |
+      | twoControllers |
+
+  Scenario Outline: A good version is finished on time in spite of <disturbance>
+    When move trials with "<disturbance>" run with a good version
+    Then the move trials finish on time at least 99 in 100
+
+    Examples:
+      | disturbance    |
+      | outageAtStep   |
+      | controllerLost |
+      | twoControllers |
+
   Scenario: The trials notice a sequential test that is turned off
     When move trials run with errors at once and without the tests
     Then the move trials take back none
--- a/packages/moves/src/moves-trials.test.ts
+++ b/packages/moves/src/moves-trials.test.ts
@@ -1,15 +1,18 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {testSeed} from '@verbenabeam/testing';
-import {FAULT_SIZES, allMechanisms} from './fakes/trial-config.js';
+import type {Strictness} from '@verbenabeam/document';
+import {FAULT_SIZES, allMechanisms, lowTraffic} from './test/trial-config.js';
 import type {
+  Disturbance,
   FaultEffect,
   FaultKind,
   GoodKind,
   TrialConfig,
-} from './fakes/trial-config.js';
-import {runTrials} from './fakes/trial-sets.js';
-import type {TrialSummary} from './fakes/trial-sets.js';
+} from './test/trial-config.js';
+import {runTrials} from './test/trial-sets.js';
+import type {TrialSummary} from './test/trial-sets.js';
+import {MOVE_POLICIES} from './move-policy.js';
 
 const ciTrials = 1;
 const trials = Number(process.env['VERBENABEAM_TRIALS'] ?? ciTrials);
@@ -25,8 +28,13 @@
 
 let summary: TrialSummary;
 
-async function run(kind: Partial<TrialConfig>, count = trials): Promise<void> {
-  summary = await runTrials(kind, count, testSeed() * seedStride);
+async function run(
+  kind: Partial<TrialConfig>,
+  count = trials,
+  disturbance: Disturbance | null = null,
+): Promise<void> {
+  const firstSeed = testSeed() * seedStride;
+  summary = await runTrials(kind, count, firstSeed, disturbance);
 }
 
 function fault(effect: FaultEffect, kind: FaultKind): Partial<TrialConfig> {
@@ -47,6 +55,40 @@
   (good: GoodKind) => run({good}),
 );
 
+When(
+  'move trials run at 1 call\\/s with a version of fault {string} {string}',
+  {timeout},
+  (effect: FaultEffect, kind: FaultKind) =>
+    run({...fault(effect, kind), ...lowTraffic}),
+);
+
+When(
+  'move trials run under policy {string} with a version of fault {string} {string}',
+  {timeout},
+  (strictness: Strictness, effect: FaultEffect, kind: FaultKind) =>
+    run({...fault(effect, kind), policy: MOVE_POLICIES[strictness]}),
+);
+
+When(
+  'move trials run under policy {string} with a good version and {string}',
+  {timeout},
+  (strictness: Strictness, good: GoodKind) =>
+    run({good, policy: MOVE_POLICIES[strictness], ...small}),
+);
+
+When(
+  'move trials with {string} run with a version of fault {string} {string}',
+  {timeout},
+  (disturbance: Disturbance, effect: FaultEffect, kind: FaultKind) =>
+    run(fault(effect, kind), trials, disturbance),
+);
+
+When(
+  'move trials with {string} run with a good version',
+  {timeout},
+  (disturbance: Disturbance) => run(small, trials, disturbance),
+);
+
 When('move trials run with errors at once and without the tests', () => {
   const mechanisms = {...allMechanisms, tests: false};
   return run({...fault('errors', 'atOnce'), mechanisms, ...small}, 1);
--- a/packages/moves/src/fakes/move-trial.ts
+++ b/packages/moves/src/test/move-trial.ts
@@ -4,7 +4,6 @@
 import {emptyCounts} from '../evidence.js';
 import type {Counts, Evidence} from '../evidence.js';
 import {EvidenceAggregator} from '../evidence-tree.js';
-import {MoveController} from '../move-controller.js';
 import {MoveGate} from '../move-gate.js';
 import {localAlphaPart} from '../move-judge.js';
 import type {MovePlan} from '../move-machine.js';
@@ -12,10 +11,9 @@
 import type {MoveStop} from '../move-stop.js';
 import {capacityShare} from '../capacity-share.js';
 import {CrashingCaller} from './crashing-caller.js';
-import {FakeStore} from './fake-store.js';
-import {FixedStepController} from './fixed-step-controller.js';
 import {weightedIndex} from './random-draws.js';
 import type {TrialConfig} from './trial-config.js';
+import {TrialControllers} from './trial-controllers.js';
 import {TRIAL_ROUTES, UpstreamFleet, nextGapMs} from './upstream-fleet.js';
 
 /** What a trial measured. Times in milliseconds since the start. @internal */
@@ -36,6 +34,8 @@
   readonly stopDecidedAt: number;
   /** Last call to the new version after the stop was decided; 0 if none. */
   readonly lateMs: number;
+  /** Times of the steps, the first one first. */
+  readonly stepTimes: readonly number[];
 }
 
 const service = 'redelivery';
@@ -70,7 +70,7 @@
   readonly #rng: RandomSource;
   readonly #fleet: UpstreamFleet;
   readonly #entries: readonly Entry[];
-  readonly #controller: MoveController | FixedStepController;
+  readonly #controllers: TrialControllers;
   readonly #plan: MovePlan;
   readonly #caller: CrashingCaller | null;
   #messages: Message[] = [];
@@ -80,6 +80,7 @@
   #counts = {allCalls: 0, newCalls: 0, badCalls: 0, callsSinceOnset: 0};
   #stopDecidedAt = Infinity;
   #lateMs = 0;
+  readonly #stepTimes: number[] = [];
 
   constructor(config: TrialConfig) {
     this.#config = config;
@@ -97,9 +98,7 @@
     this.#entries = Array.from({length: config.entryNodes}, (_, i) =>
       this.#newEntry(i),
     );
-    this.#controller = config.baseline
-      ? new FixedStepController()
-      : this.#newController();
+    this.#controllers = new TrialControllers(config, this.#rng);
     this.#caller =
       config.good === 'crashingRequest' ? new CrashingCaller(this.#rng) : null;
   }
@@ -124,12 +123,17 @@
       onsetAt: this.#fleet.onsetAt,
       stopDecidedAt: this.#stopDecidedAt,
       lateMs: this.#lateMs,
+      stepTimes: this.#stepTimes,
     };
   }
 
   async #tick(now: number): Promise<void> {
     for (const entry of this.#entries) this.#flush(entry, now);
-    const output = await this.#controller.tick({
+    // As in the node: a successor learns of the stops that nodes know.
+    if (this.#config.mechanisms.stopPush) {
+      this.#controllers.addStops(this.#entries[0]?.gate.stops() ?? []);
+    }
+    const output = await this.#controllers.tick({
       now,
       wallTime: now,
       plans: [this.#plan],
@@ -140,7 +144,9 @@
   }
 
   #spreadRecord(record: MoveRecord, now: number): void {
+    if (record.step < (this.#record?.step ?? 0)) return;
     this.#record = record;
+    this.#stepTimes.push(now);
     // Without the push, a node finds a terminal record with its next poll.
     const polled =
       record.state === 'takenBack' && !this.#config.mechanisms.stopPush;
@@ -160,7 +166,7 @@
     }
     if (source === null) return;
     this.#send(now + this.#pushMs(), () => {
-      this.#controller.addStops([stop]);
+      this.#controllers.addStops([stop]);
     });
   }
 
@@ -177,7 +183,7 @@
     const tree = new EvidenceAggregator();
     tree.add(evidence.map(e => this.#overTheWire(e)));
     this.#send(now + delay, () => {
-      this.#controller.addEvidence(tree.take(), now);
+      this.#controllers.addEvidence(tree.take(), now);
     });
   }
 
@@ -270,9 +276,11 @@
 
   #capacity(now: number): number {
     const slotsPerInstance = 12;
-    const readySlots = this.#fleet.ready(true, now).length * slotsPerInstance;
+    const newSlots = this.#fleet.ready(true, now).length * slotsPerInstance;
+    const oldSlots = this.#fleet.ready(false, now).length * slotsPerInstance;
     const {callsPerSecond} = this.#config;
-    return capacityShare({readySlots, callsPerSecond, serviceMs: 50});
+    const load = {callsPerSecond, serviceMs: 50};
+    return capacityShare({oldSlots, newSlots, load});
   }
 
   /** One way down the push tree. */
@@ -303,17 +311,6 @@
     });
     return {gate, ended: new Map()};
   }
-
-  #newController(): MoveController {
-    let operation = 0;
-    return new MoveController({
-      store: new FakeStore(),
-      environment: 'trial',
-      nodeId: 'n0',
-      newId: () => `op${String(operation++).padStart(6, '0')}`,
-      policy: this.#config.policy,
-    });
-  }
 }
 
 function withoutOutcomes(evidence: Evidence): Evidence {
--- a/packages/moves/src/fakes/trial-config.ts
+++ b/packages/moves/src/test/trial-config.ts
@@ -6,6 +6,7 @@
   'atOnce',
   'later',
   'underLoad',
+  'underPeakLoad',
   'oneRoute',
 ] as const;
 /** One of {@link FAULT_KINDS}. @internal */
@@ -47,6 +48,12 @@
   readonly coldFilter: boolean;
 }
 
+/** A store outage. Times in milliseconds. @internal */
+export interface Outage {
+  readonly at: number;
+  readonly forMs: number;
+}
+
 /** All settings of one trial. @internal */
 export interface TrialConfig {
   readonly seed: number;
@@ -57,6 +64,12 @@
   readonly fault: Fault | null;
   readonly good: GoodKind | null;
   readonly mechanisms: Mechanisms;
+  /** A store outage; null for none. */
+  readonly outage: Outage | null;
+  /** Time at which the controller is lost with its evidence; null: never. */
+  readonly controllerLostAt: number | null;
+  /** Two controllers believe that they hold the lease. */
+  readonly twoControllers: boolean;
   /** The fixed-step controller in place of this package's one. */
   readonly baseline: boolean;
 }
@@ -85,6 +98,9 @@
   fault: null,
   good: null,
   mechanisms: allMechanisms,
+  outage: null,
+  controllerLostAt: null,
+  twoControllers: false,
   baseline: false,
 };
 
@@ -97,3 +113,16 @@
   const highest = 200;
   return lowest * (highest / lowest) ** uniform;
 }
+
+/** What goes wrong around the controller of a trial. @internal */
+export const DISTURBANCES = {
+  /** The store is down from just before the stop. */
+  outageAtStop: 'outageAtStop',
+  /** The store is down from just before the middle one of the steps. */
+  outageAtStep: 'outageAtStep',
+  /** The controller is lost at the middle one of the steps. */
+  controllerLost: 'controllerLost',
+  twoControllers: 'twoControllers',
+} as const;
+/** One of {@link DISTURBANCES}. @internal */
+export type Disturbance = (typeof DISTURBANCES)[keyof typeof DISTURBANCES];
--- a/packages/moves/src/fakes/trial-sets.ts
+++ b/packages/moves/src/test/trial-sets.ts
@@ -1,7 +1,10 @@
 import {MoveTrial} from './move-trial.js';
 import type {TrialResult} from './move-trial.js';
 import {lowTraffic, rateOf, trialDefaults} from './trial-config.js';
-import type {TrialConfig} from './trial-config.js';
+import type {Disturbance, Outage, TrialConfig} from './trial-config.js';
+
+const outageLeadMs = 1_000;
+const outageMs = 120_000;
 
 /** Figures of a set of trials of one kind. @internal */
 export interface TrialSummary {
@@ -32,6 +35,7 @@
   kind: Partial<TrialConfig>,
   trials: number,
   firstSeed: number,
+  disturbance: Disturbance | null = null,
 ): Promise<TrialSummary> {
   const results: {seed: number; result: TrialResult}[] = [];
   for (let i = 0; i < trials; i++) {
@@ -41,12 +45,39 @@
     const callsPerSecond = rateOf((i + 0.5) / Math.max(2, trials));
     const low = kind.good === 'lowTraffic' ? lowTraffic : {};
     const config = {...trialDefaults, callsPerSecond, seed, ...low, ...kind};
-    results.push({seed, result: await new MoveTrial(config).run()});
+    results.push({seed, result: await runTrial(config, disturbance)});
   }
   const isBad = kind.fault != null;
   return summarize(results, isBad);
 }
 
+/**
+ * Runs a trial. For a disturbance at a certain point, the seed first runs
+ * without it, to learn when that point is reached.
+ */
+async function runTrial(
+  config: TrialConfig,
+  disturbance: Disturbance | null,
+): Promise<TrialResult> {
+  if (disturbance === 'twoControllers') {
+    return new MoveTrial({...config, twoControllers: true}).run();
+  }
+  const plain = await new MoveTrial(config).run();
+  if (disturbance === null) return plain;
+  const {stepTimes, stopDecidedAt} = plain;
+  const stepAt = stepTimes[Math.floor(stepTimes.length / 2)] ?? 0;
+  const changes = {
+    outageAtStop: {outage: outageBefore(stopDecidedAt)},
+    outageAtStep: {outage: outageBefore(stepAt)},
+    controllerLost: {controllerLostAt: stepAt},
+  }[disturbance];
+  return new MoveTrial({...config, ...changes}).run();
+}
+
+function outageBefore(at: number): Outage {
+  return {at: at - outageLeadMs, forMs: outageMs};
+}
+
 function summarize(
   runs: readonly {seed: number; result: TrialResult}[],
   isBad: boolean,
--- a/packages/moves/src/fakes/upstream-fleet.ts
+++ b/packages/moves/src/test/upstream-fleet.ts
@@ -34,11 +34,13 @@
 
 const instancesPerVersion = 4;
 const failureRate = 0.005;
+/** Windows of the load that brings out a fault, in seconds. */
+const loadSeconds = 10;
 /**
- * Window of the load that brings out a fault under load. Over 1 s, a tenth of
- * 20 calls/s is 2 calls, so the fault began at random while the share was 1%.
+ * Over 1 s, a tenth of 20 calls/s is 2 calls, so the fault appears in single
+ * seconds while the share is still 1%.
  */
-const loadSeconds = 10;
+const peakLoadSeconds = 1;
 const restartMs = 3_000;
 const timeoutMs = 5_000;
 /** A cold instance takes up to 4 times as long. */
@@ -142,17 +144,19 @@
     const holds = {
       atOnce: () => true,
       later: () => now >= this.#laterAt,
-      underLoad: () => this.#newRate() > 0.1 * this.#config.callsPerSecond,
+      underLoad: () => this.#isLoaded(loadSeconds),
+      underPeakLoad: () => this.#isLoaded(peakLoadSeconds),
       oneRoute: () => route === this.#badRoute,
     }[kind]();
     if (holds) this.onsetAt = Math.min(this.onsetAt, now);
     return holds;
   }
 
-  /** Calls per second to the new version, over the load window. */
-  #newRate(): number {
-    const calls = this.#newCalls.slice(1).reduce((sum, n) => sum + n, 0);
-    return calls / loadSeconds;
+  /** True when the new version got over a tenth of the calls in the window. */
+  #isLoaded(seconds: number): boolean {
+    const window = this.#newCalls.slice(1, seconds + 1);
+    const calls = window.reduce((sum, n) => sum + n, 0);
+    return calls / seconds > 0.1 * this.#config.callsPerSecond;
   }
 
   #failureRate(now: number): number {
--- a/packages/node/src/moves/controller-driver.ts
+++ b/packages/node/src/moves/controller-driver.ts
@@ -1,10 +1,11 @@
 import {logger, newId} from '@verbenabeam/core';
 import type {Clock, MeshError} from '@verbenabeam/core';
 import type {CompiledDocument, Strictness} from '@verbenabeam/document';
-import {MOVE_POLICIES, MoveController} from '@verbenabeam/moves';
+import {MOVE_POLICIES, MoveController, ServiceLoad} from '@verbenabeam/moves';
 import type {
   ControllerOutput,
   Evidence,
+  LoadEstimate,
   MovePlan,
   MoveStop,
 } from '@verbenabeam/moves';
@@ -25,13 +26,15 @@
   /** Only relays ask for the controller lease, to spare store calls. */
   readonly isRelay: () => boolean;
   /** Largest share that the ready instances of the new version carry. */
-  readonly capacityShare: (plan: MovePlan) => number;
+  readonly capacityShare: (plan: MovePlan, load: LoadEstimate | null) => number;
   readonly onOutput: (output: ControllerOutput) => void;
 }
 
 /** Runs the move controller while this node is a relay. @internal */
 export class ControllerDriver {
   readonly #options: ControllerDriverOptions;
+  /** Load of the service of each move, by move id. */
+  readonly #loads = new Map<string, ServiceLoad>();
   #controller: MoveController;
   #strictness: Strictness = 'careful';
   #document: CompiledDocument | null = null;
@@ -52,6 +55,10 @@
   /** Takes over a new document; another strictness needs a new controller. */
   onDocument(document: CompiledDocument): void {
     this.#document = document;
+    const ids = new Set(document.moves.map(move => move.id));
+    for (const id of this.#loads.keys()) {
+      if (!ids.has(id)) this.#loads.delete(id);
+    }
     if (document.strictness === this.#strictness) return;
     this.#strictness = document.strictness;
     void this.#controller.close();
@@ -60,7 +67,13 @@
   }
 
   addEvidence(evidence: readonly Evidence[]): void {
-    this.#controller.addEvidence(evidence, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.#controller.addEvidence(evidence, now);
+    for (const part of evidence) {
+      const load = this.#loads.get(part.moveId) ?? new ServiceLoad();
+      this.#loads.set(part.moveId, load);
+      load.add(part, now);
+    }
   }
 
   addStops(stops: readonly MoveStop[]): void {
@@ -81,7 +94,9 @@
     if (this.#isTicking || !this.#isDue(now, plans)) return;
     this.#isTicking = true;
     this.#tickAt = now + idleTickMs;
-    const {clock, capacityShare, onOutput} = this.#options;
+    const {clock, onOutput} = this.#options;
+    for (const load of this.#loads.values()) load.roll(now);
+    const capacityShare = (plan: MovePlan) => this.#capacityShare(plan);
     try {
       const wallTime = clock.wallTime();
       const input = {now, wallTime, plans, capacityShare};
@@ -101,6 +116,11 @@
     await this.#controller.close();
   }
 
+  #capacityShare(plan: MovePlan): number {
+    const load = this.#loads.get(plan.moveId)?.estimate() ?? null;
+    return this.#options.capacityShare(plan, load);
+  }
+
   #isDue(now: number, plans: readonly MovePlan[]): boolean {
     if (this.#holdsLease) return true;
     return plans.length > 0 && this.#options.isRelay() && now >= this.#tickAt;
--- a/packages/node/src/moves/evidence-sender.ts
+++ b/packages/node/src/moves/evidence-sender.ts
@@ -17,7 +17,11 @@
 /** Where the evidence of this node goes next. */
 type NextHop =
   | {readonly kind: 'here'}
-  | {readonly kind: 'peers'; readonly peers: readonly InstanceRecord[]};
+  | {
+      readonly kind: 'peers';
+      readonly message: string;
+      readonly peers: readonly InstanceRecord[];
+    };
 
 /** Parts of an {@link EvidenceSender}. @internal */
 export interface EvidenceSenderOptions {
@@ -48,10 +52,14 @@
     this.#collected.add(evidence);
   }
 
-  /** Takes the body of an evidence notice. */
+  /** Takes the evidence of a root; only the controller uses it. */
+  receiveFromRoot(body: unknown, isController: boolean): void {
+    if (isController) this.#options.onArrived(unpackAll(body));
+  }
+
+  /** Takes the evidence of a child in the tree. */
   receive(body: unknown, isController: boolean): void {
-    const packed = Array.isArray(body) ? body : [];
-    const parts = packed.flatMap(item => unpackEvidence(item) ?? []);
+    const parts = unpackAll(body);
     if (isController) this.#options.onArrived(parts);
     else this.#collected.add(parts);
   }
@@ -72,20 +80,23 @@
     }
     const body = evidence.map(packEvidence);
     for (const peer of next.peers) {
-      this.#options.bus.notify(peer.address, MOVE_KINDS.evidence, body);
+      this.#options.bus.notify(peer.address, next.message, body);
     }
   }
 
   #nextHop(now: number): NextHop {
     const {own} = this.#options.membership;
     const parent = this.#parent();
-    if (parent !== null) return {kind: 'peers', peers: [parent]};
+    if (parent !== null) {
+      return {kind: 'peers', message: MOVE_KINDS.evidence, peers: [parent]};
+    }
+    const message = MOVE_KINDS.rootEvidence;
     const controller = this.#liveController(now);
-    if (controller) return {kind: 'peers', peers: [controller]};
+    if (controller) return {kind: 'peers', message, peers: [controller]};
     const relays = this.#members().filter(
       row => row.relay && row.nodeId !== own.nodeId,
     );
-    return {kind: 'peers', peers: relays};
+    return {kind: 'peers', message, peers: relays};
   }
 
   #liveController(now: number): InstanceRecord | undefined {
@@ -120,3 +131,8 @@
 function byHash(a: InstanceRecord, b: InstanceRecord): number {
   return hashToUint32(a.nodeId) - hashToUint32(b.nodeId);
 }
+
+function unpackAll(body: unknown): Evidence[] {
+  const packed = Array.isArray(body) ? body : [];
+  return packed.flatMap(item => unpackEvidence(item) ?? []);
+}
--- a/packages/node/src/moves/move-messages.ts
+++ b/packages/node/src/moves/move-messages.ts
@@ -10,6 +10,12 @@
   sync: 'move.sync',
   /** Notice with evidence for the parent in the tree. */
   evidence: 'move.evidence',
+  /**
+   * Notice with evidence from the root of a tree, for the controller alone. A
+   * relay that passed it on would send it back to its source, and evidence that
+   * is counted twice stops good versions.
+   */
+  rootEvidence: 'move.rootEvidence',
   /** Notice by which the controller shows itself to the relays. */
   controller: 'move.controller',
 } as const;
--- /dev/null
+++ b/packages/node/src/moves/moves-node.feature
@@ -0,0 +1,37 @@
+@moves
+Feature: Version moves between nodes
+  Guards against stops that miss a node, evidence that is counted twice, fresh
+  nodes that serve without the records, and capacity that one node guesses.
+
+  Scenario: A stop reaches each node of each data centre once
+    Given a moves mesh of 40 nodes in data centre "a" and 30 in "b"
+    When a node of the moves mesh takes the move back
+    Then each node of the moves mesh knows the stop
+    And no node of the moves mesh got the stop from more than one peer
+
+  Scenario: Evidence reaches a controller that no relay knows, once
+    Given moves evidence senders with 2 relays in each of 3 data centres
+    When each moves evidence sender adds 10 calls and all flush for 8 s
+    Then 300 calls have arrived at the moves controller node
+    And no moves evidence is on its way
+
+  Scenario: Evidence without a controller does not circulate
+    Given moves evidence senders with 2 relays in each of 3 data centres
+    And no moves evidence sender is the controller
+    When each moves evidence sender adds 10 calls and all flush for 8 s
+    Then 0 calls have arrived at the moves controller node
+    And no moves evidence is on its way
+
+  Scenario: A fresh node is synchronised by a peer
+    Given a moves mesh of 2 nodes in data centre "a" and 0 in "b"
+    When a fresh node joins the moves mesh
+    Then the fresh moves node has the record before it serves
+
+  Scenario: A fresh node without an answer is not synchronised
+    Given a moves mesh of 2 nodes in data centre "a" and 0 in "b"
+    When a fresh node joins the moves mesh that answers nothing
+    Then the fresh moves node does not serve yet
+
+  Scenario: Calls that enter unevenly do not distort the capacity
+    When a moves controller driver gets 180, 10 and 10 calls/s of 60 ms from three nodes
+    Then the moves capacity share of 6 ready slots is 0.4
--- a/packages/node/src/moves/moves-service.ts
+++ b/packages/node/src/moves/moves-service.ts
@@ -18,6 +18,7 @@
   CallOutcome,
   ControllerOutput,
   JudgeOptions,
+  LoadEstimate,
   MovePlan,
   MoveRecord,
   MoveStop,
@@ -27,7 +28,6 @@
 import {Result} from 'true-myth';
 import {every} from '../every.js';
 import type {MembershipService} from '../membership/membership-service.js';
-import {CallRates} from './call-rates.js';
 import {ControllerDriver} from './controller-driver.js';
 import {EvidenceSender} from './evidence-sender.js';
 import {EvidenceTotals} from './evidence-totals.js';
@@ -62,7 +62,6 @@
   readonly gate: MoveGate;
   /** Evidence of this node's own calls, for operators. */
   readonly totals = new EvidenceTotals();
-  readonly #rates = new CallRates();
   readonly #options: MovesServiceOptions;
   readonly #spreader: MoveSpreader;
   readonly #sender: EvidenceSender;
@@ -83,7 +82,7 @@
       ...options,
       nodeId,
       environment,
-      capacityShare: plan => this.#capacityShare(plan),
+      capacityShare: (plan, load) => this.#capacityShare(plan, load),
       onOutput: output => this.#onControllerOutput(output),
     });
     this.#sender = new EvidenceSender({
@@ -103,6 +102,9 @@
     bus.onNotice(MOVE_KINDS.evidence, body =>
       this.#sender.receive(body, this.#controller.holdsLease),
     );
+    bus.onNotice(MOVE_KINDS.rootEvidence, body =>
+      this.#sender.receiveFromRoot(body, this.#controller.holdsLease),
+    );
     bus.onNotice(MOVE_KINDS.controller, (_body, peer) =>
       this.#sender.controllerSeen(peer.nodeId, clock.now()),
     );
@@ -125,7 +127,6 @@
       this.gate.forget(id);
       this.totals.forget(id);
     }
-    this.#rates.retain(new Set(document.services.keys()));
     this.#controller.onDocument(document);
     void this.#sync();
   }
@@ -152,7 +153,6 @@
 
   /** Counts a call that ended. */
   record(outcome: CallOutcome): void {
-    this.#rates.record(outcome.service, outcome.latencyMs);
     this.gate.record(outcome);
   }
 
@@ -199,7 +199,6 @@
   #flush(): void {
     const {clock} = this.#options;
     const now = clock.now();
-    this.#rates.roll(now);
     const {evidence, stops} = this.gate.flush(now, clock.wallTime());
     this.totals.add(evidence);
     this.#sender.add(evidence);
@@ -270,15 +269,15 @@
     this.#synced = true;
   }
 
-  /** The rate of this entry node stands for all nodes of the environment. */
-  #capacityShare({service, to}: MovePlan): number {
-    const {membership} = this.#options;
-    const ready = membership.candidates(service, to);
-    const rate = this.#rates.callsPerSecond(service);
-    return capacityShare({
-      readySlots: ready.reduce((sum, row) => sum + row.slots, 0),
-      callsPerSecond: rate * membership.live().length,
-      serviceMs: this.#rates.serviceMs(service),
-    });
+  #capacityShare(plan: MovePlan, load: LoadEstimate | null): number {
+    const {service, from, to} = plan;
+    const oldSlots = this.#readySlots(service, from);
+    const newSlots = this.#readySlots(service, to);
+    return capacityShare({oldSlots, newSlots, load});
+  }
+
+  #readySlots(service: string, version: string): number {
+    const ready = this.#options.membership.candidates(service, version);
+    return ready.reduce((sum, row) => sum + row.slots, 0);
   }
 }
