--- a/packages/moves/src/move-judge.ts
+++ b/packages/moves/src/move-judge.ts
@@ -4,11 +4,16 @@
 import type {MovePolicy} from './move-policy.js';
 import {RouteJudge} from './route-judge.js';
 import type {Verdict} from './verdict.js';
+import {VersionTests} from './version-tests.js';
+import type {Finding} from './version-tests.js';
 
 /** Settings of the tests of one move. @public */
 export interface JudgeOptions {
   readonly policy: MovePolicy;
-  /** Number of routes of the service; the error rate is split over them. */
+  /**
+   * Number of routes of the service. The error rate is split over the routes
+   * and the tests of the whole service.
+   */
   readonly routes: number;
   /**
    * Part of the policy's alpha that this judge may spend. The controller has
@@ -25,8 +30,8 @@
   return (1 - controllerAlphaPart) / Math.max(1, nodes);
 }
 
-/** One test for failures, one for slowness. */
-const testsPerRoute = 2;
+/** One test for failures, one for slowness; per route and for all routes. */
+const testsPerGroup = 2;
 
 /** Evidence of 20 to 1 holds the share; it is far from a stop. */
 const suspectLog = Math.log(20);
@@ -38,6 +43,11 @@
 export class MoveJudge {
   readonly #options: JudgeOptions;
   readonly #routes = new Map<string, RouteJudge>();
+  /**
+   * A fault of all routes shows in the sum of their calls first: the busiest
+   * route of a service may have less than half of the calls.
+   */
+  readonly #service: VersionTests;
   readonly #ledger = new CrashLedger();
   readonly #stopLog: number;
   #waiting: {at: number; report: CrashReport}[] = [];
@@ -45,7 +55,8 @@
   constructor(options: JudgeOptions) {
     this.#options = options;
     const {policy, routes, alphaPart} = options;
-    const tests = testsPerRoute * Math.max(1, routes);
+    this.#service = new VersionTests(policy, false);
+    const tests = testsPerGroup * (Math.max(1, routes) + 1);
     this.#stopLog = -Math.log((policy.alpha * alphaPart) / tests);
   }
 
@@ -78,22 +89,30 @@
   }
 
   verdict(): Verdict {
-    let worst: {log: number; reason: string} | null = null;
+    const worst = this.#worst();
+    if (worst.log < suspectLog) return {kind: 'clean'};
+    const kind = worst.log >= this.#stopLog ? 'stop' : 'suspect';
+    return {kind, reason: worst.text};
+  }
+
+  #worst(): Finding {
+    let worst = prefixed('all routes', this.#service.finding());
     for (const [name, route] of this.#routes) {
       const finding = route.finding();
-      if (worst && finding.log <= worst.log) continue;
-      worst = {log: finding.log, reason: `route ${name}: ${finding.text}`};
+      if (finding.log >= worst.log) worst = prefixed(`route ${name}`, finding);
     }
-    if (!worst || worst.log < suspectLog) return {kind: 'clean'};
-    const kind = worst.log >= this.#stopLog ? 'stop' : 'suspect';
-    return {kind, reason: worst.reason};
+    return worst;
   }
 
   #route(name: string): RouteJudge {
     const known = this.#routes.get(name);
     if (known) return known;
-    const judge = new RouteJudge(this.#options.policy);
+    const judge = new RouteJudge(this.#options.policy, this.#service);
     this.#routes.set(name, judge);
     return judge;
   }
 }
+
+function prefixed(scope: string, {log, text}: Finding): Finding {
+  return {log, text: `${scope}: ${text}`};
+}
--- a/packages/moves/src/share-planner.ts
+++ b/packages/moves/src/share-planner.ts
@@ -6,6 +6,16 @@
 /** A share may at most double in one step. */
 const maxFactor = 2;
 
+/** The deadline's pace gives a share time in proportion to its -1.5th power. */
+const paceExponent = 1.5;
+
+/**
+ * Time before the deadline that the pace keeps free for a store outage of 2
+ * minutes and the new lease after it. The policy's margin is a part of the time
+ * that is left, so it shrank to 40 s in the last steps.
+ */
+const outageReserveMs = 150_000;
+
 /** Time between steps on the way back to a share that was reached. */
 const returnStepMs = 2_000;
 
@@ -120,10 +130,11 @@
  * load got 2.5% of the calls before the stop.
  */
 function allottedMs(input: PlannerInput, policy: MovePolicy): number {
-  const weights = sharesFrom(input.share).map(s => 1 / s);
+  const weights = sharesFrom(input.share).map(s => s ** -paceExponent);
   const sum = weights.reduce((a, b) => a + b, 0);
   // The time already spent at this share belongs to the plan of this share.
-  const usable = (input.toDeadlineMs + input.atShareMs) * (1 - policy.margin);
+  const left = input.toDeadlineMs + input.atShareMs;
+  const usable = left - Math.max(left * policy.margin, outageReserveMs);
   // The shortest step times come first: without them, short deadlines left
   // too little time for the last steps, and good moves were taken back.
   const spare = usable - policy.soakMs - weights.length * policy.minStepMs;
