Synchronise a fresh node's moves from the store or a synchronised peer

Cause, reported by review: a fresh node that asked another fresh node counted as synchronised and could send calls to the old version of a finished move. The test of the silent mesh now also has its store down, since an answering store is enough; nodes of the test mesh hold the document, because records of moves that it does not plan are ignored.

--- a/packages/node/src/moves/move-messages.ts
+++ b/packages/node/src/moves/move-messages.ts
@@ -34,6 +34,12 @@
   readonly stops: readonly MoveStop[];
 }
 
+/** Checks the answer to a sync request. @internal */
+export const moveSyncSchema = moveKnowledgeSchema.extend({
+  /** False for a node that may lack records itself. */
+  synced: z.boolean(),
+});
+
 /** Checks a {@link MoveUpdate}. @internal */
 export const moveUpdateSchema = moveKnowledgeSchema.extend({
   /** Root of the push tree in the receiver's data centre. */
--- a/packages/node/src/moves/moves-node.feature
+++ b/packages/node/src/moves/moves-node.feature
@@ -32,6 +32,12 @@
     When a fresh node joins the moves mesh that answers nothing
     Then the fresh moves node does not serve yet
 
+  Scenario: A fresh node takes the planned records from the store
+    Guards against the record of a former move, which would override the
+    current version that the document names.
+    When a fresh node without peers finds the moves records in the store
+    Then the fresh moves node has the record before it serves
+
   Scenario: Calls that enter unevenly do not distort the capacity
     When a moves controller driver gets 180, 10 and 10 calls/s of 60 ms from three nodes
     Then the moves capacity share of 6 ready slots is 0.4
--- a/packages/node/src/moves/moves-node.test.ts
+++ b/packages/node/src/moves/moves-node.test.ts
@@ -3,7 +3,13 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Invariants, seededRandom} from '@verbenabeam/core';
 import {compile} from '@verbenabeam/document';
-import {capacityShare, latencyBin, latencyBinCount} from '@verbenabeam/moves';
+import {
+  capacityShare,
+  encodeRecord,
+  latencyBin,
+  latencyBinCount,
+  moveKey,
+} from '@verbenabeam/moves';
 import type {Evidence, LoadEstimate, MoveRecord} from '@verbenabeam/moves';
 import {ManualClock, MemoryStore} from '@verbenabeam/store/fakes';
 import {testSeed} from '@verbenabeam/testing';
@@ -54,7 +60,7 @@
 };
 
 let mesh: FakeMesh;
-let services: MovesService[];
+let services: MovesService[] = [];
 let senders: EvidenceSender[];
 let controllerAt: number;
 let arrived: number;
@@ -66,11 +72,14 @@
   return new MemoryStore({clock, sleep: () => Promise.resolve()});
 }
 
-function newService({bus, membership}: FakeNode): MovesService {
+function newService(
+  {bus, membership}: FakeNode,
+  store = newStore(),
+): MovesService {
   const service = new MovesService({
     bus,
     membership,
-    store: newStore(),
+    store,
     clock: new ManualClock(),
     random: seededRandom(testSeed()),
     invariants: new Invariants(true),
@@ -103,7 +112,8 @@
     for (let i = 0; i < inB; i++) mesh.add(`${b}${i}`, b, i < 2);
     // One signal ends the timers of all nodes.
     setMaxListeners(0, end.signal);
-    services = mesh.nodes.map(newService);
+    services = mesh.nodes.map(node => newService(node));
+    for (const service of services) service.onApplied(snapshot);
     for (const service of services) service.onRecords([record]);
   },
 );
@@ -183,7 +193,9 @@
 When('a fresh node joins the moves mesh that answers nothing', async () => {
   const silent = new FakeMesh();
   silent.add('a0', 'a');
-  services.push(newService(silent.add('fresh', 'a')));
+  const store = newStore();
+  store.setDown(true);
+  services.push(newService(silent.add('fresh', 'a'), store));
   services.at(-1)!.onApplied(snapshot);
   await new Promise(setImmediate);
 });
@@ -193,6 +205,22 @@
   assert.deepEqual(services.at(-1)!.gate.records(), [record]);
 });
 
+When(
+  'a fresh node without peers finds the moves records in the store',
+  async () => {
+    const store = newStore();
+    const former = {...record, moveId: 'm0', from: 'v0', to: 'v1'};
+    for (const row of [record, former]) {
+      const key = moveKey('trial', row.moveId);
+      const puts = [{key, value: encodeRecord(row)}];
+      assert.ok((await store.txn({compares: [], puts})).isOk);
+    }
+    services.push(newService(new FakeMesh().add('fresh', 'a'), store));
+    services.at(-1)!.onApplied(snapshot);
+    await new Promise(setImmediate);
+  },
+);
+
 Then('the fresh moves node does not serve yet', () => {
   assert.equal(services.at(-1)!.synced, false);
 });
--- a/packages/node/src/moves/moves-service.ts
+++ b/packages/node/src/moves/moves-service.ts
@@ -31,18 +31,13 @@
 import {ControllerDriver} from './controller-driver.js';
 import {EvidenceSender} from './evidence-sender.js';
 import {EvidenceTotals} from './evidence-totals.js';
-import {
-  MOVE_KINDS,
-  moveKnowledgeSchema,
-  moveUpdateSchema,
-  parseRecords,
-} from './move-messages.js';
+import {MOVE_KINDS, moveUpdateSchema, parseRecords} from './move-messages.js';
 import type {MoveKnowledge} from './move-messages.js';
 import {MoveSpreader} from './move-spreader.js';
+import {MoveSync} from './move-sync.js';
 
 const flushMs = 1_000;
 const syncMs = 2_000;
-const peerTimeoutMs = 1_000;
 const log = logger('moves');
 
 /** Parts of a {@link MovesService}. @internal */
@@ -66,8 +61,8 @@
   readonly #spreader: MoveSpreader;
   readonly #sender: EvidenceSender;
   readonly #controller: ControllerDriver;
+  readonly #sync: MoveSync;
   #snapshot: Snapshot | null = null;
-  #synced = false;
 
   constructor(options: MovesServiceOptions) {
     this.#options = options;
@@ -85,6 +80,10 @@
       capacityShare: (plan, load) => this.#capacityShare(plan, load),
       onOutput: output => this.#onControllerOutput(output),
     });
+    this.#sync = new MoveSync({
+      ...options,
+      merge: knowledge => this.#merge(knowledge),
+    });
     this.#sender = new EvidenceSender({
       ...options,
       onArrived: evidence => this.#controller.addEvidence(evidence),
@@ -93,7 +92,7 @@
 
   /** False while a fresh node may lack the records of running moves. */
   get synced(): boolean {
-    return this.#synced || !this.#hasMoves();
+    return this.#sync.done || !this.#hasMoves();
   }
 
   start(): void {
@@ -108,9 +107,11 @@
     bus.onNotice(MOVE_KINDS.controller, (_body, peer) =>
       this.#sender.controllerSeen(peer.nodeId, clock.now()),
     );
-    bus.onRequest(MOVE_KINDS.sync, () => Result.ok(this.knowledge()));
+    bus.onRequest(MOVE_KINDS.sync, () =>
+      Result.ok({...this.knowledge(), synced: this.synced}),
+    );
     every(flushMs, signal, () => this.#flush());
-    every(syncMs, signal, () => void this.#sync());
+    every(syncMs, signal, () => this.#syncIfPlanned());
   }
 
   /** Takes over the moves of a new version. */
@@ -118,7 +119,7 @@
     const before = this.#snapshot?.document.moves ?? [];
     // Records of a move are made after the version that plans it, so a node
     // that was there before the move hears of all of them.
-    if (this.#snapshot) this.#synced = true;
+    if (this.#snapshot) this.#sync.markDone();
     this.#snapshot = snapshot;
     const {document} = snapshot;
     const ids = new Set(document.moves.map(move => move.id));
@@ -128,7 +129,7 @@
       this.totals.forget(id);
     }
     this.#controller.onDocument(document);
-    void this.#sync();
+    this.#syncIfPlanned();
   }
 
   /** Records and stops known here. */
@@ -148,7 +149,6 @@
     if (!record) return;
     const fresh = this.#merge({records: [record], stops: []});
     if (fresh.records.length > 0) this.#spreader.spread(fresh);
-    this.#synced = true;
   }
 
   /** Counts a call that ended. */
@@ -178,6 +178,10 @@
     await this.#controller.close();
   }
 
+  #syncIfPlanned(): void {
+    if (this.#hasMoves()) void this.#sync.round();
+  }
+
   #hasMoves(): boolean {
     return (this.#snapshot?.document.moves.length ?? 0) > 0;
   }
@@ -261,27 +265,6 @@
     );
   }
 
-  /** Asks a peer for its knowledge while moves are planned. */
-  async #sync(): Promise<void> {
-    if (!this.#hasMoves()) return;
-    const {membership, bus, random} = this.#options;
-    const {nodeId, environment} = membership.own;
-    const peers = membership
-      .live()
-      .filter(r => r.nodeId !== nodeId && r.environment === environment);
-    if (peers.length === 0) {
-      this.#synced = true;
-      return;
-    }
-    const {address} = random.pick(peers);
-    const timeoutMs = peerTimeoutMs;
-    const res = await bus.request(address, MOVE_KINDS.sync, null, {timeoutMs});
-    const parsed = moveKnowledgeSchema.safeParse(res.unwrapOr(null));
-    if (!parsed.success) return;
-    this.#merge(parsed.data);
-    this.#synced = true;
-  }
-
   #capacityShare(plan: MovePlan, load: LoadEstimate | null): number {
     const {service, from, to} = plan;
     const oldSlots = this.#readySlots(service, from);
