--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -17,8 +17,6 @@
 
 /** More changes than this at once are spread by digests, not one by one. */
 const bulkChanges = 20;
-/** Sends of an update when many wait; e^-3 = 5% of the nodes then miss it. */
-const minSends = 3;
 
 /** What a received list of updates changed. @internal */
 export interface Applied {
@@ -57,20 +55,9 @@
     this.#queue.add(this.ownTuple);
   }
 
-  /** Updates that wait for a probe. */
-  get size(): number {
-    return this.#queue.size;
-  }
-
-  /**
-   * Updates for one probe or acknowledgement. Many updates are sent less
-   * often each: 433 restarts of 1,300 nodes filled all probes for over 50 s.
-   * Digests show what was missed.
-   */
+  /** Updates for one probe or acknowledgement. */
   take(max: number): Update[] {
-    const limit = sendLimit(this.#table.live().length);
-    const share = Math.ceil((limit * bulkChanges) / (this.#queue.size + 1));
-    return this.#queue.take(max, Math.min(limit, Math.max(share, minSends)));
+    return this.#queue.take(max, sendLimit(this.#table.live().length));
   }
 
   /** Distinct random live members other than this node. */
--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -1,5 +1,4 @@
 import type {RandomSource} from '@verbenabeam/core';
-import type {ByteBudget} from './byte-budget.js';
 import type {Dissemination} from './dissemination.js';
 import {suspicionMs} from './gossip-options.js';
 import type {GossipOptions} from './gossip-options.js';
@@ -10,7 +9,7 @@
 import type {Outbox} from './outbox.js';
 import type {OwnRecord} from './own-record.js';
 import {ProbeRound} from './probe-round.js';
-import {keyOf, RECORD_BYTES} from './update.js';
+import {keyOf} from './update.js';
 
 /** State that the parts of the protocol share. @internal */
 export interface ProtocolParts {
@@ -18,7 +17,6 @@
   readonly own: OwnRecord;
   readonly spreader: Dissemination;
   readonly out: Outbox;
-  readonly budget: ByteBudget;
   readonly rng: RandomSource;
   readonly options: Required<GossipOptions>;
 }
@@ -27,8 +25,6 @@
 const isolatedAfter = 5;
 /** A gap between ticks that shows that this process was paused. */
 const pauseMs = 1000;
-/** Share of the byte budget that probes leave to exchanges of digests. */
-const probeReserve = 0.5;
 /** Suspects that are asked directly in one probe period. */
 const maxAsked = 10;
 
@@ -67,18 +63,16 @@
    * Fields that probes and acknowledgements share. Probe 0 goes to nodes that
    * may not exist; updates on it would be used up without being heard.
    */
-  contact(number: number, now: number) {
-    const {own, spreader, budget, options} = this.#parts;
-    const most = number === 0 ? 0 : Math.min(options.maxUpdates, spreader.size);
-    const u = spreader.take(budget.take(most, RECORD_BYTES, now, probeReserve));
+  contact(number: number) {
+    const {own, spreader, options} = this.#parts;
+    const u = number === 0 ? [] : spreader.take(options.maxUpdates);
     return {n: number, s: own.key, c: this.config, u};
   }
 
   /** Probes an address for a node that got no answer itself. */
   probeFor(requester: string, number: number, to: string, now: number): void {
     const target = this.#parts.table.byAddress(to);
-    if (!target) return;
-    this.#probe(target, this.#round.relay(requester, number, now), now);
+    if (target) this.#probe(target, this.#round.relay(requester, number, now));
   }
 
   /**
@@ -105,8 +99,8 @@
     table.expire(now, suspicionMs(members, options.minSuspicionMs));
     this.#round.dropRelayed(now, options.probeMs);
     const target = this.#round.next(table, own.value.nodeId, rng);
-    if (target) this.#probe(target, this.#round.open(target, now), now);
-    this.#askSuspects(now);
+    if (target) this.#probe(target, this.#round.open(target, now));
+    this.#askSuspects();
   }
 
   /**
@@ -114,18 +108,18 @@
    * of a doubt asks: in small tables a refutation that spreads by probes alone
    * may come after the 3 s of the suspicion.
    */
-  #askSuspects(now: number): void {
+  #askSuspects(): void {
     const {table, rng} = this.#parts;
     const suspects = table.live().filter(r => r.state === NODE_STATES.suspect);
     for (const record of rng.shuffle(suspects).slice(0, maxAsked)) {
-      this.#probe(record, 0, now);
+      this.#probe(record, 0);
     }
   }
 
-  #probe(target: InstanceRecord, number: number, now: number): void {
+  #probe(target: InstanceRecord, number: number): void {
     const {spreader, out} = this.#parts;
     const doubt = spreader.doubtOf(target.nodeId, keyOf(target));
-    const contact = this.contact(number, now);
+    const contact = this.contact(number);
     out.send(target.address, {k: 'probe', ...contact, ...doubt});
   }
 
@@ -163,6 +157,6 @@
     const {table, rng, options} = this.#parts;
     this.#reunionAt = now + options.reunionMs;
     const dead = table.dead();
-    if (dead.length > 0) this.#probe(rng.pick(dead), 0, now);
+    if (dead.length > 0) this.#probe(rng.pick(dead), 0);
   }
 }
--- a/packages/membership/src/gossip-options.ts
+++ b/packages/membership/src/gossip-options.ts
@@ -6,12 +6,6 @@
   readonly answerMs?: number;
   /** Helpers of an indirect probe; default 3. */
   readonly helpers?: number;
-  /**
-   * Bytes per second of records on probes and in exchanges of digests; default
-   * 2,500. After a mass restart the rest of the protocol takes up to 1,400 of
-   * the 4,000 that a node may use. A full table for a joining node is not counted.
-   */
-  readonly recordBytesPerSecond?: number;
   /** Updates on one probe; default 20. */
   readonly maxUpdates?: number;
   /** Shortest suspicion; default 3,000. */
@@ -33,7 +27,6 @@
   probeMs: 1000,
   answerMs: 400,
   helpers: 3,
-  recordBytesPerSecond: 2500,
   maxUpdates: 20,
   minSuspicionMs: 3000,
   digestMs: 30_000,
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -1,5 +1,4 @@
 import type {RandomSource} from '@verbenabeam/core';
-import {ByteBudget} from './byte-budget.js';
 import {Dissemination} from './dissemination.js';
 import {FailureDetector} from './failure-detector.js';
 import {GOSSIP_DEFAULTS} from './gossip-options.js';
@@ -31,8 +30,6 @@
 
 /** Peers that a leaving node tells; it will not be there to repeat it. */
 const leaveFanOut = 8;
-/** Seconds for which unused bytes are saved up for a burst of changes. */
-const budgetSeconds = 2;
 
 /**
  * Membership protocol of one node as a state machine. Methods return the
@@ -73,11 +70,8 @@
     busy: (_from, {ms}, now) => {
       this.#exchange.onBusy(ms, now);
     },
-    digest: (from, {b}, now) => {
-      this.#exchange.onDigest(from, b, now);
-    },
-    hashes: (from, message, now) => {
-      this.#exchange.onHashes(from, message, now);
+    digest: (from, {b}) => {
+      this.#exchange.onDigest(from, b);
     },
     diff: (from, message, now) => {
       this.#exchange.onDiff(from, message, now);
@@ -101,10 +95,6 @@
       own: this.#own,
       spreader: this.#spreader,
       out: this.#out,
-      budget: new ByteBudget(
-        this.#options.recordBytesPerSecond,
-        this.#options.recordBytesPerSecond * budgetSeconds,
-      ),
       options: this.#options,
     };
     this.#detector = new FailureDetector(parts);
@@ -144,7 +134,7 @@
   tick(now: number): GossipAction[] {
     this.#detector.tick(now);
     const seed = this.#exchange.tick(now);
-    if (seed !== null) this.#askRecord(seed, now);
+    if (seed !== null) this.#askRecord(seed);
     return this.#out.flush();
   }
 
@@ -198,7 +188,7 @@
     const wanted = this.#want(probe.s);
     this.#meet(from, probe, now);
     const doubt = this.#spreader.doubtOf(probe.s[0], probe.s);
-    const contact = this.#detector.contact(probe.n, now);
+    const contact = this.#detector.contact(probe.n);
     this.#out.send(from, {k: 'ack', ...contact, ...doubt, ...wanted});
   }
 
@@ -207,13 +197,12 @@
     const isStranger = this.table.get(ack.s[0]) === undefined;
     const wanted = this.#want(ack.s);
     this.#meet(from, ack, now);
-    if (wanted.w) this.#askRecord(from, now);
+    if (wanted.w) this.#askRecord(from);
     if (isStranger) this.#exchange.sendDigest(from);
   }
 
-  #askRecord(to: string, now: number): void {
-    const contact = this.#detector.contact(0, now);
-    this.#out.send(to, {k: 'probe', ...contact, w: true});
+  #askRecord(to: string): void {
+    this.#out.send(to, {k: 'probe', ...this.#detector.contact(0), w: true});
   }
 
   /** Learns from the header of a probe or acknowledgement. */
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -36,7 +36,6 @@
   record: InstanceRecord;
   /** Time of the last change of state. */
   since: number;
-  readonly bucket: number;
 }
 
 const defaults = {settledMs: 60_000, forgetMs: 4_500_000, maxDead: 4096};
@@ -134,9 +133,9 @@
 
   /** Live and left members of the given buckets. */
   inBuckets(buckets: ReadonlySet<number>): InstanceRecord[] {
-    const isChosen = ({record, bucket}: Member) =>
-      record.state !== NODE_STATES.dead && buckets.has(bucket);
-    return [...this.#members.values()].filter(isChosen).map(m => m.record);
+    return this.#select(
+      r => r.state !== NODE_STATES.dead && buckets.has(bucketOf(r.nodeId)),
+    );
   }
 
   #supersedes(record: InstanceRecord, known: Member, now: number): boolean {
@@ -162,8 +161,7 @@
     }
     if (before) this.#count(before, -1);
     this.#count(record, 1);
-    const bucket = bucketOf(record.nodeId);
-    this.#members.set(record.nodeId, {record, since: now, bucket});
+    this.#members.set(record.nodeId, {record, since: now});
     if (isLive(record)) this.#byAddress.set(record.address, record.nodeId);
     else this.#release(record);
     this.#live = null;
--- a/packages/membership/src/membership-rules.feature
+++ b/packages/membership/src/membership-rules.feature
@@ -3,7 +3,6 @@
 
   Scenario: membership merges records in any order to one result
     Then membership tables agree after 200 random orders of the same records
-    And membership spends 3000 bytes per second on records and 6000 at once
     And membership serves at most 4 tables in any second
     And membership ignores a stale death and accepts a refutation
     And membership revokes a death after 60 s by a record of the same key
--- a/packages/membership/src/membership-rules.test.ts
+++ b/packages/membership/src/membership-rules.test.ts
@@ -3,18 +3,12 @@
 import type {DataTable} from '@cucumber/cucumber';
 import {seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
-import {ByteBudget} from './byte-budget.js';
 import {Gossip} from './gossip.js';
 import type {InstanceRecord} from './instance-record.js';
 import {TableServer} from './join-policy.js';
 import {MemberTable} from './member-table.js';
 import type {FakeCluster} from './fakes/fake-cluster.js';
-import {
-  decodeRecord,
-  encodeRecord,
-  RECORD_BYTES,
-  updateSchema,
-} from './update.js';
+import {decodeRecord, encodeRecord, updateSchema} from './update.js';
 import {UpstreamMonitor} from './upstream-monitor.js';
 
 const rng = seededRandom(testSeed());
@@ -44,26 +38,6 @@
   assert.deepEqual(served, [0, 950, 960, 970, 1000, 1950]);
 });
 
-// Guards against a mass restart that fills the links of all nodes.
-Then(
-  'membership spends {int} bytes per second on records and {int} at once',
-  (perSecond: number, most: number) => {
-    const budget = new ByteBudget(perSecond, most);
-    const seconds = 60;
-    let spent = 0;
-    for (let now = 0; now <= seconds * 1000; now += 100) {
-      const before = spent;
-      spent += budget.take(50, RECORD_BYTES, now) * RECORD_BYTES;
-      assert.ok(spent - before <= most);
-    }
-    const allowed = most + seconds * perSecond;
-    assert.ok(spent <= allowed && spent > allowed - 2 * RECORD_BYTES);
-    assert.equal(budget.take(50, RECORD_BYTES, 61_000, 0.5), 0);
-    const half = Math.floor(most / 2 / RECORD_BYTES);
-    assert.equal(budget.take(500, RECORD_BYTES, 90_000, 0.5), half);
-  },
-);
-
 // Guards against tables that differ for ever after crossing updates.
 Then(
   'membership tables agree after {int} random orders of the same records',
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -12,7 +12,6 @@
   .int()
   .min(0)
   .max(DIGEST_BUCKETS - 1);
-const recordHash = z.int().nonnegative();
 
 /** Fields of a probe and of its acknowledgement; keys are short for size. */
 const contact = {
@@ -51,18 +50,12 @@
     k: z.literal('digest'),
     b: z.array(z.int()).length(DIGEST_BUCKETS),
   }),
-  /** Buckets that differ and the hashes of the sender's records in them. */
-  z.object({
-    k: z.literal('hashes'),
-    b: z.array(bucketIndex).max(DIGEST_BUCKETS),
-    h: z.array(recordHash).max(maxRecords),
-  }),
-  /** Records that the receiver lacks; `w` are the hashes of those wanted. */
+  /** Records of the buckets that differ; `ask` requests those in return. */
   z.object({
     k: z.literal('diff'),
     b: z.array(bucketIndex).max(DIGEST_BUCKETS),
     u: updates,
-    w: z.array(recordHash).max(maxRecords),
+    ask: z.boolean(),
   }),
 ]);
 
--- a/packages/membership/src/table-exchange.ts
+++ b/packages/membership/src/table-exchange.ts
@@ -1,21 +1,12 @@
-import {hashToUint32} from '@verbenabeam/core';
 import type {Applied} from './dissemination.js';
 import type {ProtocolParts} from './failure-detector.js';
-import type {InstanceRecord} from './instance-record.js';
 import {JoinClient, TableServer} from './join-policy.js';
-import {isLive} from './member-table.js';
 import type {GossipMessageOf} from './messages.js';
-import {encodeRecord, keyOf, RECORD_BYTES} from './update.js';
-import type {Update} from './update.js';
+import {compareKeys, encodeRecord, keyOf} from './update.js';
+import type {RecordKey, Update} from './update.js';
 
 /** Wait before the next digest exchange after a bulk change, at most. */
 const bulkDigestMs = 1000;
-/** Hashes compared in one exchange; they take a quarter of the saved budget. */
-const maxHashes = 320;
-/** Share of the byte budget that hashes leave to the records they ask for. */
-const hashReserve = 0.25;
-/** Size of a hash in a message, in bytes. */
-const hashBytes = 5;
 
 /** Joins through a seed and keeps tables equal by their digests. @internal */
 export class TableExchange {
@@ -60,7 +51,10 @@
   apply(updates: readonly Update[], now: number): Applied {
     const {spreader, rng} = this.#parts;
     const applied = spreader.apply(updates, now);
-    if (applied.bulk) this.#exchangeSoon(now);
+    if (applied.bulk) {
+      const soon = now + rng.float() * bulkDigestMs;
+      this.#digestAt = Math.min(this.#digestAt, soon);
+    }
     if (applied.reunited.length > 0) {
       this.sendDigest(rng.pick(applied.reunited));
     }
@@ -92,59 +86,26 @@
     this.#join.refused(retryAfterMs, now, this.#parts.rng);
   }
 
-  /** Shows the own records of some buckets that differ. */
-  onDigest(from: string, digest: readonly number[], now: number): void {
-    const {out, table, budget, rng} = this.#parts;
-    const own = table.digest();
-    const differing = [...own.keys()].filter(i => own[i] !== digest[i]);
-    if (differing.length === 0) return;
-    const all = table.inBuckets(new Set(differing)).length;
-    const perBucket = Math.max(1, all / differing.length);
-    const most = Math.min(differing.length, Math.ceil(maxHashes / perBucket));
-    const count = budget.take(most, perBucket * hashBytes, now, hashReserve);
-    if (count === 0) return;
-    const b = rng.shuffle(differing).slice(0, count);
-    const h = table.inBuckets(new Set(b)).map(hashOf);
-    out.send(from, {k: 'hashes', b, h});
-  }
-
-  /** Sends what the peer lacks and asks for what this node lacks. */
-  onHashes(from: string, {b, h}: GossipMessageOf<'hashes'>, now: number): void {
+  onDigest(from: string, digest: readonly number[]): void {
     const {out, table} = this.#parts;
-    const theirs = new Set(h);
-    const own = table.inBuckets(new Set(b));
-    const ours = new Set(own.map(hashOf));
-    const u = this.#within(
-      own.filter(r => !theirs.has(hashOf(r))),
-      now,
-    );
-    const w = h.filter(hash => !ours.has(hash));
-    if (u.length + w.length > 0) out.send(from, {k: 'diff', b, u, w});
+    const own = table.digest();
+    const b = [...own.keys()].filter(i => own[i] !== digest[i]);
+    if (b.length === 0) return;
+    const u = table.inBuckets(new Set(b)).map(encodeRecord);
+    out.send(from, {k: 'diff', b, u, ask: true});
   }
 
-  onDiff(from: string, {b, u, w}: GossipMessageOf<'diff'>, now: number): void {
-    // More differences are likely while one was found.
-    if (this.apply(u, now).fresh.length > 0) this.#exchangeSoon(now);
-    if (w.length === 0) return;
+  onDiff(from: string, diff: GossipMessageOf<'diff'>, now: number): void {
+    this.apply(diff.u, now);
+    if (!diff.ask) return;
     const {out, table} = this.#parts;
-    const wanted = new Set(w);
-    const found = table
-      .inBuckets(new Set(b))
-      .filter(r => wanted.has(hashOf(r)));
-    const sent = this.#within(found, now);
-    if (sent.length > 0) out.send(from, {k: 'diff', b: [], u: sent, w: []});
-  }
-
-  /** As many records as the budget allows, at random. */
-  #within(records: readonly InstanceRecord[], now: number): Update[] {
-    const {budget, rng} = this.#parts;
-    const count = budget.take(records.length, RECORD_BYTES, now);
-    return rng.shuffle(records).slice(0, count).map(encodeRecord);
-  }
-
-  #exchangeSoon(now: number): void {
-    const soon = now + this.#parts.rng.float() * bulkDigestMs;
-    this.#digestAt = Math.min(this.#digestAt, soon);
+    const theirs = new Map(diff.u.map(u => [u[0], keyOfUpdate(u)]));
+    const newer = table.inBuckets(new Set(diff.b)).filter(record => {
+      const key = theirs.get(record.nodeId);
+      return !key || compareKeys(keyOf(record), key) > 0;
+    });
+    const u = newer.map(encodeRecord);
+    if (u.length > 0) out.send(from, {k: 'diff', b: [], u, ask: false});
   }
 
   #exchange(now: number): void {
@@ -164,8 +125,6 @@
   }
 }
 
-/** Tells apart whether a record is live, as the table's digest does. */
-function hashOf(record: InstanceRecord): number {
-  const state = isLive(record) ? '' : '/left';
-  return hashToUint32(keyOf(record).join('/') + state);
+function keyOfUpdate([nodeId, incarnation, sequence]: Update): RecordKey {
+  return [nodeId, incarnation, sequence];
 }
--- a/packages/membership/src/update.ts
+++ b/packages/membership/src/update.ts
@@ -110,9 +110,6 @@
   };
 }
 
-/** Size of a record in a message, in bytes; 130 measured. @internal */
-export const RECORD_BYTES = 140;
-
 /** Key of a record. @public */
 export function keyOf(record: InstanceRecord): RecordKey {
   return [record.nodeId, record.incarnation, record.sequence];
