--- a/packages/membership/src/membership-rules.test.ts
+++ b/packages/membership/src/membership-rules.test.ts
@@ -5,6 +5,7 @@
 import {testSeed} from '@verbenabeam/testing';
 import {Gossip} from './gossip.js';
 import type {InstanceRecord} from './instance-record.js';
+import {TableServer} from './join-policy.js';
 import {MemberTable} from './member-table.js';
 import type {FakeCluster} from './fakes/fake-cluster.js';
 import {decodeRecord, encodeRecord, updateSchema} from './update.js';
@@ -29,6 +30,14 @@
   };
 }
 
+// Guards against twice the limit around the border of two fixed seconds.
+Then('membership serves at most {int} tables in any second', (most: number) => {
+  const server = new TableServer();
+  const asked = [0, 950, 960, 970, 980, 1000, 1010, 1020, 1030, 1949, 1950];
+  const served = asked.filter(at => server.tryServe(at, most));
+  assert.deepEqual(served, [0, 950, 960, 970, 1000, 1950]);
+});
+
 // Guards against tables that differ for ever after crossing updates.
 Then(
   'membership tables agree after {int} random orders of the same records',
