bench: end the stand-ins with the bench and count inactive nodes

Cause: a bench that was stopped left six stand-ins behind, and a change that was not active in 10 s ended the whole run. A rewrite of a 1 MB document over 10 nodes was not active in 10 s at load 21; whether the load or the delta of unrelated texts is the cause was not examined.

--- a/apps/bench/src/bounds.ts
+++ b/apps/bench/src/bounds.ts
@@ -64,6 +64,15 @@
     limit: TARGETS.controlBytesPerSecond,
     source: overhead,
   },
+  {
+    id: 'change-active',
+    part: 'bytes',
+    value: 'notActive',
+    where: {},
+    kind: 'atMost',
+    limit: 0,
+    source: 'P10: active on every proxy within 10 s',
+  },
   {
     id: 'control-cpu',
     part: 'cost',
--- a/apps/bench/src/fleet/program.ts
+++ b/apps/bench/src/fleet/program.ts
@@ -14,6 +14,8 @@
   const child = spawn(process.execPath, [...args], {
     stdio: ['ignore', 'pipe', 'inherit'],
   });
+  // Stand-ins do not notice the end of the bench and would outlive it.
+  process.once('exit', () => child.kill('SIGKILL'));
   const [line] = (await once(child.stdout, 'data')) as [Buffer];
   return {
     info: JSON.parse(String(line)) as Record<string, string>,
--- a/apps/bench/src/main.ts
+++ b/apps/bench/src/main.ts
@@ -62,6 +62,10 @@
   return allHold ? 0 : 1;
 }
 
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+  process.once(signal, () => process.exit(usageExit));
+}
+
 const cli = cac('verbenabeam-bench');
 cli
   .command('[...parts]', 'Measures parts; without names, all of them')
