--- a/apps/bench/src/capacity/page.ts
+++ b/apps/bench/src/capacity/page.ts
@@ -149,7 +149,7 @@
   return (
     [
       '# Capacity',
-      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. "not measured" means that no run has produced the figure.',
+      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. "not measured" means that no run has produced the figure.',
       `Size: ${size.servers.toLocaleString('en-US')} servers, ${size.services} services, ${size.callsPerSecond.toLocaleString('en-US')} calls/s (${cell(f.callsPerNode, '')} per node), ${size.dataCentres} data centres, ${size.changesPerDay.toLocaleString('en-US')} changes and ${size.restartsPerDay + size.failuresPerDay} restarts a day. A document of ${cell(size.documentBytes, 'B')} is assumed.`,
       '## Targets',
       targetTable(f),
