Count only unanswered calls for the gradient limit

Nine streams on one instance are three quarters of 12 slots in use, so noise of a busy machine lowered the limit to 3; the streams filled it, and every other call waited for 50 ms and was refused. Ruled out: a higher lowest limit, which would only need more streams. Change: a call counts for the limit until the head of its answer; after it the call only holds its slot of the announced ones. Turned off: with all running calls counted the new scenario fails.

--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -29,6 +29,12 @@
 
 /** A slot that a call holds. @public */
 export interface Ticket {
+  /**
+   * The head of the answer has arrived; the slot stays in use.
+   *
+   * @param serviceMs - Time until the head, in milliseconds.
+   */
+  answered(serviceMs: number): void;
   /**
    * Frees the slot; at most once.
    *
--- a/packages/node/src/calls/test/test-ports.ts
+++ b/packages/node/src/calls/test/test-ports.ts
@@ -133,7 +133,7 @@
       const next = this.#queue.shift();
       if (next) next(this.#ticket());
     };
-    return {leave};
+    return {leave, answered: () => undefined};
   }
 }
 
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -67,6 +67,10 @@
 
   #ticket(callId: string): Ticket {
     return {
+      answered: serviceMs => {
+        const now = this.#clock.now();
+        this.#carryOut(this.#admission.answered(callId, now, serviceMs));
+      },
       leave: serviceMs => {
         const now = this.#clock.now();
         this.#carryOut(this.#admission.finish(callId, now, serviceMs));
--- a/packages/routing/src/admission-noise.test.ts
+++ b/packages/routing/src/admission-noise.test.ts
@@ -49,3 +49,21 @@
     }
   },
 );
+
+When(
+  '{int} routing streams are answered and {int} routing calls take {int} ms',
+  (streams: number, calls: number, ms: number) => {
+    for (let i = 0; i < streams; i++) {
+      const id = `s${i}`;
+      const entered = admission.tryEnter({id, deadline: far}, now);
+      assert.equal(entered.kind, 'admitted');
+      admission.answered(id, now, ms);
+    }
+    for (let i = 0; i < calls; i++) runCall(ms, ms);
+  },
+);
+
+Then('the routing admission queues one call more', () => {
+  const call = {id: 'more', deadline: far};
+  assert.equal(admission.tryEnter(call, now).kind, 'queued');
+});
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -27,7 +27,10 @@
 export class Admission {
   readonly #limit: GradientLimit;
   readonly #maxWaitMs: number;
-  readonly #running = new Map<string, number>();
+  /** Start of each running call; null once its answer has begun. */
+  readonly #running = new Map<string, number | null>();
+  /** Running calls whose answer has not begun. */
+  #unanswered = 0;
   /** Oldest first. */
   readonly #queue: Waiting[] = [];
   #draining = false;
@@ -68,7 +71,7 @@
    */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
     if (this.#draining) return refused(call, CALL_CODES.draining);
-    const free = this.#running.size < this.#limit.limit;
+    const free = this.#hasRoom();
     const waitMs = free && this.#queue.length === 0 ? 0 : this.#expectedWait();
     if (!call.deadline.allows(now, waitMs + this.#limit.floorMs)) {
       return refused(call, CALL_CODES.deadlineTooClose);
@@ -95,12 +98,32 @@
   ): AdmissionDecision[] {
     const startedAt = this.#running.get(callId);
     if (startedAt === undefined) return [];
-    const measuredMs = serviceMs === undefined ? now - startedAt : serviceMs;
-    if (measuredMs !== null) this.#limit.record(measuredMs, now, this.inFlight);
+    if (startedAt !== null) {
+      const measuredMs = serviceMs === undefined ? now - startedAt : serviceMs;
+      this.#endWait(measuredMs, now);
+    }
     this.#running.delete(callId);
     return this.#fill(now);
   }
 
+  /**
+   * Notes that the answer of a running call has begun. It keeps its slot, but
+   * no longer counts for the gradient limit: a stream takes long without load,
+   * and streams that fill a lowered limit would shut out all other calls.
+   *
+   * @param serviceMs - Time until the head of the answer, in milliseconds.
+   */
+  answered(
+    callId: string,
+    now: number,
+    serviceMs: number,
+  ): AdmissionDecision[] {
+    if (typeof this.#running.get(callId) !== 'number') return [];
+    this.#endWait(serviceMs, now);
+    this.#running.set(callId, null);
+    return this.#fill(now);
+  }
+
   /**
    * Removes a call that waits. Returns false if it does not wait here: a
    * running call keeps its slot until {@link Admission.finish}.
@@ -149,7 +172,7 @@
 
   #fill(now: number): AdmissionDecision[] {
     const decisions = this.expire(now);
-    while (this.#queue.length > 0 && this.#running.size < this.#limit.limit) {
+    while (this.#queue.length > 0 && this.#hasRoom()) {
       const next = this.#takeNext(now);
       if (next) decisions.push(this.#admit(next.call, now));
     }
@@ -169,9 +192,22 @@
 
   #admit(call: AdmissionCall, now: number): AdmissionDecision {
     this.#running.set(call.id, now);
+    this.#unanswered++;
     return {kind: 'admitted', callId: call.id};
   }
 
+  #hasRoom(): boolean {
+    const {slots, limit} = this.#limit;
+    return this.#running.size < slots && this.#unanswered < limit;
+  }
+
+  #endWait(serviceMs: number | null, now: number): void {
+    if (serviceMs !== null) {
+      this.#limit.record(serviceMs, now, this.#unanswered);
+    }
+    this.#unanswered--;
+  }
+
   #expectedWait(): number {
     const ahead = this.#queue.length + 1;
     return (ahead * this.#limit.serviceMs) / this.#limit.limit;
--- a/packages/routing/src/gradient-limit.ts
+++ b/packages/routing/src/gradient-limit.ts
@@ -58,6 +58,11 @@
     return Math.max(1, Math.floor(this.#limit));
   }
 
+  /** Calls that the upstream announced to run at once. */
+  get slots(): number {
+    return this.#slots;
+  }
+
   /** Smoothed service time in milliseconds. */
   get serviceMs(): number {
     return this.#serviceMs.value;
@@ -78,7 +83,7 @@
   /**
    * Records the time that one call took in the upstream.
    *
-   * @param inFlight - Calls that ran when it ended, itself among them.
+   * @param inFlight - Unanswered calls when it ended, itself among them.
    */
   record(serviceMs: number, now: number, inFlight: number): void {
     this.#serviceMs.add(serviceMs);
--- a/packages/routing/src/routing-rules.feature
+++ b/packages/routing/src/routing-rules.feature
@@ -57,3 +57,10 @@
     Given a routing admission with 12 slots whose calls take 2 ms
     When 100 routing calls take 9 ms
     Then the routing admission still admits 12 calls at once
+
+  Scenario: Streams in flight do not use up a lowered limit of routing admission
+    Guards against refusals as 1604 while streams run on a busy machine.
+    Given a routing admission with 12 slots whose calls take 2 ms
+    When 9 routing streams are answered and 100 routing calls take 9 ms
+    Then the routing admission still admits 3 calls at once
+    And the routing admission queues one call more
