--- a/apps/bench/src/capacity/figures.ts
+++ b/apps/bench/src/capacity/figures.ts
@@ -24,6 +24,8 @@
 export interface CapacityFigures {
   readonly callsPerNode: number;
   readonly restBytes: Trend | null;
+  /** The same from the model of gossip, which runs no processes. */
+  readonly restBytesModel: Trend | null;
   readonly changeBytesPerSecond: number | null;
   readonly churnBytesPerSecond: number | null;
   readonly controlBytesPerSecond: number | null;
@@ -107,6 +109,12 @@
   return {
     callsPerNode,
     restBytes,
+    restBytesModel: measured.trend(
+      'bytes',
+      {model: 'gossip'},
+      'restBytesPerSecond',
+      servers,
+    ),
     changeBytesPerSecond,
     churnBytesPerSecond,
     controlBytesPerSecond: sum(
--- a/apps/bench/src/capacity/page.ts
+++ b/apps/bench/src/capacity/page.ts
@@ -65,6 +65,12 @@
         TARGETS.controlBytesPerSecond,
         'B/s',
       ),
+      line(
+        'control bytes sent per node at rest, by the gossip model',
+        f.restBytesModel?.atSize ?? null,
+        TARGETS.controlBytesPerSecond,
+        'B/s',
+      ),
       line(
         'store reads',
         f.storeReadsPerSecond,
@@ -90,6 +96,7 @@
 function slopeTable(f: CapacityFigures): string {
   const rows = [
     ['control bytes at rest, B/s', f.restBytes],
+    ['control bytes at rest, gossip model, B/s', f.restBytesModel],
     ['control processor time at rest, % of a core', f.restCorePercent],
     ['memory of a node, MB', f.rssMb],
     ['store reads at rest, per s', f.storeReads],
@@ -149,7 +156,7 @@
   return (
     [
       '# Capacity',
-      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. "not measured" means that no run has produced the figure.',
+      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes at rest far above those of the gossip model mean that the fleet had not settled after its start when it was measured; the processor time at rest of such a fleet is too high as well. "not measured" means that no run has produced the figure.',
       `Size: ${size.servers.toLocaleString('en-US')} servers, ${size.services} services, ${size.callsPerSecond.toLocaleString('en-US')} calls/s (${cell(f.callsPerNode, '')} per node), ${size.dataCentres} data centres, ${size.changesPerDay.toLocaleString('en-US')} changes and ${size.restartsPerDay + size.failuresPerDay} restarts a day. A document of ${cell(size.documentBytes, 'B')} is assumed.`,
       '## Targets',
       targetTable(f),
