Share the node context; remove re-exports of moved models

Cause: two services listed the same seven parts; model folders only re-exported fakes. Conclusion: behaviour unchanged.

--- a/apps/bench/src/parts/policy.ts
+++ b/apps/bench/src/parts/policy.ts
@@ -3,7 +3,7 @@
 import {currentLoad} from '../report/machine.js';
 import type {Row} from '../report/part-result.js';
 
-const program = 'packages/routing/dist/model/measure.js';
+const program = 'packages/routing/dist/fakes/measure.js';
 const timeoutMs = 110_000;
 
 type Figures = Record<string, number>;
--- a/packages/membership/src/model/fake-cluster.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Kept at its old path for callers outside this package. */
-export * from '../fakes/fake-cluster.js';
--- a/packages/node/src/distribution/distribution-service.ts
+++ b/packages/node/src/distribution/distribution-service.ts
@@ -1,10 +1,5 @@
 import {logger} from '@verbenabeam/core';
-import type {
-  Clock,
-  Invariants,
-  MeshError,
-  RandomSource,
-} from '@verbenabeam/core';
+import type {MeshError} from '@verbenabeam/core';
 import {
   Acceptance,
   CONFIG_PULL,
@@ -26,11 +21,10 @@
 import type {Snapshot} from '@verbenabeam/document';
 import type {InstanceRecord} from '@verbenabeam/membership';
 import {systemSleep} from '@verbenabeam/store';
-import type {Store, WatchEvent} from '@verbenabeam/store';
-import type {PeerBus} from '@verbenabeam/wire';
+import type {WatchEvent} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import {every} from '../every.js';
-import type {MembershipService} from '../membership/membership-service.js';
+import type {NodeContext} from '../node-context.js';
 import {peerUnknown} from '../peer-unknown.js';
 
 const digestKind = 'config.digest';
@@ -41,14 +35,7 @@
 const log = logger('distribution');
 
 /** Parts of a {@link DistributionService}. @internal */
-export interface DistributionServiceOptions {
-  readonly membership: MembershipService;
-  readonly bus: PeerBus;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly invariants: Invariants;
-  readonly signal: AbortSignal;
+export interface DistributionServiceOptions extends NodeContext {
   readonly onApplied: (snapshot: Snapshot) => void;
   /** Move records to send along with a push. */
   readonly moves: () => readonly unknown[];
--- a/packages/node/src/moves/moves-service.ts
+++ b/packages/node/src/moves/moves-service.ts
@@ -1,10 +1,5 @@
 import {logger} from '@verbenabeam/core';
-import type {
-  Clock,
-  Invariants,
-  MeshError,
-  RandomSource,
-} from '@verbenabeam/core';
+import type {MeshError} from '@verbenabeam/core';
 import type {Snapshot} from '@verbenabeam/document';
 import {
   MOVE_POLICIES,
@@ -23,11 +18,10 @@
   MoveRecord,
   MoveStop,
 } from '@verbenabeam/moves';
-import type {Store, WatchEvent} from '@verbenabeam/store';
-import type {PeerBus} from '@verbenabeam/wire';
+import type {WatchEvent} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import {every} from '../every.js';
-import type {MembershipService} from '../membership/membership-service.js';
+import type {NodeContext} from '../node-context.js';
 import {ControllerDriver} from './controller-driver.js';
 import {EvidenceSender} from './evidence-sender.js';
 import {EvidenceTotals} from './evidence-totals.js';
@@ -41,14 +35,7 @@
 const log = logger('moves');
 
 /** Parts of a {@link MovesService}. @internal */
-export interface MovesServiceOptions {
-  readonly membership: MembershipService;
-  readonly bus: PeerBus;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly invariants: Invariants;
-  readonly signal: AbortSignal;
+export interface MovesServiceOptions extends NodeContext {
   readonly isRelay: () => boolean;
 }
 
