Use no retry of a call for unreachable instances

Its first attempt was lost with a killed instance, and two refused connections to the other killed instances used up its two retries, although six instances were left. Ruled out: a wrong classification of refused connections (they are 1401, not run), and undici, which reports a connect error only for requests that were not written. Change: an attempt that did not get past the connection takes no retry and no token, at most 8 times per call and within the deadline.

--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -1,4 +1,4 @@
-import {CALL_CODES, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import {CALL_CODES, MeshError} from '@verbenabeam/core';
 import type {LoadReport} from '@verbenabeam/routing';
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {
@@ -11,6 +11,7 @@
 import type {AnswerHead, AnswerTrailer, CallHead} from './call-head.js';
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome, Target} from './entry-ports.js';
+import {isUnreachable} from './final-codes.js';
 import {localStreamPair} from './local-stream.js';
 import type {BodyTarget, ReplayBody} from './replay-body.js';
 
@@ -167,12 +168,7 @@
 
 /** Outcome of an attempt that failed with this error. @internal */
 export function outcomeOf({code}: MeshError): Outcome {
-  const unreachable: unknown[] = [
-    WIRE_CODES.unreachable,
-    WIRE_CODES.handshakeRefused,
-    WIRE_CODES.closing,
-  ];
-  if (unreachable.includes(code)) return OUTCOMES.unreachable;
+  if (isUnreachable(code)) return OUTCOMES.unreachable;
   return code.notRun ? OUTCOMES.refused : OUTCOMES.lost;
 }
 
--- a/packages/node/src/calls/call-retries.ts
+++ b/packages/node/src/calls/call-retries.ts
@@ -6,7 +6,13 @@
   RetryLedger,
 } from '@verbenabeam/routing';
 import {decodeLoad} from './call-head.js';
-import {isFinal} from './final-codes.js';
+import {isFinal, isUnreachable} from './final-codes.js';
+
+/**
+ * Unreachable instances that a call passes over without using a retry. They
+ * bear no load from it, but each may cost it the time to connect.
+ */
+const maxUnreachable = 8;
 
 /** The limits on retries that the calls of one node share. @internal */
 export interface RetryLimits {
@@ -41,6 +47,7 @@
   readonly #options: CallRetriesOptions;
   #held: number;
   #passed = 0;
+  #unreachable = 0;
   #decision: RetryDecision = 'granted';
 
   constructor(limits: RetryLimits, options: CallRetriesOptions) {
@@ -80,6 +87,13 @@
     // run", but the sub-call may have used retries.
     this.#takeBack(code.notRun && known === undefined, known);
     if (isFinal(code)) return false;
+    if (isUnreachable(code) && this.#unreachable < maxUnreachable) {
+      this.#unreachable++;
+      return new Deadline(this.#options.deadlineAt).allows(
+        performance.now(),
+        0,
+      );
+    }
     const {service, idempotent, deadlineAt} = this.#options;
     this.#decision = this.#limits.retries.tryRetry(
       {
--- /dev/null
+++ b/packages/node/src/calls/calls-unreachable.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then} from '@cucumber/cucumber';
+import {TestClient, until} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
+
+/** State of one scenario. */
+let client = new TestClient();
+let broken: string[] = [];
+let entry: TestNode;
+let first: TestNode;
+let gone: TestNode[] = [];
+let running: Promise<Answer>;
+
+async function startNode(nodeId: string): Promise<TestNode> {
+  const node = new TestNode(nodeId, broken);
+  await node.start({});
+  return node;
+}
+
+After({tags: '@calls'}, async () => {
+  const nodes = [entry, first, ...gone].filter(Boolean);
+  await Promise.all(nodes.map(node => node.stop()));
+  await client.close();
+  gone = [];
+  assert.deepEqual(broken, []);
+});
+
+Given('a call whose first instance is lost while it runs a read', async () => {
+  client = new TestClient();
+  broken = [];
+  entry = await startNode('entry');
+  first = await startNode('first');
+});
+
+Given(
+  '{int} further instances that refuse connections',
+  async (count: number) => {
+    const ids = Array.from({length: count}, (_, i) => `gone${i}`);
+    gone = await Promise.all(ids.map(startNode));
+    await Promise.all(gone.map(node => node.bus.close()));
+    // The fake picks the first, then those that are gone, and then the entry.
+    entry.sendTo(first, entry, ...gone);
+    running = client.call(entry, '/read?ms=200');
+    await until(() => first.upstream!.inFlight === 1);
+    await first.bus.close();
+  },
+);
+
+Then('the read is answered by the fifth instance', async () => {
+  const {status, code, callId} = await running;
+  assert.deepEqual([status, code], [200, 1600]);
+  const record = entry.log.find(callId);
+  assert.equal(record?.attempts.length, 5);
+  assert.equal(record.attempts.at(-1)?.nodeId, 'entry');
+});
--- a/packages/node/src/calls/final-codes.ts
+++ b/packages/node/src/calls/final-codes.ts
@@ -1,4 +1,4 @@
-import {CALL_CODES} from '@verbenabeam/core';
+import {CALL_CODES, WIRE_CODES} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 
 const finalCodes: readonly ResultCode[] = [
@@ -8,6 +8,12 @@
   CALL_CODES.deadlineTooClose,
 ];
 
+const unreachableCodes: readonly ResultCode[] = [
+  WIRE_CODES.unreachable,
+  WIRE_CODES.handshakeRefused,
+  WIRE_CODES.closing,
+];
+
 /**
  * Whether another instance would refuse the same request for the same reason.
  *
@@ -16,3 +22,12 @@
 export function isFinal(code: ResultCode): boolean {
   return finalCodes.includes(code);
 }
+
+/**
+ * Whether the call did not get past the connection to the instance.
+ *
+ * @internal
+ */
+export function isUnreachable(code: ResultCode): boolean {
+  return unreachableCodes.includes(code);
+}
