Let the command line reach nodes with TLS; print a winner in words

Cause: a node whose settings name certificates serves operators over HTTPS, but the command line trusted only the authorities of Node.js, so no command reached it; and no test ran whole nodes with TLS. The loser of a race saw the winner as raw JSON. Ruled out: comparing names in certificates, because nodes are addressed by IP.

--- a/apps/cli/src/admin-client.ts
+++ b/apps/cli/src/admin-client.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
-import {request} from 'undici';
+import {Agent, getGlobalDispatcher, request} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
 import {errorBodySchema} from '@verbenabeam/admin-api';
 import {ACCESS_CODES, MeshError, findCode} from '@verbenabeam/core';
@@ -19,15 +20,19 @@
 /** Sends operator requests to the admin listener of one node. */
 export class AdminClient {
   readonly #cfg: CliConfig;
+  readonly #dispatcher: Dispatcher;
 
   constructor(cfg: CliConfig) {
     this.#cfg = cfg;
+    this.#dispatcher =
+      cfg.authority === null ? getGlobalDispatcher() : agentFor(cfg.authority);
   }
 
   /** Sends one request; refusals of the node come back with their code. */
   async send<T>(req: AdminRequest<T>): Promise<Result<T, MeshError>> {
     try {
       const res = await request(new URL(req.path, this.#cfg.node), {
+        dispatcher: this.#dispatcher,
         method: req.method,
         headers: this.#headers(),
         body: req.body === undefined ? null : JSON.stringify(req.body),
@@ -50,6 +55,12 @@
   }
 }
 
+/** Nodes are addressed by IP, so the authority decides and no name is compared. */
+function agentFor(authority: string): Agent {
+  const connect = {ca: authority, checkServerIdentity: () => undefined};
+  return new Agent({connect});
+}
+
 function refusal(body: unknown): MeshError {
   const {code, message, details} = errorBodySchema.parse(body);
   const known = findCode(code) ?? ACCESS_CODES.badRequest;
--- a/apps/cli/src/cli-config.ts
+++ b/apps/cli/src/cli-config.ts
@@ -7,6 +7,7 @@
 const fileSchema = z.strictObject({
   node: z.url().optional(),
   token_file: z.string().optional(),
+  authority_file: z.string().optional(),
   environment: z.string().optional(),
   author: z.string().optional(),
 });
@@ -18,6 +19,8 @@
   /** Admin address of a node, `http://ip:port`. */
   readonly node?: string;
   readonly tokenFile?: string;
+  /** Certificate of the authority that signed the node's, as PEM. */
+  readonly authorityFile?: string;
   readonly env?: string;
   readonly author?: string;
   /** Print JSON in place of text. */
@@ -28,6 +31,8 @@
 export interface CliConfig {
   readonly node: string;
   readonly token: string;
+  /** PEM text; null trusts the authorities of Node.js. */
+  readonly authority: string | null;
   readonly environment: string;
   readonly author: string;
   readonly json: boolean;
@@ -44,9 +49,11 @@
   try {
     const file = readConfigFile(options.config);
     const tokenFile = options.tokenFile ?? file.token_file;
+    const authorityFile = options.authorityFile ?? file.authority_file;
     return Result.ok({
       node: options.node ?? file.node ?? defaultNode,
       token: readToken(tokenFile, env),
+      authority: authorityFile ? readFileSync(authorityFile, 'utf8') : null,
       environment: options.env ?? file.environment ?? defaultEnvironment,
       author: options.author ?? file.author ?? env['USER'] ?? 'unknown',
       json: options.json ?? false,
--- a/apps/cli/src/run-cli.ts
+++ b/apps/cli/src/run-cli.ts
@@ -1,11 +1,13 @@
 import {cac} from 'cac';
 import type {Result} from 'true-myth';
+import {versionMetaSchema} from '@verbenabeam/admin-api';
 import {ACCESS_CODES, MeshError} from '@verbenabeam/core';
 import {AdminClient} from './admin-client.js';
 import {loadConfig} from './cli-config.js';
 import type {GlobalOptions} from './cli-config.js';
 import type {Command, CommandOutput} from './command.js';
 import {ALL_COMMANDS} from './commands/all-commands.js';
+import {formatTime} from './format.js';
 
 const jsonIndent = 2;
 
@@ -31,6 +33,7 @@
   cli.option('--config <file>', 'TOML file with defaults for these options');
   cli.option('--node <url>', 'Admin address of a node');
   cli.option('--token-file <file>', 'File with the operator token');
+  cli.option('--authority-file <file>', 'Authority of an HTTPS node, as PEM');
   cli.option('--env <name>', 'Environment (production)');
   cli.option('--author <name>', 'Name kept with a new version');
   cli.option('--json', 'Print JSON');
@@ -92,10 +95,17 @@
   return Object.entries(err.details).flatMap(([key, value]) =>
     Array.isArray(value)
       ? [`${key}:`, ...value.map(item => `  ${String(item)}`)]
-      : [`${key}: ${JSON.stringify(value)}`],
+      : [`${key}: ${describeDetail(value)}`],
   );
 }
 
+function describeDetail(value: unknown): string {
+  const meta = versionMetaSchema.safeParse(value);
+  if (!meta.success) return JSON.stringify(value);
+  const {version, author, acceptedAt} = meta.data;
+  return `version ${version} by ${author} at ${formatTime(acceptedAt)}`;
+}
+
 function usageError(err: unknown): MeshError {
   const reason = err instanceof Error ? err.message : String(err);
   return new MeshError(ACCESS_CODES.badRequest, reason);
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -3,7 +3,7 @@
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
 import {MeshError, WIRE_CODES} from '@verbenabeam/core';
-import {testTls} from './test/test-certificate.js';
+import {testTls} from '@verbenabeam/testing';
 import type {ByteStream} from './peer-bus.js';
 import type {TcpPeerBusOptions, WireTls} from './bus-options.js';
 import {TcpPeerBus} from './tcp-peer-bus.js';
--- a/scripts/lib/environment.d.mts
+++ b/scripts/lib/environment.d.mts
@@ -24,6 +24,8 @@
   /** False starts a node without an upstream. */
   readonly upstream?: false;
   readonly upstreamArgs?: readonly string[];
+  /** TOML that is added to the settings of the node. */
+  readonly settings?: string;
 }
 
 export interface Instance extends Omit<InstanceSpec, 'upstream'> {
--- a/scripts/lib/environment.mjs
+++ b/scripts/lib/environment.mjs
@@ -81,7 +81,8 @@
   return ended;
 }
 
-function nodeToml({name, dataCentre, region, environment, store, seeds}) {
+function nodeToml(cfg) {
+  const {name, dataCentre, region, environment, store, seeds, settings} = cfg;
   return `
 [node]
 id = "${name}"
@@ -103,7 +104,7 @@
 [access]
 node_key = "${nodeKey}"
 operator_token = "${operatorToken}"
-`;
+${settings}`;
 }
 
 /** A small environment; every process belongs to it and ends with it. */
@@ -146,6 +147,7 @@
         environment: spec.environment ?? this.environment,
         store: this.store.info.url,
         seeds,
+        settings: spec.settings ?? '',
       }),
     );
     const node = await this.#start([
