--- a/apps/cli/src/cli.feature
+++ b/apps/cli/src/cli.feature
@@ -12,6 +12,7 @@
       | name      | arguments | exit | request                                   |
       | status    | status    | 0    | GET /v1/status                            |
       | moves     | moves     | 0    | GET /v1/moves                             |
+      | take back | take-back redelivery-v2 | 0 | POST /v1/moves/redelivery-v2/take-back |
       | explain   | explain c1 | 0   | GET /v1/calls/c1                          |
       | lost race | promote 3 | 12   | POST /v1/environments/production/promote  |
       | reassert  | reassert  | 0    | POST /v1/environments/production/reassert |
--- a/apps/cli/src/commands/moves.ts
+++ b/apps/cli/src/commands/moves.ts
@@ -23,11 +23,12 @@
   usage: 'take-back <move>',
   text: 'Take a move back by hand',
   options: [],
-  async run({client, args}) {
+  async run({client, cfg, args}) {
     const move = encodeURIComponent(args[0] ?? '');
     const res = await client.send({
       method: 'POST',
       path: `/v1/moves/${move}/take-back`,
+      body: {author: cfg.author},
       schema: moveStatusSchema,
     });
     return res.map(data => ({data, lines: renderMove(data)}));
--- a/apps/cli/src/fakes/admin-answers.ts
+++ b/apps/cli/src/fakes/admin-answers.ts
@@ -112,6 +112,10 @@
 /** Answers of a fake node, by request. @internal */
 export const adminAnswers: Readonly<Record<string, FakeAnswer>> = {
   'GET /v1/status': {status: 200, body: status},
+  'POST /v1/moves/redelivery-v2/take-back': {
+    status: 200,
+    body: moves.moves[0],
+  },
   'GET /v1/moves': {status: 200, body: moves},
   'GET /v1/calls/c1': {status: 200, body: call},
   'POST /v1/environments/production/promote': {status: 409, body: raceLost},
--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -16,6 +16,7 @@
   moveStatusSchema,
   movesResponseSchema,
   routeEvidenceSchema,
+  takeBackRequestSchema,
 } from './moves.js';
 export type {MoveStatus, MovesResponse} from './moves.js';
 export {nodeStatusSchema, statusResponseSchema} from './status.js';
--- a/packages/admin-api/src/moves.ts
+++ b/packages/admin-api/src/moves.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {authorSchema} from './author.js';
 
 /** Evidence on one route of a move, old version against new. */
 export const routeEvidenceSchema = z.object({
@@ -29,6 +30,11 @@
 /** State of one move. @public */
 export type MoveStatus = z.infer<typeof moveStatusSchema>;
 
+/** Body of a take-back request. */
+export const takeBackRequestSchema = z.strictObject({
+  author: authorSchema,
+});
+
 /** Answer to a moves request. */
 export const movesResponseSchema = z.object({
   environment: z.string(),
--- a/packages/admin-api/src/submit.ts
+++ b/packages/admin-api/src/submit.ts
@@ -1,9 +1,10 @@
 import {z} from 'zod';
+import {authorSchema} from './author.js';
 
 /** Body of a submit request. */
 export const submitRequestSchema = z.strictObject({
   document: z.string(),
-  author: z.string().min(1),
+  author: authorSchema,
   /** Version that the edit is based on; absent accepts any. */
   base: z.number().int().nonnegative().optional(),
 });
@@ -17,7 +18,7 @@
   from: z.string().min(1),
   /** Version of that environment. */
   version: z.number().int().positive(),
-  author: z.string().min(1),
+  author: authorSchema,
   /** Version of the target environment that the operator saw. */
   base: z.number().int().nonnegative().optional(),
 });
@@ -27,7 +28,7 @@
 
 /** Body of a reassert request. */
 export const reassertRequestSchema = z.strictObject({
-  author: z.string().min(1),
+  author: authorSchema,
 });
 
 /** Body of a reassert request. @public */
--- a/packages/node/src/admin/admin.feature
+++ b/packages/node/src/admin/admin.feature
@@ -20,8 +20,11 @@
       | unknown field   | POST   | /v1/environments/production/reassert | 400    | 1903 |
       | unknown field   | POST   | /v1/documents/check                  | 400    | 1903 |
       | no author       | POST   | /v1/environments/production/reassert | 400    | 1903 |
+      | no author       | POST   | /v1/moves/findings-v2/take-back      | 400    | 1903 |
+      | long author     | POST   | /v1/moves/findings-v2/take-back      | 400    | 1903 |
+      | long author     | POST   | /v1/environments/production/submit   | 400    | 1903 |
       | other fleet     | POST   | /v1/environments/trial/reassert      | 400    | 1903 |
-    And the admin server has called no handler of the distribution
+    And the admin server has called no handler
 
   Scenario: Reassert
     Then the admin server reasserts the active version for its author
--- a/packages/node/src/admin/admin.test.ts
+++ b/packages/node/src/admin/admin.test.ts
@@ -9,6 +9,7 @@
 import type {AdminContext} from './admin-context.js';
 import {AdminServer} from './admin-server.js';
 import {documentRoutes} from './document-routes.js';
+import {statusRoutes} from './status-routes.js';
 
 const operatorToken = 'operator-token';
 const oversizedBytes = 4_000_001;
@@ -38,6 +39,7 @@
   promote: ['from', 'version', 'author'],
   reassert: ['author'],
   check: ['document'],
+  'take-back': ['author'],
 };
 
 function bodyOf(path: string, extra = {}): string {
@@ -55,6 +57,7 @@
   'not JSON': () => ({body: '{"author": "ana"'}),
   'unknown field': path => ({body: bodyOf(path, {force: true})}),
   'no author': () => ({body: '{}'}),
+  'long author': path => ({body: bodyOf(path, {author: 'a'.repeat(201)})}),
   'other fleet': () => ({}),
 };
 
@@ -76,8 +79,10 @@
       promote: note,
       reassert: note,
     };
-    const ctx = {distribution} as unknown as AdminContext;
-    server = new AdminServer({routes: documentRoutes(ctx), operatorToken});
+    const moves = {takeBack: note};
+    const ctx = {distribution, moves} as unknown as AdminContext;
+    const routes = [...documentRoutes(ctx), ...statusRoutes(ctx)];
+    server = new AdminServer({routes, operatorToken});
     server.server.listen(0, '127.0.0.1');
     await once(server.server, 'listening');
   },
@@ -117,7 +122,7 @@
   },
 );
 
-Then('the admin server has called no handler of the distribution', () => {
+Then('the admin server has called no handler', () => {
   assert.deepEqual(called, []);
 });
 
--- a/packages/node/src/admin/status-routes.ts
+++ b/packages/node/src/admin/status-routes.ts
@@ -1,3 +1,4 @@
+import {takeBackRequestSchema} from '@verbenabeam/admin-api';
 import type {
   MoveStatus,
   MovesResponse,
@@ -12,7 +13,8 @@
 import type {LagResponse} from '../distribution/lag-report.js';
 import type {AdminContext} from './admin-context.js';
 import {ADMISSION} from './admin-route.js';
-import type {AdminRoute} from './admin-route.js';
+import type {AdminCall, AdminRoute} from './admin-route.js';
+import {parseBody} from './parse-body.js';
 
 const peerTimeoutMs = 1_000;
 /** Nodes that one status request asks at most. */
@@ -38,8 +40,7 @@
       method: 'POST',
       path: '/v1/moves/:move/take-back',
       admission: operator,
-      handle: ({params}) =>
-        Promise.resolve(takeBack(ctx, params['move'] ?? '')),
+      handle: call => Promise.resolve(takeBack(ctx, call)),
     },
   ];
 }
@@ -138,9 +139,12 @@
 
 function takeBack(
   {moves: service}: AdminContext,
-  moveId: string,
+  {params, body}: AdminCall,
 ): Result<MoveStatus, MeshError> {
-  return service.takeBack(moveId, 'admin').andThen(() => {
+  const moveId = params['move'] ?? '';
+  const req = parseBody(takeBackRequestSchema, body);
+  if (req.isErr) return Result.err(req.error);
+  return service.takeBack(moveId, req.value.author).andThen(() => {
     const record = service.gate.records().find(r => r.moveId === moveId);
     if (record) return Result.ok(moveStatus(service, record));
     const text = `no move has the id "${moveId}"`;
