Compute event bytes and memory of the capacity page without noise

Cause: the page carried lines through differences of a few hundred bytes and through resident sets to 1,300 nodes: -4,824 B per change, 444 MB per node. Ruled out: more sizes, since the noise of one process (79 to 107 MB) is larger than what 75 more nodes add (1.4 MB of heap). Change: bytes of a change are the largest measured, of a joining or leaving node the larger of that and the model; memory is the line of the used heap plus the largest rest of a process.

--- a/apps/bench/src/bench.feature
+++ b/apps/bench/src/bench.feature
@@ -22,6 +22,10 @@
     Given bench results with 100 bytes at rest and -2 more for each node
     Then bench computes 20 bytes at rest for 1300 nodes
 
+  Scenario: Memory grows with the heap and not with the noise of the process
+    Given bench results of heaps of 20, 21, 23 MB in processes of 100, 80, 90 MB
+    Then bench computes a memory of 229 MB for 1300 nodes
+
   Scenario: Figures without a run are marked
     Given bench results of no part
     Then bench page says "not measured" for every target
--- a/apps/bench/src/bench.test.ts
+++ b/apps/bench/src/bench.test.ts
@@ -92,6 +92,29 @@
   },
 );
 
+Given(
+  /^bench results of heaps of (.+) MB in processes of (.+) MB$/,
+  function (this: World, heaps: string, processes: string) {
+    const [heap, rss] = [heaps, processes].map(list => list.split(', '));
+    this.part = 'cost';
+    this.rows = sizes.map((nodes, i) => ({
+      labels: {nodes, measure: 'rest'},
+      values: {heapMb: Number(heap?.[i]), rssMb: Number(rss?.[i])},
+      load: 0,
+    }));
+  },
+);
+
+// Guards against a slope that is made of the noise between processes.
+Then(
+  'bench computes a memory of {int} MB for {int} nodes',
+  function (this: World, mb: number, servers: number) {
+    const size = {...FULL_SIZE, servers};
+    const {memoryMb} = computeFigures(measuredOf(this), size);
+    assert.equal(Math.round(memoryMb?.atSize ?? NaN), mb);
+  },
+);
+
 Given('bench results of no part', function (this: World) {
   this.rows = [];
 });
--- a/apps/bench/src/capacity/figures.ts
+++ b/apps/bench/src/capacity/figures.ts
@@ -1,5 +1,6 @@
 import {TARGETS} from '../bounds.js';
 import type {FleetSize} from './fleet-size.js';
+import {raised} from './measured.js';
 import type {Measured, Trend} from './measured.js';
 
 const secondsPerDay = 86_400;
@@ -7,6 +8,8 @@
 const percent = 100;
 const measuredRate = 300;
 const smallBody = 1_024;
+/** Document that is in force while instances join and leave. */
+const churnDocumentBytes = 10_000;
 
 /** Sum that is unknown as soon as one term is. */
 function sum(...terms: readonly (number | null)[]): number | null {
@@ -32,7 +35,8 @@
   readonly restCorePercent: Trend | null;
   readonly changeCorePercent: number | null;
   readonly controlCorePercent: number | null;
-  readonly rssMb: Trend | null;
+  /** Heap as it grows with the fleet, and the rest of the process. */
+  readonly memoryMb: Trend | null;
   readonly entryCorePercent: number | null;
   readonly servingCorePercent: number | null;
   readonly addedP99Ms: number | null;
@@ -53,6 +57,23 @@
   readonly deltaBytes: number | null;
 }
 
+function larger(a: number | null, b: number | null): number | null {
+  if (a === null || b === null) return a ?? b;
+  return Math.max(a, b);
+}
+
+/**
+ * The resident set varies by tens of MB between equal processes, because V8
+ * grows its heap in large steps. Only the used heap follows the fleet.
+ */
+function memoryOf(measured: Measured, servers: number): Trend | null {
+  const labels = {measure: 'rest'};
+  const heap = measured.trend('cost', labels, 'heapMb', servers);
+  const rss = measured.largest('cost', labels, 'rssMb');
+  const least = measured.smallest('cost', labels, 'heapMb');
+  return raised(heap, rss === null || least === null ? null : rss - least);
+}
+
 /** Computes the figures of a fleet size from measured slopes. @public */
 export function computeFigures(
   measured: Measured,
@@ -65,8 +86,14 @@
   const callsPerNode = size.callsPerSecond / servers;
   const bytes = (event: string, name: string, of: number) =>
     measured.trend('bytes', {event, documentBytes: of}, name, servers);
-  const eventBytes = (event: string, of: number) =>
-    bytes(event, 'sentBytes', of)?.atSize ?? null;
+  // A change reaches each node once, whatever their number.
+  const eventBytes = (event: string, of: number, name = 'sentBytes') =>
+    measured.largest('bytes', {event, documentBytes: of}, name);
+  const model = (name: string) =>
+    measured.trend('bytes', {model: 'gossip'}, name, servers);
+  // The model reaches larger fleets than the processes do.
+  const churnBytes = (event: string, name: string) =>
+    larger(eventBytes(event, churnDocumentBytes), model(name)?.atSize ?? null);
   const call = (during: string, name: string) =>
     measured.value(
       'call',
@@ -80,8 +107,8 @@
 
   const restBytes = bytes('rest', 'sentBytesPerSecond', 0);
   const deltaBytes = eventBytes('delta', documentBytes);
-  const joinBytes = eventBytes('join', 10_000);
-  const leaveBytes = eventBytes('leave', 10_000);
+  const joinBytes = churnBytes('join', 'joinBytes');
+  const leaveBytes = churnBytes('leave', 'leaveBytes');
   const changeBytesPerSecond = times(deltaBytes, changesPerSecond);
   const churnBytesPerSecond = times(
     sum(joinBytes, leaveBytes),
@@ -109,12 +136,7 @@
   return {
     callsPerNode,
     restBytes,
-    restBytesModel: measured.trend(
-      'bytes',
-      {model: 'gossip'},
-      'restBytesPerSecond',
-      servers,
-    ),
+    restBytesModel: model('restBytesPerSecond'),
     changeBytesPerSecond,
     churnBytesPerSecond,
     controlBytesPerSecond: sum(
@@ -125,7 +147,7 @@
     restCorePercent,
     changeCorePercent,
     controlCorePercent: sum(restCorePercent?.atSize ?? null, changeCorePercent),
-    rssMb: measured.trend('cost', {measure: 'rest'}, 'rssMb', servers),
+    memoryMb: memoryOf(measured, servers),
     entryCorePercent: corePercent(call('quiet', 'entryCpuMsPerCall')),
     servingCorePercent: corePercent(call('quiet', 'servingCpuMsPerCall')),
     addedP99Ms: call('quiet', 'addedP99Ms'),
@@ -140,16 +162,8 @@
       'p99Ms',
       servers,
     ),
-    relayBytesPerChange: measured.value(
-      'bytes',
-      {event: 'delta', documentBytes},
-      'mostSentBytes',
-    ),
-    relayFullBytesPerChange: measured.value(
-      'bytes',
-      {event: 'full', documentBytes},
-      'mostSentBytes',
-    ),
+    relayBytesPerChange: eventBytes('delta', documentBytes, 'mostSentBytes'),
+    relayFullBytesPerChange: eventBytes('full', documentBytes, 'mostSentBytes'),
     storeReads,
     storeWrites,
     storeReadsPerSecond: sum(
@@ -200,7 +214,11 @@
       figures.restCorePercent,
       TARGETS.controlCorePercent,
     ),
-    limit('memory of a node, 256 MB', figures.rssMb, TARGETS.controlMemoryMb),
+    limit(
+      'memory of a node, 256 MB',
+      figures.memoryMb,
+      TARGETS.controlMemoryMb,
+    ),
     limit(
       'store reads at rest, 2,000 a second',
       figures.storeReads,
--- a/apps/bench/src/capacity/measured.ts
+++ b/apps/bench/src/capacity/measured.ts
@@ -17,6 +17,16 @@
   readonly measuredNodes: readonly number[];
 }
 
+/** A trend with a constant on top. @internal */
+export function raised(trend: Trend | null, by: number | null): Trend | null {
+  if (trend === null || by === null) return null;
+  return {
+    ...trend,
+    atSize: trend.atSize + by,
+    nodesAt: limit => trend.nodesAt(limit - by),
+  };
+}
+
 /** Reads measured figures; each is null if it was not measured. @public */
 export class Measured {
   readonly #results: Results;
@@ -41,6 +51,18 @@
     return this.#rows(part, labels).at(-1)?.values[name] ?? null;
   }
 
+  /** Largest value of the rows with these labels. */
+  largest(part: string, labels: Labels, name: string): number | null {
+    const values = this.#values(part, labels, name);
+    return values.length > 0 ? Math.max(...values) : null;
+  }
+
+  /** Smallest value of the rows with these labels. */
+  smallest(part: string, labels: Labels, name: string): number | null {
+    const values = this.#values(part, labels, name);
+    return values.length > 0 ? Math.min(...values) : null;
+  }
+
   /** Line through the values of the rows with these labels. */
   trend(
     part: string,
@@ -64,6 +86,10 @@
     };
   }
 
+  #values(part: string, labels: Labels, name: string): readonly number[] {
+    return this.#rows(part, labels).flatMap(row => row.values[name] ?? []);
+  }
+
   #rows(part: string, labels: Labels): readonly Row[] {
     const wanted = Object.entries(labels);
     const rows = this.#results[part]?.rows ?? [];
--- a/apps/bench/src/capacity/page.ts
+++ b/apps/bench/src/capacity/page.ts
@@ -55,7 +55,7 @@
       ),
       line(
         'memory per node',
-        f.rssMb?.atSize ?? null,
+        f.memoryMb?.atSize ?? null,
         TARGETS.controlMemoryMb,
         'MB',
       ),
@@ -98,7 +98,7 @@
     ['control bytes at rest, B/s', f.restBytes],
     ['control bytes at rest, gossip model, B/s', f.restBytesModel],
     ['control processor time at rest, % of a core', f.restCorePercent],
-    ['memory of a node, MB', f.rssMb],
+    ['memory of a node, MB', f.memoryMb],
     ['store reads at rest, per s', f.storeReads],
     ['store writes at rest, per s', f.storeWrites],
     ['convergence p99, ms', f.convergenceP99Ms],
@@ -156,7 +156,7 @@
   return (
     [
       '# Capacity',
-      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes at rest far above those of the gossip model mean that the fleet had not settled after its start when it was measured; the processor time at rest of such a fleet is too high as well. "not measured" means that no run has produced the figure.',
+      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes of a change are the largest that was measured at any size, those of a joining or leaving node the larger of that and of the gossip model at full size. Memory is the used heap, which follows the number of nodes, and the largest rest of a process. Bytes at rest far above those of the gossip model mean that the fleet had not settled after its start when it was measured; the processor time at rest of such a fleet is too high as well. "not measured" means that no run has produced the figure.',
       `Size: ${size.servers.toLocaleString('en-US')} servers, ${size.services} services, ${size.callsPerSecond.toLocaleString('en-US')} calls/s (${cell(f.callsPerNode, '')} per node), ${size.dataCentres} data centres, ${size.changesPerDay.toLocaleString('en-US')} changes and ${size.restartsPerDay + size.failuresPerDay} restarts a day. A document of ${cell(size.documentBytes, 'B')} is assumed.`,
       '## Targets',
       targetTable(f),
--- a/apps/bench/src/capacity/roles.ts
+++ b/apps/bench/src/capacity/roles.ts
@@ -27,7 +27,7 @@
       state: `${servers.toLocaleString('en-US')} instance records, one snapshot`,
       messages: `${cell(f.controlBytesPerSecond, 'B/s')} sent in all for control, ${cell(f.restBytes?.atSize ?? null, 'B/s')} of it at rest`,
       processor: `${cell(f.controlCorePercent, '% of a core')} for control`,
-      memory: `${cell(f.rssMb?.atSize ?? null, 'MB')} for the process`,
+      memory: `${cell(f.memoryMb?.atSize ?? null, 'MB')} for the process`,
       mechanism: 'gossip: one probe a second, whatever the number of nodes',
     },
     {
