--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -24,12 +24,13 @@
   EntryHandler,
   ServingHandler,
 } from './calls/index.js';
-import type {CallRecord, ConfigPort} from './calls/index.js';
+import type {ConfigPort} from './calls/index.js';
 import {ClaimsService} from './claims/claims-service.js';
 import {DistributionService} from './distribution/distribution-service.js';
 import {STATUS_LAG} from './distribution/lag-report.js';
 import type {LagResponse} from './distribution/lag-report.js';
 import {CallEvidence} from './entry/call-evidence.js';
+import {FinishedCalls} from './entry/finished-calls.js';
 import {InstanceAdapter} from './entry/instance-adapter.js';
 import {VersionAdapter} from './entry/version-adapter.js';
 import {every} from './every.js';
@@ -191,7 +192,13 @@
 
   #createEntry(): EntryHandler {
     const {bus, invariants, clock} = this.#options;
-    const evidence = new CallEvidence(this.membership, clock);
+    const finished = new FinishedCalls({
+      calls: this.calls,
+      metrics: this.metrics,
+      moves: this.moves,
+      distribution: this.distribution,
+      evidence: new CallEvidence(this.membership, clock),
+    });
     return new EntryHandler({
       config: this.#configPort(),
       versions: new VersionAdapter(this.moves, this.membership),
@@ -201,7 +208,7 @@
       claims: this.claims,
       bus,
       serving: this.serving,
-      observer: {onCall: record => this.#onCall(record, evidence)},
+      observer: finished,
       invariants,
     });
   }
@@ -213,24 +220,6 @@
     };
   }
 
-  #onCall(record: CallRecord, evidence: CallEvidence): void {
-    this.calls.onCall(record);
-    for (const outcome of evidence.of(record)) this.moves.record(outcome);
-    this.metrics.recordCall({
-      callerClass: this.#callerClass(record.callerClass),
-      service: record.service ?? 'none',
-      code: record.code.code,
-      durationMs: record.durationMs,
-      retries: Math.max(0, record.attempts.length - 1),
-    });
-  }
-
-  /** Bounds the number of labels. */
-  #callerClass(name: string): string {
-    const known = this.distribution.tracker.current?.document.callerClasses;
-    return known?.includes(name) ? name : 'other';
-  }
-
   #onApplied(snapshot: Snapshot): void {
     this.moves.onApplied(snapshot);
     this.#retries.retain(new Set(snapshot.document.services.keys()));
