Split the connection and the bus of the wire package

The table of streams is now StreamTable, incoming connections are ConnectionAcceptor, and two error constructors moved to wire-errors.ts.

--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -10,12 +10,12 @@
 import type {FrameSink, FrameSocket} from './frame-socket.js';
 import type {PeerIdentity} from './handshake.js';
 import type {HandlerTable} from './handler-table.js';
-import {MuxStream} from './mux-stream.js';
 import type {StreamLink} from './mux-stream.js';
 import type {ByteStream, PeerContext, RequestOptions} from './peer-bus.js';
 import {PendingRequests} from './pending-requests.js';
 import {RequestServer} from './request-server.js';
-import {cancelled, errorFromFrame, notSent} from './wire-errors.js';
+import {StreamTable} from './stream-table.js';
+import {asLost, errorFromFrame, refused} from './wire-errors.js';
 
 /** What a connection needs besides its socket. @internal */
 export interface ConnectionOptions {
@@ -27,13 +27,6 @@
   readonly onClose: (connection: Connection) => void;
 }
 
-/** A stream that this side opened. */
-interface OpenedStream {
-  readonly frameNumber: number;
-  /** Stops listening to the caller's signal. */
-  readonly stop: () => void;
-}
-
 /** A peer that does not read is not sent more than this many bytes. */
 const maxPendingBytes = 8 * MAX_FRAME_BYTES;
 const log = logger('wire');
@@ -43,8 +36,7 @@
   readonly #socket: FrameSocket;
   readonly #options: ConnectionOptions;
   readonly #pending = new PendingRequests();
-  readonly #streams = new Map<number, MuxStream>();
-  readonly #opened = new Map<number, OpenedStream>();
+  readonly #streams: StreamTable;
   readonly #context: PeerContext;
   readonly #ended = new AbortController();
   readonly #server: RequestServer;
@@ -59,9 +51,10 @@
     [FRAME_TYPES.failure]: f => this.#settle(f, Result.err(errorFromFrame(f))),
     [FRAME_TYPES.notice]: f => this.#takeNotice(f),
     [FRAME_TYPES.open]: f => this.#takeOpen(f),
-    [FRAME_TYPES.head]: f => this.#stream(f)?.takeHead(f[2]),
-    [FRAME_TYPES.end]: f => this.#stream(f)?.takeEnd(f[2]),
-    [FRAME_TYPES.reset]: f => this.#stream(f)?.takeReset(errorFromFrame(f)),
+    [FRAME_TYPES.head]: f => this.#streams.get(f[1])?.takeHead(f[2]),
+    [FRAME_TYPES.end]: f => this.#streams.get(f[1])?.takeEnd(f[2]),
+    [FRAME_TYPES.reset]: f =>
+      this.#streams.get(f[1])?.takeReset(errorFromFrame(f)),
     [FRAME_TYPES.credit]: f => this.#takeCredit(f),
     [FRAME_TYPES.ping]: () => this.send([FRAME_TYPES.pong]),
     [FRAME_TYPES.pong]: () => undefined,
@@ -73,6 +66,7 @@
   constructor(socket: FrameSocket, options: ConnectionOptions) {
     this.#socket = socket;
     this.#options = options;
+    this.#streams = new StreamTable(this, options.streamCreditBytes);
     const {signal} = this.#ended;
     this.#context = {nodeId: options.peer.nodeId, signal};
     this.#server = new RequestServer(this, options.handlers, this.#context);
@@ -127,14 +121,7 @@
     const id = this.#nextId++;
     const sent = this.#sendFirst([FRAME_TYPES.open, id, kind, head]);
     if (sent.isErr) return Result.err(sent.error);
-    const stream = this.#addStream(id);
-    const abort = () => {
-      stream.reset(cancelled());
-    };
-    signal?.addEventListener('abort', abort, {once: true});
-    const stop = () => signal?.removeEventListener('abort', abort);
-    this.#opened.set(id, {frameNumber: sent.value, stop});
-    return Result.ok(stream);
+    return Result.ok(this.#streams.open(id, sent.value, signal));
   }
 
   /** Sends a ping, whose response counts as a read. */
@@ -166,9 +153,7 @@
   }
 
   forget(streamId: number): void {
-    this.#streams.delete(streamId);
-    this.#opened.get(streamId)?.stop();
-    this.#opened.delete(streamId);
+    this.#streams.forget(streamId);
     this.#lastUseAt = performance.now();
   }
 
@@ -191,21 +176,18 @@
       reason: err.message,
     });
     const lost = asLost(err);
-    this.#pending.failAll(lost, number => this.#socket.wasFlushed(number));
-    for (const [id, stream] of [...this.#streams]) {
-      const frameNumber = this.#opened.get(id)?.frameNumber ?? 0;
-      const sent = this.#socket.wasFlushed(frameNumber);
-      stream.takeReset(sent ? lost : notSent(err));
-    }
+    const wasFlushed = (number: number) => this.#socket.wasFlushed(number);
+    this.#pending.failAll(lost, wasFlushed);
+    this.#streams.resetAll(lost, err, wasFlushed);
     this.#ended.abort(lost);
     this.#options.onClose(this);
   }
 
   /** Sends the first frame of an exchange; refuses without sending a byte. */
   #sendFirst(frame: Frame): Result<number, MeshError> {
-    if (!this.usable) return refused('The connection is closed');
+    if (!this.usable) return Result.err(refused('The connection is closed'));
     if (this.#socket.pendingBytes > maxPendingBytes) {
-      return refused('The peer does not read what was sent');
+      return Result.err(refused('The peer does not read what was sent'));
     }
     const bytes = encodeFrame(frame);
     if (bytes.length - LENGTH_BYTES > MAX_FRAME_BYTES) {
@@ -242,7 +224,7 @@
       this.#refuseFrame(`Stream id ${String(id)} cannot be opened`);
       return;
     }
-    const stream = this.#addStream(id);
+    const stream = this.#streams.accept(id);
     const handler = handlers.streams.get(String(kind));
     if (handlers.closing) {
       stream.reset(new MeshError(WIRE_CODES.closing, 'The peer is closing'));
@@ -258,34 +240,11 @@
   #takeCredit(frame: Frame): void {
     const bytes = frame[2];
     const valid = typeof bytes === 'number' && bytes > 0;
-    if (valid) this.#stream(frame)?.takeCredit(bytes);
+    if (valid) this.#streams.get(frame[1])?.takeCredit(bytes);
     else this.#refuseFrame('Credit is not a positive number');
   }
 
-  #addStream(id: number): MuxStream {
-    const stream = new MuxStream(id, this, this.#options.streamCreditBytes);
-    this.#streams.set(id, stream);
-    return stream;
-  }
-
-  /** Frames of a stream that was reset here still arrive; they are dropped. */
-  #stream(frame: Frame): MuxStream | undefined {
-    return this.#streams.get(Number(frame[1]));
-  }
-
   #refuseFrame(message: string): void {
     this.close(new MeshError(WIRE_CODES.unexpectedFrame, message));
   }
 }
-
-function refused(message: string): Result<never, MeshError> {
-  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
-}
-
-/** Whatever ended the connection, what was sent may have been processed. */
-function asLost(err: MeshError): MeshError {
-  if (err.code === WIRE_CODES.connectionLost) return err;
-  return new MeshError(WIRE_CODES.connectionLost, err.message, {
-    cause: err.code.name,
-  });
-}
--- /dev/null
+++ b/packages/wire/src/stream-table.ts
@@ -0,0 +1,85 @@
+import type {MeshError} from '@verbenabeam/core';
+import {MuxStream} from './mux-stream.js';
+import type {StreamLink} from './mux-stream.js';
+import {cancelled, notSent} from './wire-errors.js';
+
+/** A stream that this side opened. */
+interface OpenedStream {
+  readonly frameNumber: number;
+  /** Stops listening to the caller's signal. */
+  readonly stop: () => void;
+}
+
+/** The open streams of one connection, by id. @internal */
+export class StreamTable {
+  readonly #link: StreamLink;
+  readonly #creditBytes: number;
+  readonly #streams = new Map<number, MuxStream>();
+  readonly #opened = new Map<number, OpenedStream>();
+
+  constructor(link: StreamLink, creditBytes: number) {
+    this.#link = link;
+    this.#creditBytes = creditBytes;
+  }
+
+  get size(): number {
+    return this.#streams.size;
+  }
+
+  has(id: number): boolean {
+    return this.#streams.has(id);
+  }
+
+  /** The stream; undefined if it was reset here and frames still arrive. */
+  get(id: unknown): MuxStream | undefined {
+    return this.#streams.get(Number(id));
+  }
+
+  /** Adds a stream that the peer opened. */
+  accept(id: number): MuxStream {
+    const stream = new MuxStream(id, this.#link, this.#creditBytes);
+    this.#streams.set(id, stream);
+    return stream;
+  }
+
+  /**
+   * Adds a stream that this side opened; an abort of the signal resets it.
+   *
+   * @param frameNumber - Number of its first frame.
+   */
+  open(
+    id: number,
+    frameNumber: number,
+    signal: AbortSignal | undefined,
+  ): MuxStream {
+    const stream = this.accept(id);
+    const abort = () => {
+      stream.reset(cancelled());
+    };
+    signal?.addEventListener('abort', abort, {once: true});
+    const stop = () => signal?.removeEventListener('abort', abort);
+    this.#opened.set(id, {frameNumber, stop});
+    return stream;
+  }
+
+  forget(id: number): void {
+    this.#streams.delete(id);
+    this.#opened.get(id)?.stop();
+    this.#opened.delete(id);
+  }
+
+  /**
+   * Resets all streams after the connection ended with `cause`; those whose
+   * first frame was not written were not sent.
+   */
+  resetAll(
+    lost: MeshError,
+    cause: MeshError,
+    wasFlushed: (frameNumber: number) => boolean,
+  ): void {
+    for (const [id, stream] of [...this.#streams]) {
+      const sent = wasFlushed(this.#opened.get(id)?.frameNumber ?? 0);
+      stream.takeReset(sent ? lost : notSent(cause));
+    }
+  }
+}
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import type {AddressInfo, Server, Socket} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {logger, MeshError, WIRE_CODES} from '@verbenabeam/core';
@@ -7,9 +7,9 @@
 import type {BusSettings, TcpPeerBusOptions} from './bus-options.js';
 import {Connection} from './connection.js';
 import {ConnectionPool} from './connection-pool.js';
-import {FrameSocket} from './frame-socket.js';
-import {handshakeAsServer} from './handshake.js';
-import type {ChannelBinding, PeerIdentity} from './handshake.js';
+import {ConnectionAcceptor} from './connection-acceptor.js';
+import type {FrameSocket} from './frame-socket.js';
+import type {PeerIdentity} from './handshake.js';
 import {HandlerTable} from './handler-table.js';
 import {TRAFFIC_CLASSES} from './peer-bus.js';
 import type {
@@ -39,8 +39,7 @@
     call: {sent: 0, received: 0},
   };
   readonly #pool: ConnectionPool;
-  readonly #accepted = new Set<Connection>();
-  readonly #handshaking = new Set<Socket>();
+  readonly #acceptor: ConnectionAcceptor;
   #server: Server | null = null;
   #sweeper: NodeJS.Timeout | null = null;
   #unknownResponses = 0;
@@ -48,12 +47,17 @@
 
   constructor(options: TcpPeerBusOptions) {
     this.#settings = busSettings(options);
-    this.#pool = new ConnectionPool({
+    const shared = {
       settings: this.#settings,
       counters: this.#counters,
-      connect: (socket, peer, onClose) =>
-        new Connection(socket, this.#connectionOptions(peer, onClose)),
-    });
+      connect: (
+        socket: FrameSocket,
+        peer: PeerIdentity,
+        onClose: (connection: Connection) => void,
+      ) => new Connection(socket, this.#connectionOptions(peer, onClose)),
+    };
+    this.#pool = new ConnectionPool(shared);
+    this.#acceptor = new ConnectionAcceptor(shared);
   }
 
   /** Responses that were dropped because their request is not known. */
@@ -72,7 +76,7 @@
     signal?: AbortSignal,
   ): Promise<Result<PeerAddress, MeshError>> {
     const server = createServer(this.#settings.tls, (socket, binding) => {
-      this.#accept(socket, binding);
+      this.#acceptor.accept(socket, binding);
     });
     const target = parseAddress(listenAddress);
     try {
@@ -104,12 +108,11 @@
     this.#closed = true;
     this.#handlers.closing = true;
     this.#server?.close();
-    for (const connection of this.#accepted) connection.goAway();
-    if (this.#accepted.size > 0) await sleep(closeGraceMs);
+    this.#acceptor.goAway();
+    if (this.#acceptor.connections.length > 0) await sleep(closeGraceMs);
     if (this.#sweeper) clearInterval(this.#sweeper);
     const err = new MeshError(WIRE_CODES.connectionLost, 'The bus is closed');
-    for (const socket of this.#handshaking) socket.destroy();
-    for (const connection of [...this.#accepted]) connection.close(err);
+    this.#acceptor.close(err);
     this.#pool.close(err);
   }
 
@@ -218,40 +221,11 @@
     };
   }
 
-  #accept(raw: Socket, binding: ChannelBinding): void {
-    if (this.#closed) {
-      raw.destroy();
-      return;
-    }
-    this.#handshaking.add(raw);
-    const timer = setTimeout(
-      () => raw.destroy(),
-      this.#settings.connectTimeoutMs,
-    );
-    // The traffic class is known only after the hello; until then the few
-    // handshake bytes count as control.
-    const socket = new FrameSocket(raw, this.#counters.control);
-    handshakeAsServer(socket, this.#settings, binding, result => {
-      clearTimeout(timer);
-      this.#handshaking.delete(raw);
-      if (result.isErr) {
-        log('Handshake failed', {code: result.error.code.code});
-        return;
-      }
-      const peer = result.value;
-      socket.counter = this.#counters[peer.trafficClass];
-      const options = this.#connectionOptions(peer, connection => {
-        this.#accepted.delete(connection);
-      });
-      this.#accepted.add(new Connection(socket, options));
-    });
-  }
-
   /** Closes idle and silent connections. The opener closes idle ones first. */
   #sweep(): void {
     const {idleMs} = this.#settings;
     this.#pool.sweep(idleMs);
-    for (const connection of [...this.#accepted]) {
+    for (const connection of this.#acceptor.connections) {
       this.#pool.sweepOne(connection, 2 * idleMs);
     }
   }
--- a/packages/wire/src/wire-errors.ts
+++ b/packages/wire/src/wire-errors.ts
@@ -28,3 +28,21 @@
 export function cancelled(): MeshError {
   return new MeshError(WIRE_CODES.cancelled, 'The sender cancelled');
 }
+
+/** The error of an exchange of which no byte was sent. @internal */
+export function refused(message: string): MeshError {
+  return new MeshError(WIRE_CODES.unreachable, message);
+}
+
+/**
+ * The error of what was sent on a connection that ended: whatever the cause,
+ * it may have been processed.
+ *
+ * @internal
+ */
+export function asLost(err: MeshError): MeshError {
+  if (err.code === WIRE_CODES.connectionLost) return err;
+  return new MeshError(WIRE_CODES.connectionLost, err.message, {
+    cause: err.code.name,
+  });
+}
