Explain an unknown outcome by the attempt that caused it

Cause: a call that ended as 1607 after several attempts carried the message of its last attempt, so a caller read of a refused connection as the reason why its request may have run. AttemptLog now keeps the error of the last attempt that may have run and answers with it.

The scenario fails with the old choice (message 'connect ECONNREFUSED', expected 'The peer closed the connection') and passes with the new one.

--- a/packages/node/src/calls/calls-unreachable.test.ts
+++ b/packages/node/src/calls/calls-unreachable.test.ts
@@ -33,17 +33,34 @@
   first = await startNode('first');
 });
 
+async function startGone(count: number): Promise<void> {
+  const ids = Array.from({length: count}, (_, i) => `gone${i}`);
+  gone = await Promise.all(ids.map(startNode));
+  await Promise.all(gone.map(node => node.bus.close()));
+}
+
+async function loseFirst(): Promise<void> {
+  running = client.call(entry, '/read?ms=200');
+  await until(() => first.upstream!.inFlight === 1);
+  await first.bus.close();
+}
+
 Given(
   '{int} further instances that refuse connections',
   async (count: number) => {
-    const ids = Array.from({length: count}, (_, i) => `gone${i}`);
-    gone = await Promise.all(ids.map(startNode));
-    await Promise.all(gone.map(node => node.bus.close()));
+    await startGone(count);
     // The fake picks the first, then those that are gone, and then the entry.
     entry.sendTo(first, entry, ...gone);
-    running = client.call(entry, '/read?ms=200');
-    await until(() => first.upstream!.inFlight === 1);
-    await first.bus.close();
+    await loseFirst();
+  },
+);
+
+Given(
+  'only {int} further instances, which refuse connections',
+  async (count: number) => {
+    await startGone(count);
+    entry.sendTo(first, ...gone);
+    await loseFirst();
   },
 );
 
@@ -54,3 +71,16 @@
   assert.equal(record?.attempts.length, 5);
   assert.equal(record.attempts.at(-1)?.nodeId, 'entry');
 });
+
+// Guards against a caller that is told of a refused connection as the reason
+// why its request may have run.
+Then(
+  'the read fails with {int} and the message of the first attempt',
+  async (expected: number) => {
+    const {code, body, callId} = await running;
+    assert.equal(code, expected);
+    assert.equal(entry.log.find(callId)?.attempts.length, 3);
+    const {message} = JSON.parse(body.toString()) as {message: string};
+    assert.equal(message, 'The peer closed the connection');
+  },
+);
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -5,23 +5,19 @@
   MeshError,
 } from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
-import {Attempt, failedFrom, outcomeOf} from './attempt.js';
-import type {AttemptListener} from './attempt.js';
-import type {AnswerHead, AnswerTrailer, CallHead} from './call-head.js';
-import {passedHeaders} from './call-headers.js';
-import type {AttemptRecord, CallRecord} from './call-record.js';
+import {failedFrom, outcomeOf} from './attempt.js';
+import type {Attempt, AttemptListener} from './attempt.js';
+import {AttemptFactory} from './attempt-factory.js';
+import {AttemptLog} from './attempt-log.js';
+import {CallClaim} from './call-claim.js';
+import type {AnswerHead, AnswerTrailer} from './call-head.js';
+import type {CallRecord} from './call-record.js';
 import {recordOf} from './entry-record.js';
 import type {RoutedCall} from './routed-call.js';
 import {CallerResponse} from './caller-response.js';
 import {CallRetries} from './call-retries.js';
-import {beginClaim} from './claim-step.js';
 import {OUTCOMES} from './entry-ports.js';
-import type {
-  ClaimKey,
-  EntryPorts,
-  Outcome,
-  VersionChoice,
-} from './entry-ports.js';
+import type {EntryPorts, Outcome} from './entry-ports.js';
 import {REPLAY_LIMIT_BYTES, ReplayBody} from './replay-body.js';
 
 /** One call on the entry side, from its route to its end. @internal */
@@ -33,16 +29,11 @@
   readonly #response: CallerResponse;
   readonly #deadlineAt: number;
   readonly #timer: NodeJS.Timeout;
-  /** Version of the last attempt; null before the first. */
-  #choice: VersionChoice | null = null;
-  readonly #passed: string[];
   readonly #retries: CallRetries;
-  readonly #tried = new Set<string>();
-  readonly #records: AttemptRecord[] = [];
+  readonly #attempts: AttemptFactory;
+  readonly #log: AttemptLog;
   #attempt: Attempt | null = null;
-  #claim: ClaimKey | null = null;
-  /** Whether an attempt that ended may have run the request. */
-  #mayHaveRun = false;
+  #claim: CallClaim | null = null;
   #headMs: number | null = null;
   #over = false;
 
@@ -55,7 +46,7 @@
     this.#call = call;
     this.#ports = ports;
     this.#done = done;
-    this.#passed = passedHeaders(req.rawHeaders);
+    this.#log = new AttemptLog(callId, startAt);
     const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
     this.#retries = new CallRetries(ports, {
@@ -69,6 +60,7 @@
       this.#expire();
     }, limitMs);
     this.#body = new ReplayBody(req, headers.bodyBytes !== 0);
+    this.#attempts = new AttemptFactory(call, ports, this.#body);
     const mark = {callId, configVersion: snapshot.version};
     const keep = !route.idempotent && headers.idempotencyKey !== null;
     this.#response = new CallerResponse(res, mark, keep);
@@ -123,32 +115,21 @@
   onFailure(err: MeshError): void {
     this.#record(outcomeOf(err), err.code);
     this.#attempt = null;
-    this.#mayHaveRun ||= !err.code.notRun;
+    if (!err.code.notRun) this.#log.leaveOpen(err);
     if (this.#response.started) {
       this.#response.cut();
       this.#finish(err.code);
     } else if (this.#body.replayable && this.#retries.tryAgain(err)) {
       this.#try(err);
     } else {
-      this.#refuseWith(this.#asCallError(err, this.#call.callId));
+      this.#refuseWith(this.#log.asCallError(err));
     }
   }
 
   async #startClaimed(key: string): Promise<void> {
-    const {snapshot, route, headers, callId} = this.#call;
-    const claim: ClaimKey = {
-      environment: snapshot.environment,
-      service: route.service.name,
-      callerClass: headers.callerClass,
-      key,
-      callId,
-    };
-    const step = await beginClaim(
-      this.#ports.claims,
-      claim,
-      this.#remainingMs(),
-    );
-    if (step.kind === 'granted') this.#claim = claim;
+    const claim = new CallClaim(this.#ports.claims, this.#call, key);
+    this.#claim = claim;
+    const step = await claim.begin(this.#remainingMs());
     if (this.#over) {
       this.#finishClaim();
     } else if (step.kind === 'granted') {
@@ -172,64 +153,26 @@
   /** Makes an attempt; without an instance the last refusal is the answer. */
   #try(last?: MeshError): void {
     if (this.#over) return;
-    const {snapshot, route, callId} = this.#call;
-    const {versions} = this.#ports;
-    const {name} = route.service;
-    // Asked for each attempt, because a move may have been stopped while the
-    // call waited for its claim, its body or an instance.
-    this.#choice = versions.choose(
-      snapshot,
-      route.service,
-      callId,
-      this.#tried,
-    );
-    const {version} = this.#choice;
-    const target = this.#ports.instances.pick(name, version, this.#tried);
-    if (!target) {
-      const none = new MeshError(
-        CALL_CODES.noInstance,
-        `No instance of ${name} ${version} can take the call`,
-      );
-      this.#refuseWith(this.#asCallError(last ?? none, callId));
-      return;
-    }
-    this.#tried.add(target.nodeId);
-    const head = this.#callHead(version);
-    versions.onSent(name, version);
-    this.#attempt = new Attempt(this.#ports, target, head, this.#body, this);
-    this.#attempt.start();
+    const passRetries = () => this.#retries.pass();
+    this.#attempt = this.#attempts.next(this.#remainingMs(), passRetries, this);
+    if (this.#attempt) this.#attempt.start();
+    else this.#refuseWith(this.#log.asCallError(last ?? this.#noInstance()));
   }
 
-  #callHead(version: string): CallHead {
-    const {callId, req, route, headers} = this.#call;
-    return {
-      callId,
-      service: route.service.name,
-      version,
-      method: req.method ?? 'GET',
-      path: req.url ?? '/',
-      remainingMs: this.#remainingMs(),
-      depth: headers.depth + 1,
-      retriesLeft: this.#retries.pass(),
-      bodyBytes: headers.bodyBytes,
-      headers: this.#passed,
-    };
+  #noInstance(): MeshError {
+    const {name} = this.#call.route.service;
+    const version = this.#attempts.choice?.version ?? '';
+    const message = `No instance of ${name} ${version} can take the call`;
+    return new MeshError(CALL_CODES.noInstance, message);
   }
 
   #remainingMs(): number {
     return Math.max(0, this.#deadlineAt - performance.now());
   }
 
-  /** The caller learns the worst of all attempts, not that of the last. */
-  #asCallError(err: MeshError, callId: string): MeshError {
-    const code = this.#mayHaveRun ? CALL_CODES.outcomeUnknown : err.code;
-    if (code === err.code) return err;
-    return new MeshError(code, err.message, {callId, cause: err.code.name});
-  }
-
   #expire(): void {
     if (this.#over) return;
-    const notSent = !this.#attempt && !this.#mayHaveRun;
+    const notSent = !this.#attempt && !this.#log.mayHaveRun;
     const code = notSent
       ? CALL_CODES.deadlineTooClose
       : CALL_CODES.deadlineExceeded;
@@ -245,8 +188,9 @@
 
   #abort(code: ResultCode, outcome: Outcome): void {
     if (!this.#attempt) return;
-    this.#mayHaveRun = true;
-    this.#attempt.abort(new MeshError(code, code.text), outcome);
+    const err = new MeshError(code, code.text);
+    this.#log.leaveOpen(err);
+    this.#attempt.abort(err, outcome);
     this.#record(outcome, code);
     this.#attempt = null;
   }
@@ -256,7 +200,7 @@
   }
 
   #refuseWith(err: MeshError): void {
-    const wasOpen = this.#mayHaveRun || this.#attempt !== null;
+    const wasOpen = this.#log.mayHaveRun || this.#attempt !== null;
     this.#ports.invariants.check(
       INVARIANT_CODES.falseNotRun,
       !err.code.notRun || !wasOpen,
@@ -266,31 +210,20 @@
     this.#finish(err.code);
   }
 
-  #record(outcome: Outcome, {code}: ResultCode): void {
+  #record(outcome: Outcome, code: ResultCode): void {
     const attempt = this.#attempt;
     if (!attempt) return;
-    this.#records.push({
-      nodeId: attempt.target.nodeId,
-      version: this.#choice?.version ?? '',
-      outcome,
-      code,
-      atMs: attempt.startAt - this.#call.startAt,
-      latencyMs: attempt.latencyMs ?? 0,
-    });
+    this.#log.add(attempt, this.#attempts.choice?.version ?? '', outcome, code);
   }
 
   #finishClaim(): void {
-    if (!this.#claim) return;
-    const {claims} = this.#ports;
-    const answered = this.#records.at(-1)?.code === CALL_CODES.ok.code;
-    if (answered) {
+    if (!this.#claim?.open) return;
+    if (this.#log.answered) {
       const answer = this.#response.stored();
-      claims.finish(this.#claim, {kind: 'answered', answer});
+      this.#claim.finish({kind: 'answered', answer});
     } else {
-      const kind = this.#mayHaveRun ? 'unknown' : 'notRun';
-      claims.finish(this.#claim, {kind});
+      this.#claim.finish({kind: this.#log.mayHaveRun ? 'unknown' : 'notRun'});
     }
-    this.#claim = null;
   }
 
   #finish(code: ResultCode): void {
@@ -301,8 +234,8 @@
     this.#retries.end();
     this.#done(
       recordOf(this.#call, {
-        choice: this.#choice,
-        attempts: this.#records,
+        choice: this.#attempts.choice,
+        attempts: this.#log.records,
         headMs: this.#headMs,
         status: code === CALL_CODES.cancelled ? 0 : this.#response.status,
         responseBytes: this.#response.bytes,
--- /dev/null
+++ b/packages/node/src/calls/serving-body.ts
@@ -0,0 +1,63 @@
+import type {ByteStream} from '@verbenabeam/wire';
+import {REPLAY_LIMIT_BYTES} from './replay-body.js';
+import {UpstreamBody} from './upstream-body.js';
+
+const noBody = Buffer.alloc(0);
+
+/**
+ * Request body on the serving side. A small one is collected before the call
+ * enters, so that a slow one holds no slot; a large one is passed on while it
+ * arrives.
+ *
+ * @internal
+ */
+export class ServingBody {
+  readonly #passed: UpstreamBody | null;
+  readonly #isEmpty: boolean;
+  #pieces: Uint8Array[] = [];
+  #whole: Buffer | null = null;
+
+  /** @param bodyBytes - 0: no body; null: not known in advance. */
+  constructor(bodyBytes: number | null, stream: ByteStream) {
+    const isLarge = bodyBytes === null || bodyBytes > REPLAY_LIMIT_BYTES;
+    this.#passed = isLarge ? new UpstreamBody(stream) : null;
+    this.#isEmpty = bodyBytes === 0;
+  }
+
+  /** Whether the call enters only at the end of the body. */
+  get isCollected(): boolean {
+    return !this.#isEmpty && !this.#passed;
+  }
+
+  /** What the upstream request gets. */
+  get content(): Buffer | UpstreamBody | null {
+    return this.#passed ?? this.#whole;
+  }
+
+  /** Bytes for the fingerprint: a body that is passed on is not covered. */
+  get known(): Buffer {
+    return this.#whole ?? noBody;
+  }
+
+  accept(chunk: Uint8Array): void {
+    if (this.#passed) this.#passed.accept(chunk);
+    else if (!this.#isEmpty) this.#pieces.push(chunk);
+  }
+
+  finish(): void {
+    this.#passed?.finish();
+    if (!this.isCollected) return;
+    this.#whole = joined(this.#pieces);
+    this.#pieces = [];
+  }
+
+  destroy(): void {
+    this.#passed?.destroy();
+  }
+}
+
+function joined(pieces: Uint8Array[]): Buffer {
+  const [only] = pieces;
+  if (pieces.length === 1 && Buffer.isBuffer(only)) return only;
+  return Buffer.concat(pieces);
+}
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -5,42 +5,19 @@
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
-import type {CrashDetector} from './crash-detector.js';
-import {REPLAY_LIMIT_BYTES} from './replay-body.js';
-import type {
-  LostRequest,
-  OwnUpstream,
-  ServingPorts,
-  Ticket,
-} from './serving-ports.js';
-import {UpstreamBody} from './upstream-body.js';
-import type {UpstreamPool} from './upstream-pool.js';
+import {ServingBody} from './serving-body.js';
+import type {ServingContext} from './serving-context.js';
+import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
-const noBody = Buffer.alloc(0);
-
-/** What the calls of one serving handler share. @internal */
-export interface ServingContext {
-  readonly ports: ServingPorts;
-  readonly pool: UpstreamPool;
-  readonly crashes: CrashDetector;
-  /** Ids of the calls that were passed to the upstream and have not ended. */
-  readonly running: Set<string>;
-  readonly isDraining: () => boolean;
-  /** Called once for each call. */
-  readonly onEnd: () => void;
-}
-
 /** One call on the serving side. @internal */
 export class ServingCall implements StreamListener, UpstreamListener {
   readonly #head: CallHead;
   readonly #stream: ByteStream;
   readonly #context: ServingContext;
   readonly #deadlineAt: number;
-  /** Pieces of a small body; null once the request is dispatched. */
-  #pieces: Uint8Array[] | null = [];
-  #body: Buffer | UpstreamBody | null = null;
+  readonly #body: ServingBody;
   #ticket: Ticket | null = null;
   #cancelQueue: (() => void) | null = null;
   #request: UpstreamRequest | null = null;
@@ -54,33 +31,24 @@
     this.#head = head;
     this.#stream = stream;
     this.#context = context;
+    this.#body = new ServingBody(head.bodyBytes, stream);
     this.#deadlineAt = performance.now() + head.remainingMs;
   }
 
-  /** A small body is collected first, so a slow one holds no slot. */
+  /** A call whose body is collected enters at the body's end. */
   start(): void {
-    const {bodyBytes} = this.#head;
     this.#stream.listen(this);
-    if (bodyBytes === 0) this.#enter();
-    else if (bodyBytes === null || bodyBytes > REPLAY_LIMIT_BYTES) {
-      this.#body = new UpstreamBody(this.#stream);
-      this.#enter();
-    }
+    if (!this.#body.isCollected) this.#enter();
   }
 
   onChunk(chunk: Uint8Array): void {
-    if (this.#over) return;
-    if (this.#body instanceof UpstreamBody) this.#body.accept(chunk);
-    else this.#pieces?.push(chunk);
+    if (!this.#over) this.#body.accept(chunk);
   }
 
   onEnd(): void {
     if (this.#over) return;
-    if (this.#body instanceof UpstreamBody) this.#body.finish();
-    else if (this.#head.bodyBytes !== 0) {
-      this.#body = joined(this.#pieces ?? []);
-      this.#enter();
-    }
+    this.#body.finish();
+    if (this.#body.isCollected) this.#enter();
   }
 
   /** The entry side ended the call. */
@@ -221,11 +189,11 @@
     this.#upstream = upstream;
     running.add(this.#head.callId);
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
-    this.#pieces = null;
     this.#dispatchAt = performance.now();
     const remainingMs = this.#deadlineAt - this.#dispatchAt;
     this.#request = new UpstreamRequest(this.#head, this);
-    this.#request.dispatch(pool.get(upstream.address), this.#body, remainingMs);
+    const upstreamPool = pool.get(upstream.address);
+    this.#request.dispatch(upstreamPool, this.#body.content, remainingMs);
   }
 
   #refuse(code: ResultCode, saidByUpstream = false): void {
@@ -256,9 +224,7 @@
 
   #fingerprint(): string {
     const {service, method, path} = this.#head;
-    // A body that is passed on while it arrives is not covered.
-    const body = Buffer.isBuffer(this.#body) ? this.#body : noBody;
-    return fingerprintOf({service, method, path, body});
+    return fingerprintOf({service, method, path, body: this.#body.known});
   }
 
   /** Frees the slot; for an answer with the time until its head. */
@@ -266,7 +232,7 @@
     if (this.#over) return;
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
-    if (this.#body instanceof UpstreamBody) this.#body.destroy();
+    this.#body.destroy();
     const {running, ports} = this.#context;
     const {quarantine, ledger} = ports;
     running.delete(this.#head.callId);
@@ -275,9 +241,3 @@
     this.#context.onEnd();
   }
 }
-
-function joined(pieces: Uint8Array[]): Buffer {
-  const [only] = pieces;
-  if (pieces.length === 1 && Buffer.isBuffer(only)) return only;
-  return Buffer.concat(pieces);
-}
--- /dev/null
+++ b/packages/node/src/calls/serving-context.ts
@@ -0,0 +1,15 @@
+import type {CrashDetector} from './crash-detector.js';
+import type {ServingPorts} from './serving-ports.js';
+import type {UpstreamPool} from './upstream-pool.js';
+
+/** What the calls of one serving handler share. @internal */
+export interface ServingContext {
+  readonly ports: ServingPorts;
+  readonly pool: UpstreamPool;
+  readonly crashes: CrashDetector;
+  /** Ids of the calls that were passed to the upstream and have not ended. */
+  readonly running: Set<string>;
+  readonly isDraining: () => boolean;
+  /** Called once for each call. */
+  readonly onEnd: () => void;
+}
--- a/packages/node/src/calls/serving-handler.ts
+++ b/packages/node/src/calls/serving-handler.ts
@@ -6,7 +6,7 @@
 import type {LocalServing} from './entry-ports.js';
 import {InFlight} from './in-flight.js';
 import {ServingCall} from './serving-call.js';
-import type {ServingContext} from './serving-call.js';
+import type {ServingContext} from './serving-context.js';
 import type {ServingPorts} from './serving-ports.js';
 import {UpstreamPool} from './upstream-pool.js';
 
