Measure settled fleets and count control bytes by kind

Cause: the bench measured bytes at rest 10 s after the first document and processor time 2 s after it, while the gossip about the start still ran.

Ruled out: a kind of message that goes on at rest.

The bench parts now wait until three windows of 5 s in a row do not fall by more than 5%, for 180 s at most, and report how that ended.

--- a/apps/bench/src/fleet/host-commands.ts
+++ b/apps/bench/src/fleet/host-commands.ts
@@ -18,6 +18,8 @@
 export interface NodeUsage {
   readonly control: Counts;
   readonly call: Counts;
+  /** Control bytes sent, by kind of message. */
+  readonly sentByKind: Readonly<Record<string, number>>;
 }
 
 /** Processor time and memory of one process. @internal */
--- a/apps/bench/src/fleet/node-host.ts
+++ b/apps/bench/src/fleet/node-host.ts
@@ -16,6 +16,7 @@
 const pollMs = 2;
 const bytesLine =
   /^verbenabeam_wire_bytes\{class="(\w+)",direction="(\w+)"\} (\S+)$/gm;
+const kindLine = /^verbenabeam_control_sent_bytes\{kind="([^"]+)"\} (\S+)$/gm;
 const nodes = new Map<string, MeshNode>();
 
 async function startNode(spec: NodeSpec): Promise<NodeAddresses> {
@@ -43,7 +44,14 @@
 
 async function wireBytes(node: MeshNode): Promise<NodeUsage> {
   const text = await node.parts.metrics.render();
-  const usage = {control: {sent: 0, received: 0}, call: {sent: 0, received: 0}};
+  const kinds = [...text.matchAll(kindLine)];
+  const usage = {
+    control: {sent: 0, received: 0},
+    call: {sent: 0, received: 0},
+    sentByKind: Object.fromEntries(
+      kinds.map(([, kind, bytes]) => [kind, Number(bytes)]),
+    ) as Record<string, number>,
+  };
   for (const [, traffic, direction, value] of text.matchAll(bytesLine)) {
     const counts = usage[traffic as 'control' | 'call'];
     counts[direction as 'sent' | 'received'] = Number(value);
--- a/apps/bench/src/parts/bytes.ts
+++ b/apps/bench/src/parts/bytes.ts
@@ -1,6 +1,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {documentText} from '../fleet/document-text.js';
+import {awaitCalm} from '../fleet/calm.js';
 import {Fleet} from '../fleet/fleet.js';
+import type {NodeUsage} from '../fleet/host-commands.js';
 import {currentLoad} from '../report/machine.js';
 import type {Row} from '../report/part-result.js';
 import {measureGossipModel} from './gossip-model.js';
@@ -10,11 +12,6 @@
 const activeTimeoutMs = 10_000;
 /** Time in which an event and its repetitions by gossip are sent. */
 const eventMs = 2_000;
-/**
- * Time after which the gossip about the start has ended. After 2 s it still
- * ran, and changes seemed to cost less than nothing.
- */
-const settleMs = 10_000;
 const documentSizes = [10_000, 100_000];
 /** 186 nodes are a data centre at full size; 1,300 took over a minute to model. */
 const modelSizes = [40, 186];
@@ -24,29 +21,39 @@
   readonly received: number;
   /** Bytes sent by the node that sent most. */
   readonly most: number;
+  /** Bytes sent per node, by kind of message. */
+  readonly kinds: Readonly<Record<string, number>>;
 }
 
 /** Control bytes of one fleet. */
 class BytesBench {
   readonly #fleet: Fleet;
   readonly rows: Row[] = [];
-  #rest: Traffic = {sent: 0, received: 0, most: 0};
+  #rest: Traffic = {sent: 0, received: 0, most: 0, kinds: {}};
 
   constructor(fleet: Fleet) {
     this.#fleet = fleet;
   }
 
   async rest(seconds: number): Promise<void> {
+    const {settled, waitedSeconds} = await awaitCalm(this.#fleet);
     const traffic = await this.#during(() => sleep(seconds * msPerSecond));
     this.#rest = {
       sent: traffic.sent / seconds,
       received: traffic.received / seconds,
       most: traffic.most / seconds,
+      kinds: {},
     };
+    const kinds = Object.entries(traffic.kinds).map(
+      ([kind, bytes]) => [`${kind}BytesPerSecond`, bytes / seconds] as const,
+    );
     this.#add('rest', 0, {
       sentBytesPerSecond: this.#rest.sent,
       receivedBytesPerSecond: this.#rest.received,
       mostSentBytesPerSecond: this.#rest.most,
+      settled: settled ? 1 : 0,
+      waitedSeconds,
+      ...Object.fromEntries(kinds),
     });
   }
 
@@ -101,16 +108,31 @@
       sent: mean(sent),
       received: mean(received),
       most: Math.max(...sent),
+      kinds: kindsBetween(before, after),
     };
   }
 }
 
+/** Bytes sent per node between two samples, by kind of message. */
+function kindsBetween(
+  before: readonly NodeUsage[],
+  after: readonly NodeUsage[],
+): Record<string, number> {
+  const kinds: Record<string, number> = {};
+  for (const [i, {sentByKind}] of before.entries()) {
+    for (const [kind, bytes] of Object.entries(after[i]?.sentByKind ?? {})) {
+      const sent = bytes - (sentByKind[kind] ?? 0);
+      kinds[kind] = (kinds[kind] ?? 0) + sent / before.length;
+    }
+  }
+  return kinds;
+}
+
 async function measureFleet(nodes: number, seconds: number): Promise<Row[]> {
   const fleet = await Fleet.start({nodes});
   const bench = new BytesBench(fleet);
   try {
     await bench.change(documentText({size: 10_000}));
-    await sleep(settleMs);
     await bench.rest(seconds);
     for (const size of documentSizes) {
       const edit = (mark: string, timeout: string) => () =>
--- a/apps/bench/src/parts/cost.ts
+++ b/apps/bench/src/parts/cost.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {documentText} from '../fleet/document-text.js';
+import {awaitCalm} from '../fleet/calm.js';
 import {Fleet} from '../fleet/fleet.js';
 import type {ProcessUsage} from '../fleet/host-commands.js';
 import type {Host} from '../fleet/host.js';
@@ -92,10 +93,10 @@
   for (const nodes of options.nodes) {
     await withProbe(nodes, async (fleet, probe) => {
       await change(fleet, documentText({size: smallBytes}));
-      // Start-up work and the spread of the first version must have ended.
-      await sleep(2_000);
+      const {settled, waitedSeconds} = await awaitCalm(fleet);
       const values = await atRest(probe, options.seconds);
-      add({measure: 'rest', nodes, ...base}, values);
+      const calm = {settled: settled ? 1 : 0, waitedSeconds};
+      add({measure: 'rest', nodes, ...base}, {...values, ...calm});
     });
   }
   const nodes = 10;
--- a/packages/node/src/metrics/node-metrics.ts
+++ b/packages/node/src/metrics/node-metrics.ts
@@ -38,6 +38,8 @@
   /** Number of members by state. */
   readonly members: () => Readonly<Record<string, number>>;
   readonly bytes: () => ByteCounts;
+  /** Control bytes sent, by kind of message. */
+  readonly sentByKind: () => Readonly<Record<string, number>>;
   readonly inFlight: () => number;
 }
 
@@ -161,6 +163,16 @@
         }
       },
     );
+    this.#gauge(
+      'verbenabeam_control_sent_bytes',
+      'Control bytes sent to nodes since the start, by kind of message.',
+      ['kind'],
+      gauge => {
+        for (const [kind, bytes] of Object.entries(sources.sentByKind())) {
+          gauge.set({kind}, bytes);
+        }
+      },
+    );
   }
 
   #gauge(
--- a/packages/node/src/moves/test/fake-mesh.ts
+++ b/packages/node/src/moves/test/fake-mesh.ts
@@ -1,6 +1,11 @@
 import {MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {InstanceRecord} from '@verbenabeam/membership';
-import type {NoticeHandler, PeerBus, RequestHandler} from '@verbenabeam/wire';
+import type {
+  NoticeHandler,
+  PeerBus,
+  PeerContext,
+  RequestHandler,
+} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
 import type {MembershipService} from '../../membership/membership-service.js';
 
@@ -59,8 +64,7 @@
     for (const notice of batch) {
       const {from, to, kind, body} = notice;
       this.delivered.push(notice);
-      const {signal} = new AbortController();
-      this.#notices.get(`${to} ${kind}`)?.(body, {nodeId: from, signal});
+      this.#notices.get(`${to} ${kind}`)?.(body, contextOf(from));
     }
     return batch.length;
   }
@@ -75,13 +79,12 @@
 
   #busOf(from: string): PeerBus {
     const unreachable = new MeshError(WIRE_CODES.unreachable, 'no such peer');
-    const {signal} = new AbortController();
     const bus: Partial<PeerBus> = {
       notify: (to, kind, body) => {
         this.#queue.push({from, to, kind, body});
       },
       request: async (to, kind, body) =>
-        this.#requests.get(`${to} ${kind}`)?.(body, {nodeId: from, signal}) ??
+        this.#requests.get(`${to} ${kind}`)?.(body, contextOf(from)) ??
         Result.err(unreachable),
       onNotice: (kind, run) => this.#notices.set(`${from} ${kind}`, run),
       onRequest: (kind, run) => this.#requests.set(`${from} ${kind}`, run),
@@ -89,3 +92,9 @@
     return bus as PeerBus;
   }
 }
+
+/** A peer that takes no notices on its own connection. */
+function contextOf(nodeId: string): PeerContext {
+  const {signal} = new AbortController();
+  return {nodeId, signal, notify: () => false};
+}
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -265,6 +265,7 @@
       configVersion: () => this.distribution.tracker.digest.version,
       members: () => countByState(this.membership.live()),
       bytes: () => this.#options.bus.bytes(),
+      sentByKind: () => this.#options.bus.sentByKind(),
       inFlight: () => this.serving.inFlight,
     });
   }
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -10,18 +10,28 @@
 import type {FrameSink, FrameSocket} from './frame-socket.js';
 import type {PeerIdentity} from './handshake.js';
 import type {HandlerTable} from './handler-table.js';
+import type {KindCounts} from './kind-counts.js';
 import {MuxStream} from './mux-stream.js';
 import type {StreamLink} from './mux-stream.js';
+import {TRAFFIC_CLASSES} from './peer-bus.js';
 import type {ByteStream, PeerContext, RequestOptions} from './peer-bus.js';
 import {PendingRequests} from './pending-requests.js';
 import {RequestServer} from './request-server.js';
-import {cancelled, errorFromFrame, notSent} from './wire-errors.js';
+import {
+  asLost,
+  cancelled,
+  errorFromFrame,
+  notSent,
+  refused,
+} from './wire-errors.js';
 
 /** What a connection needs besides its socket. @internal */
 export interface ConnectionOptions {
   readonly peer: PeerIdentity;
   readonly handlers: HandlerTable;
   readonly streamCreditBytes: number;
+  /** Where control messages are counted. */
+  readonly sentByKind: KindCounts;
   /** Called for a response whose request is not known (any more). */
   readonly onUnknownResponse: () => void;
   readonly onClose: (connection: Connection) => void;
@@ -34,6 +44,11 @@
   readonly stop: () => void;
 }
 
+/** Names under which frames without a kind are counted. */
+const countedAs: Readonly<Record<number, string>> = {
+  [FRAME_TYPES.response]: 'response',
+  [FRAME_TYPES.failure]: 'response',
+};
 /** A peer that does not read is not sent more than this many bytes. */
 const maxPendingBytes = 8 * MAX_FRAME_BYTES;
 const log = logger('wire');
@@ -74,7 +89,12 @@
     this.#socket = socket;
     this.#options = options;
     const {signal} = this.#ended;
-    this.#context = {nodeId: options.peer.nodeId, signal};
+    this.#context = {
+      nodeId: options.peer.nodeId,
+      signal,
+      notify: (kind, body) => this.notify(kind, body).isOk,
+    };
+    this.#count('handshake', socket.queuedBytes);
     this.#server = new RequestServer(this, options.handlers, this.#context);
     socket.sink = this;
     socket.allowLargeFrames();
@@ -108,14 +128,14 @@
     options: RequestOptions,
   ): Promise<Result<unknown, MeshError>> {
     const id = this.#nextId++;
-    const sent = this.#sendFirst([FRAME_TYPES.request, id, kind, body]);
+    const sent = this.#sendFirst([FRAME_TYPES.request, id, kind, body], kind);
     if (sent.isErr) return Result.err(sent.error);
     return this.#pending.add(id, sent.value, options);
   }
 
   /** Sends a notice; see `PeerBus.notify`. */
   notify(kind: string, body: unknown): Result<number, MeshError> {
-    return this.#sendFirst([FRAME_TYPES.notice, kind, body]);
+    return this.#sendFirst([FRAME_TYPES.notice, kind, body], kind);
   }
 
   /** Opens a stream; see `PeerBus.openStream`. */
@@ -125,7 +145,7 @@
     signal: AbortSignal | undefined,
   ): Result<ByteStream, MeshError> {
     const id = this.#nextId++;
-    const sent = this.#sendFirst([FRAME_TYPES.open, id, kind, head]);
+    const sent = this.#sendFirst([FRAME_TYPES.open, id, kind, head], kind);
     if (sent.isErr) return Result.err(sent.error);
     const stream = this.#addStream(id);
     const abort = () => {
@@ -158,7 +178,9 @@
   }
 
   send(frame: Frame): void {
-    this.#socket.send(frame);
+    const bytes = encodeFrame(frame);
+    this.#count(countedAs[frame[0]] ?? 'link', bytes.length);
+    this.#socket.sendEncoded(bytes);
   }
 
   sendChunk(streamId: number, bytes: Uint8Array): void {
@@ -202,7 +224,7 @@
   }
 
   /** Sends the first frame of an exchange; refuses without sending a byte. */
-  #sendFirst(frame: Frame): Result<number, MeshError> {
+  #sendFirst(frame: Frame, kind: string): Result<number, MeshError> {
     if (!this.usable) return refused('The connection is closed');
     if (this.#socket.pendingBytes > maxPendingBytes) {
       return refused('The peer does not read what was sent');
@@ -217,9 +239,16 @@
       );
     }
     this.#lastUseAt = performance.now();
+    this.#count(kind, bytes.length);
     return Result.ok(this.#socket.sendEncoded(bytes));
   }
 
+  #count(kind: string, bytes: number): void {
+    const {peer, sentByKind} = this.#options;
+    if (peer.trafficClass !== TRAFFIC_CLASSES.control) return;
+    sentByKind.add(kind, bytes);
+  }
+
   #settle(frame: Frame, outcome: Result<unknown, MeshError>): void {
     if (this.#pending.settle(Number(frame[1]), outcome)) return;
     this.#options.onUnknownResponse();
@@ -277,15 +306,3 @@
     this.close(new MeshError(WIRE_CODES.unexpectedFrame, message));
   }
 }
-
-function refused(message: string): Result<never, MeshError> {
-  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
-}
-
-/** Whatever ended the connection, what was sent may have been processed. */
-function asLost(err: MeshError): MeshError {
-  if (err.code === WIRE_CODES.connectionLost) return err;
-  return new MeshError(WIRE_CODES.connectionLost, err.message, {
-    cause: err.code.name,
-  });
-}
--- a/packages/wire/src/frame-socket.ts
+++ b/packages/wire/src/frame-socket.ts
@@ -34,6 +34,8 @@
   counter: ByteCounter;
   /** Time of the last read in milliseconds. */
   lastReadAt = performance.now();
+  /** Bytes that were queued since the start. */
+  queuedBytes = 0;
   readonly #socket: Socket;
   readonly #reader = new FrameReader();
   #parts: Uint8Array[] = [];
@@ -135,6 +137,7 @@
     if (this.#closed) return;
     this.#parts.push(bytes);
     this.#partBytes += bytes.length;
+    this.queuedBytes += bytes.length;
     if (this.#scheduled) return;
     this.#scheduled = true;
     // Not setImmediate: calls waited longer behind the turn's other events. Not
--- a/packages/wire/src/peer-bus.ts
+++ b/packages/wire/src/peer-bus.ts
@@ -24,6 +24,11 @@
   readonly nodeId: string;
   /** Aborts when the connection ends. */
   readonly signal: AbortSignal;
+  /**
+   * Sends a notice back on the connection that the message came on, which saves
+   * a connection in the other direction. False if it cannot take the notice.
+   */
+  notify(kind: string, body: unknown): boolean;
 }
 
 /** Answers one request. An error is sent back with its code. @public */
@@ -105,4 +110,10 @@
   onNotice(kind: string, handler: NoticeHandler): void;
   onStream(kind: string, handler: StreamHandler): void;
   bytes(): ByteCounts;
+  /**
+   * Control bytes sent since the start, by the kind of request or notice.
+   * Responses count as `response`, completed handshakes as `handshake`, and
+   * pings and their like as `link`.
+   */
+  sentByKind(): Readonly<Record<string, number>>;
 }
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -11,6 +11,7 @@
 import {handshakeAsServer} from './handshake.js';
 import type {ChannelBinding, PeerIdentity} from './handshake.js';
 import {HandlerTable} from './handler-table.js';
+import {KindCounts} from './kind-counts.js';
 import {TRAFFIC_CLASSES} from './peer-bus.js';
 import type {
   ByteCounts,
@@ -38,6 +39,7 @@
     control: {sent: 0, received: 0},
     call: {sent: 0, received: 0},
   };
+  readonly #sentByKind = new KindCounts();
   readonly #pool: ConnectionPool;
   readonly #accepted = new Set<Connection>();
   readonly #handshaking = new Set<Socket>();
@@ -169,6 +171,10 @@
     return {control: {...control}, call: {...call}};
   }
 
+  sentByKind(): Readonly<Record<string, number>> {
+    return this.#sentByKind.totals();
+  }
+
   /** Gets a connection within the time limit and unless aborted. */
   async #connection(
     peer: PeerAddress,
@@ -211,6 +217,7 @@
       peer,
       handlers: this.#handlers,
       streamCreditBytes: this.#settings.streamCreditBytes,
+      sentByKind: this.#sentByKind,
       onUnknownResponse: () => {
         this.#unknownResponses++;
       },
--- a/packages/wire/src/wire-errors.ts
+++ b/packages/wire/src/wire-errors.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {findCode, MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {ErrorDetails} from '@verbenabeam/core';
 import type {Frame} from './frame.js';
@@ -28,3 +29,20 @@
 export function cancelled(): MeshError {
   return new MeshError(WIRE_CODES.cancelled, 'The sender cancelled');
 }
+
+/** Refuses an exchange of which nothing was sent. @internal */
+export function refused(message: string): Result<never, MeshError> {
+  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
+}
+
+/**
+ * Whatever ended the connection, what was sent may have been processed.
+ *
+ * @internal
+ */
+export function asLost(err: MeshError): MeshError {
+  if (err.code === WIRE_CODES.connectionLost) return err;
+  return new MeshError(WIRE_CODES.connectionLost, err.message, {
+    cause: err.code.name,
+  });
+}
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -24,3 +24,9 @@
     Then the other peer beside the wire link is disconnected
     And at most 262144 of its bytes were taken beside the wire link
     And the waiting request on the wire link gets its response
+
+  Scenario: A wire link notice is answered on the connection it came on
+    Given a wire link between two buses
+    When a notice on the wire link is answered by a notice
+    Then the answer arrives on the wire link without another handshake
+    And the wire link counts the bytes of the answer by its kind
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -23,6 +23,7 @@
 let isOpen: boolean;
 let raw: RawPeer;
 let taken: number;
+let answered: Promise<unknown>;
 
 async function start(extra: Partial<TcpPeerBusOptions>): Promise<void> {
   client = new TcpPeerBus({nodeId: 'client', nodeKey, ...extra});
@@ -131,3 +132,37 @@
     assert.ok(taken <= limit);
   },
 );
+
+When('a notice on the wire link is answered by a notice', async () => {
+  server.onNotice('ask', (_body, peer) => {
+    assert.ok(peer.notify('tell', 'answer'));
+  });
+  answered = new Promise(resolve => {
+    client.onNotice('tell', resolve);
+  });
+  client.notify(link.address, 'ask', null);
+  await Promise.race([answered, sleep(timeoutMs, null, {ref: false})]);
+});
+
+// Guards against a dial back for each answer, which doubles the handshakes.
+Then(
+  'the answer arrives on the wire link without another handshake',
+  async () => {
+    assert.equal(await answered, 'answer');
+    assert.equal(link.connections, 1);
+    assert.equal(server.bytes().control.sent, countedBy(server));
+  },
+);
+
+Then('the wire link counts the bytes of the answer by its kind', () => {
+  const {tell = 0, handshake = 0} = server.sentByKind();
+  assert.equal(
+    tell,
+    encodeFrame([FRAME_TYPES.notice, 'tell', 'answer']).length,
+  );
+  assert.ok(handshake > 0);
+});
+
+function countedBy(bus: TcpPeerBus): number {
+  return Object.values(bus.sentByKind()).reduce((sum, n) => sum + n, 0);
+}
