Limit the exchanges of reunited regions

The table keeps the ids of members that are not alive, so expiry and the search for suspects no longer visit all members each second.

--- a/packages/membership/src/failure-detector.ts
+++ b/packages/membership/src/failure-detector.ts
@@ -2,7 +2,6 @@
 import type {Dissemination} from './dissemination.js';
 import {suspicionMs} from './gossip-options.js';
 import type {GossipOptions} from './gossip-options.js';
-import {NODE_STATES} from './instance-record.js';
 import type {InstanceRecord} from './instance-record.js';
 import type {MemberTable} from './member-table.js';
 import type {GossipMessageOf} from './messages.js';
@@ -110,8 +109,7 @@
    */
   #askSuspects(): void {
     const {table, rng} = this.#parts;
-    const suspects = table.live().filter(r => r.state === NODE_STATES.suspect);
-    for (const record of rng.shuffle(suspects).slice(0, maxAsked)) {
+    for (const record of rng.shuffle(table.suspects()).slice(0, maxAsked)) {
       this.#probe(record, 0);
     }
   }
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -73,8 +73,8 @@
     digest: (from, {b}) => {
       this.#exchange.onDigest(from, b);
     },
-    sums: (from, message) => {
-      this.#exchange.onSums(from, message);
+    sums: (from, message, now) => {
+      this.#exchange.onSums(from, message, now);
     },
     want: (from, {h}) => {
       this.#exchange.onWant(from, h);
--- a/packages/membership/src/member-table.ts
+++ b/packages/membership/src/member-table.ts
@@ -54,6 +54,8 @@
   /** Node id by address, of the members that are not dead. */
   readonly #byAddress = new Map<string, string>();
   readonly #digest = new TableDigest();
+  /** Node ids of the members that are not alive; few in a settled fleet. */
+  readonly #doubted = new Set<string>();
   readonly #listeners: MemberListener[] = [];
   readonly #options: Required<MemberTableOptions>;
   #liveCount = 0;
@@ -84,6 +86,12 @@
     return this.#live;
   }
 
+  /** Members that are suspect. */
+  suspects(): InstanceRecord[] {
+    const records = [...this.#doubted].flatMap(id => this.get(id) ?? []);
+    return records.filter(r => r.state === NODE_STATES.suspect);
+  }
+
   /** Members that are dead and may come back. */
   dead(): readonly InstanceRecord[] {
     this.#dead ??= this.#select(r => r.state === NODE_STATES.dead);
@@ -117,7 +125,10 @@
 
   /** Declares overdue suspects dead and forgets members that are long gone. */
   expire(now: number, suspicionMs: number): void {
-    for (const [nodeId, {record, since}] of this.#members) {
+    for (const nodeId of [...this.#doubted]) {
+      const member = this.#members.get(nodeId);
+      if (!member) continue;
+      const {record, since} = member;
       const age = now - since;
       if (record.state === NODE_STATES.suspect && age >= suspicionMs) {
         this.#put({...record, state: NODE_STATES.dead}, now);
@@ -177,6 +188,8 @@
     this.#digest.index(record.nodeId, hash, former?.hash);
     this.#count(member, 1);
     this.#members.set(record.nodeId, member);
+    if (record.state === NODE_STATES.alive) this.#doubted.delete(record.nodeId);
+    else this.#doubted.add(record.nodeId);
     if (isLive(record)) this.#byAddress.set(record.address, record.nodeId);
     else this.#release(record);
     this.#live = null;
@@ -195,6 +208,7 @@
     const member = this.#members.get(nodeId);
     if (member) this.#digest.drop(member.hash);
     this.#members.delete(nodeId);
+    this.#doubted.delete(nodeId);
     this.#dead = null;
   }
 
--- a/packages/membership/src/reconciler.ts
+++ b/packages/membership/src/reconciler.ts
@@ -7,6 +7,9 @@
 import {decodeRecord, encodeRecord, isClaim} from './update.js';
 import type {Update} from './update.js';
 
+/** Time for which the records that were asked of one peer are waited for. */
+const wantMs = 1000;
+
 /** Record hashes of a peer, kept until its records have arrived. */
 interface PeerSums {
   readonly from: string;
@@ -25,6 +28,7 @@
   readonly #parts: ProtocolParts;
   readonly #apply: (updates: readonly Update[], now: number) => Applied;
   #sums: PeerSums | null = null;
+  #wantedAt = -Infinity;
 
   constructor(
     parts: ProtocolParts,
@@ -48,7 +52,9 @@
     out.send(from, {k: 'sums', b, h});
   }
 
-  onSums(from: string, {b, h}: GossipMessageOf<'sums'>): void {
+  /** While records of one peer are due, others would send the same ones. */
+  onSums(from: string, {b, h}: GossipMessageOf<'sums'>, now: number): void {
+    if (this.#sums && now - this.#wantedAt < wantMs) return;
     const {out, table} = this.#parts;
     const buckets = new Set(b);
     const own = table.hashesIn(buckets);
@@ -57,6 +63,7 @@
     if (left.length > 0) this.#sendRecords(from, left);
     const wanted = missing.filter(hash => !isLeft(table.byHash(hash)));
     this.#sums = {from, buckets, hashes: new Set(h)};
+    this.#wantedAt = now;
     if (wanted.length > 0) out.send(from, {k: 'want', h: wanted});
     else this.#sendRest(from);
   }
--- a/packages/membership/src/table-exchange.ts
+++ b/packages/membership/src/table-exchange.ts
@@ -15,6 +15,11 @@
  */
 const activeDigestMs = 5000;
 const activeMs = 15_000;
+/**
+ * Shortest time between two exchanges for reunited members. After a partition
+ * each probe brings some; an exchange for each sent every record 20 times.
+ */
+const reunitedMs = 5000;
 /** Shortest time between two exchanges with unknown senders. */
 const strangerMs = 15_000;
 /** Other members that a busy seed names. */
@@ -27,6 +32,7 @@
   readonly #tables = new TableServer();
   readonly #reconciler: Reconciler;
   #strangerAt = -Infinity;
+  #reunitedAt = -Infinity;
   #digestAt = -Infinity;
   #activeUntil = -Infinity;
   #seedAt = -Infinity;
@@ -74,7 +80,8 @@
       const soon = now + rng.float() * bulkDigestMs;
       this.#digestAt = Math.min(this.#digestAt, soon);
     }
-    if (applied.reunited.length > 0) {
+    if (applied.reunited.length > 0 && now >= this.#reunitedAt) {
+      this.#reunitedAt = now + reunitedMs;
       this.#reconciler.sendDigest(rng.pick(applied.reunited));
     }
     return applied;
@@ -96,8 +103,8 @@
     if (this.joined) this.#reconciler.onDigest(from, digest);
   }
 
-  onSums(from: string, sums: GossipMessageOf<'sums'>): void {
-    this.#reconciler.onSums(from, sums);
+  onSums(from: string, sums: GossipMessageOf<'sums'>, now: number): void {
+    this.#reconciler.onSums(from, sums, now);
   }
 
   onWant(from: string, hashes: readonly number[]): void {
