--- a/packages/node/src/membership/membership-service.ts
+++ b/packages/node/src/membership/membership-service.ts
@@ -5,7 +5,8 @@
   NODE_STATES,
   UPSTREAM_STATES,
   UpstreamMonitor,
-  gossipMessageSchema,
+  decodeGossip,
+  encodeGossip,
 } from '@verbenabeam/membership';
 import type {
   GossipAction,
@@ -13,7 +14,7 @@
   UpstreamRecord,
 } from '@verbenabeam/membership';
 import type {Candidate} from '@verbenabeam/routing';
-import type {PeerBus} from '@verbenabeam/wire';
+import type {PeerBus, PeerContext} from '@verbenabeam/wire';
 import type {Result} from 'true-myth';
 import {z} from 'zod';
 import {every} from '../every.js';
@@ -24,7 +25,7 @@
 const log = logger('membership');
 
 /** Address of the sender, to which answers go, and the message. */
-const envelopeSchema = z.tuple([z.string().max(64), gossipMessageSchema]);
+const envelopeSchema = z.tuple([z.string().max(64), z.unknown()]);
 
 /** Parts of a {@link MembershipService}. @internal */
 export interface MembershipServiceOptions {
@@ -72,7 +73,7 @@
   /** Starts the protocol with the given seeds. */
   start(seeds: readonly string[]): void {
     const {bus, clock, signal} = this.#options;
-    bus.onNotice(gossipKind, body => this.#receive(body));
+    bus.onNotice(gossipKind, (body, peer) => this.#receive(body, peer));
     this.#send(this.#gossip.start(seeds, clock.now()));
     every(tickMs, signal, () => this.#send(this.#gossip.tick(clock.now())));
     every(monitorTickMs, signal, () => this.monitor.tick(clock.now()));
@@ -160,21 +161,37 @@
     this.#send(this.#gossip.setUpstream(record, clock.now()));
   }
 
-  #receive(body: unknown): void {
+  #receive(body: unknown, peer: PeerContext): void {
     const parsed = envelopeSchema.safeParse(body);
-    if (!parsed.success) {
+    const [from, packed] = parsed.data ?? [''];
+    const message = decodeGossip(packed);
+    if (!message) {
       log('Malformed gossip message dropped.');
       return;
     }
-    const [from, message] = parsed.data;
     const {clock} = this.#options;
-    this.#send(this.#gossip.receive(from, message, clock.now()));
+    const actions = this.#gossip.receive(from, message, clock.now());
+    const isAnswer = ({to}: GossipAction) => to === from;
+    this.#answer(actions.filter(isAnswer), peer);
+    this.#send(actions.filter(action => !isAnswer(action)));
+  }
+
+  /**
+   * Answers on the connection of the question. In a large fleet nearly every
+   * probe needs a new connection; an answer through the pool took a second one.
+   */
+  #answer(actions: readonly GossipAction[], peer: PeerContext): void {
+    const {address} = this.own;
+    const unsent = actions.filter(
+      ({message}) => !peer.notify(gossipKind, [address, encodeGossip(message)]),
+    );
+    this.#send(unsent);
   }
 
   #send(actions: readonly GossipAction[]): void {
     const {bus} = this.#options;
     for (const {to, message} of actions) {
-      bus.notify(to, gossipKind, [this.own.address, message]);
+      bus.notify(to, gossipKind, [this.own.address, encodeGossip(message)]);
     }
   }
 }
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -11,6 +11,7 @@
 import type {FrameSocket} from './frame-socket.js';
 import type {PeerIdentity} from './handshake.js';
 import {HandlerTable} from './handler-table.js';
+import {KindCounts} from './kind-counts.js';
 import {TRAFFIC_CLASSES} from './peer-bus.js';
 import type {
   ByteCounts,
@@ -38,6 +39,7 @@
     control: {sent: 0, received: 0},
     call: {sent: 0, received: 0},
   };
+  readonly #sentByKind = new KindCounts();
   readonly #pool: ConnectionPool;
   readonly #acceptor: ConnectionAcceptor;
   #server: Server | null = null;
@@ -172,6 +174,10 @@
     return {control: {...control}, call: {...call}};
   }
 
+  sentByKind(): Readonly<Record<string, number>> {
+    return this.#sentByKind.totals();
+  }
+
   /** Gets a connection within the time limit and unless aborted. */
   async #connection(
     peer: PeerAddress,
@@ -214,6 +220,7 @@
       peer,
       handlers: this.#handlers,
       streamCreditBytes: this.#settings.streamCreditBytes,
+      sentByKind: this.#sentByKind,
       onUnknownResponse: () => {
         this.#unknownResponses++;
       },
--- a/packages/wire/src/wire-errors.ts
+++ b/packages/wire/src/wire-errors.ts
@@ -1,3 +1,4 @@
+import {Result} from 'true-myth';
 import {findCode, MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {ErrorDetails} from '@verbenabeam/core';
 import type {Frame} from './frame.js';
@@ -29,9 +30,9 @@
   return new MeshError(WIRE_CODES.cancelled, 'The sender cancelled');
 }
 
-/** The error of an exchange of which no byte was sent. @internal */
-export function refused(message: string): MeshError {
-  return new MeshError(WIRE_CODES.unreachable, message);
+/** Refuses an exchange of which nothing was sent. @internal */
+export function refused(message: string): Result<never, MeshError> {
+  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
 }
 
 /**
