--- a/packages/moves/src/mixture-test.ts
+++ b/packages/moves/src/mixture-test.ts
@@ -21,6 +21,8 @@
   readonly #tolerated: number;
   /** Logarithms by alternative, for each start. */
   readonly #starts = [alternatives.map(() => 0)];
+  /** Result of {@link logEvidence} until the next change. */
+  #evidence: number | null = null;
 
   constructor(tolerated: number) {
     this.#tolerated = tolerated;
@@ -35,6 +37,7 @@
   restart(): void {
     if (this.#starts.length >= maxStarts) return;
     this.#starts.push(alternatives.map(() => 0));
+    this.#evidence = null;
   }
 
   /** Adds a block in which both versions had calls. */
@@ -51,6 +54,11 @@
 
   /** Natural logarithm of the mixture; 0 means no evidence either way. */
   logEvidence(): number {
+    this.#evidence ??= this.#mix();
+    return this.#evidence;
+  }
+
+  #mix(): number {
     const logs = this.#starts.flatMap((products, i) => {
       const logWeight = -Math.log((i + 1) * (i + 2) * alternatives.length);
       return products.map(log => log + logWeight);
@@ -62,6 +70,7 @@
   }
 
   #update(logRatio: (oddsRatio: number) => number): void {
+    this.#evidence = null;
     alternatives.forEach((factor, i) => {
       const change = logRatio(factor * this.#tolerated);
       for (const products of this.#starts) {
