moves: hold a control share before 100% and watch the full share

Cause: at 100% no old call runs beside the new ones, and latencies were not tested there at all, because a slow minute of the service looks like a slow version. Slowness that began at the full share was never found. (3) A small control until the end: 2% of 63 calls/s bring 100 old calls in 80 s, by computation, which is over 2% of the traffic of a move of 30 min. Change: 90% is held until the old version has had enough calls; at 100% a watch compares windows with the calls of the last minutes per route and load level, with the spread of earlier windows as noise. The first change steps back to 90%, where the sequential test decides on calls of the same seconds; a second one is a stop. Windows of 10 s became windows of 5 s. The trials count a take-back without a stop as the decision, too, so that calls after it are measured. The planner's input and pace are files of their own.

--- a/packages/moves/src/move-machine.ts
+++ b/packages/moves/src/move-machine.ts
@@ -1,7 +1,7 @@
 import {MOVE_STATES, isTerminal} from './move-record.js';
 import type {MoveRecord} from './move-record.js';
 import type {Plan} from './share-planner.js';
-import {firstShare} from './share-planner.js';
+import {firstShare} from './share-pace.js';
 
 /** A planned move, from the document. Times since the Unix epoch. @public */
 export interface MovePlan {
--- a/packages/moves/src/move-pilot.ts
+++ b/packages/moves/src/move-pilot.ts
@@ -1,3 +1,4 @@
+import {ChangeWatch} from './change-watch.js';
 import type {Evidence} from './evidence.js';
 import {MoveJudge, controllerAlphaPart} from './move-judge.js';
 import type {MovePolicy} from './move-policy.js';
@@ -24,6 +25,12 @@
  */
 const shortageMs = 5_000;
 
+/**
+ * A change at 100% may come from the whole service, so the first one only leads
+ * back to the control share, where old calls of the same seconds decide.
+ */
+const maxChanges = 2;
+
 /** Facts of one decision. Times in milliseconds. @public */
 export interface PilotInput {
   readonly record: MoveRecord;
@@ -43,6 +50,9 @@
   readonly #policy: MovePolicy;
   readonly #judge: MoveJudge;
   readonly #byShare = new Map<number, ShareCounts>();
+  readonly #watch = new ChangeWatch();
+  /** Times that the calls at 100% changed; a successor begins at 0. */
+  #changes = 0;
   #counts = emptyCounts();
   #step = -1;
   /** Monotonic time at which this controller first saw the step. */
@@ -65,6 +75,9 @@
     this.#startStep(record, now);
     this.#judge.add(evidence, record.share, now);
     if (evidence.step !== record.step) return;
+    const before = this.#watch.change();
+    this.#watch.add(evidence.cells, record.share, now);
+    if (this.#watch.change() !== before) this.#changes += 1;
     const counts = this.#counts;
     for (const {route, from, to} of evidence.cells) {
       counts.newCalls += to.calls;
@@ -76,6 +89,10 @@
 
   verdict(now: number): Verdict {
     this.#judge.settle(now);
+    const change = this.#watch.change();
+    if (change !== null && this.#changes >= maxChanges) {
+      return {kind: 'stop', reason: `${change}, for the second time`};
+    }
     return this.#judge.verdict();
   }
 
@@ -99,6 +116,9 @@
         newCalls: counts.newCalls,
         allCalls: counts.allCalls,
         capacityShare: this.#lastingCapacity(input),
+        changes: this.#changes,
+        change: this.#watch.change(),
+        isUsual: this.#watch.isUsual(),
       },
       this.#policy,
     );
@@ -128,6 +148,7 @@
     this.#byShare.set(record.share, this.#counts);
     this.#step = record.step;
     this.#seenAt = now;
+    this.#watch.startStep();
   }
 }
 
--- a/packages/moves/src/move-policy.ts
+++ b/packages/moves/src/move-policy.ts
@@ -16,6 +16,10 @@
   readonly callsPerStep: number;
   /** Shortest time at one share, in milliseconds. */
   readonly minStepMs: number;
+  /** Time at the control share before 100%, in milliseconds. */
+  readonly controlMs: number;
+  /** Old calls that the control share needs before 100%. */
+  readonly controlCalls: number;
   /** Time at 100% before a move is done, in milliseconds. */
   readonly soakMs: number;
   /** Part of the time to the deadline that a forced pace keeps free. */
@@ -32,6 +36,8 @@
     slowOddsRatio: 2,
     callsPerStep: 120,
     minStepMs: 20_000,
+    controlMs: 60_000,
+    controlCalls: 150,
     soakMs: 60_000,
     margin: 0.15,
   },
@@ -41,6 +47,8 @@
     slowOddsRatio: 2.5,
     callsPerStep: 80,
     minStepMs: 15_000,
+    controlMs: 45_000,
+    controlCalls: 120,
     soakMs: 45_000,
     margin: 0.25,
   },
@@ -50,6 +58,8 @@
     slowOddsRatio: 3,
     callsPerStep: 40,
     minStepMs: 10_000,
+    controlMs: 30_000,
+    controlCalls: 90,
     soakMs: 30_000,
     margin: 0.4,
   },
--- a/packages/moves/src/moves-logic.feature
+++ b/packages/moves/src/moves-logic.feature
@@ -47,5 +47,10 @@
       | 0.64  | 30       | 1000      | yes   | 500   | 0.7      | setShare 0.7    |
       | 0.64  | 30       | 1000      | yes   | 500   | 0.3      | setShare 0.3    |
       | 0.01  | 30       | 100       | yes   | 500   | 1        | takeBack        |
+      | 0.64  | 30       | 1000      | yes   | 500   | 1        | setShare 0.9    |
+      | 0.9   | 30       | 1000      | yes   | 2000  | 1        | hold            |
+      | 0.9   | 60       | 1000      | yes   | 500   | 1        | hold            |
+      | 0.9   | 60       | 1000      | yes   | 2000  | 1        | setShare 1      |
+      | 0.9   | 250      | 250       | yes   | 500   | 1        | setShare 1      |
       | 1     | 30       | 1000      | yes   | 500   | 1        | hold            |
       | 1     | 60       | 1000      | yes   | 500   | 1        | done            |
--- a/packages/moves/src/moves-logic.test.ts
+++ b/packages/moves/src/moves-logic.test.ts
@@ -269,6 +269,9 @@
         newCalls: calls,
         allCalls: calls / share,
         capacityShare: Number(row['capacity']),
+        changes: 0,
+        change: null,
+        isUsual: false,
       },
       policy,
     );
--- a/packages/moves/src/moves-trials.feature
+++ b/packages/moves/src/moves-trials.feature
@@ -23,6 +23,12 @@
       | slowness | underLoad |
       | errors   | underPeakLoad |
       | slowness | underPeakLoad |
+      | errors   | nearFullShare |
+      | slowness | nearFullShare |
+      | errors   | fromFullShare |
+      | slowness | fromFullShare |
+      | errors   | onlyFullShare |
+      | slowness | onlyFullShare |
 
   Scenario Outline: A good version is finished on time: <kind>
     When move trials run with a good version and "<kind>"
@@ -34,6 +40,7 @@
       | noisy           |
       | lowTraffic      |
       | crashingRequest |
+      | slowerService   |
 
   Scenario Outline: A bad version is taken back at 1 call/s: <effect>
     When move trials run at 1 call/s with a version of fault "<effect>" "atOnce"
--- /dev/null
+++ b/packages/moves/src/score-history.ts
@@ -0,0 +1,39 @@
+/** Scores that are kept; with windows of 5 s, 5 minutes. */
+const maxScores = 60;
+/** Scores before their spread is known. */
+const minScores = 12;
+/** Standard deviations of an unusual score. */
+const unusualDeviations = 5;
+/** Smallest unusual score: twice as many events as expected. */
+const leastScore = Math.log(2);
+
+/**
+ * The latest scores of windows that count as usual, from which the noise of the
+ * service is estimated.
+ *
+ * @internal
+ */
+export class ScoreHistory {
+  readonly #scores: number[] = [];
+
+  /** True when there are enough scores to call another one unusual. */
+  get isKnown(): boolean {
+    return this.#scores.length >= minScores;
+  }
+
+  add(score: number): void {
+    this.#scores.push(score);
+    if (this.#scores.length > maxScores) this.#scores.shift();
+  }
+
+  /** True when a score is far above the earlier ones; false without enough. */
+  isUnusual(score: number): boolean {
+    const n = this.#scores.length;
+    if (!this.isKnown) return false;
+    const mean = this.#scores.reduce((sum, s) => sum + s, 0) / n;
+    const squares = this.#scores.reduce((sum, s) => sum + (s - mean) ** 2, 0);
+    const deviation = Math.sqrt(squares / (n - 1));
+    const excess = score - mean;
+    return excess >= leastScore && excess >= unusualDeviations * deviation;
+  }
+}
--- a/packages/moves/src/share-planner.ts
+++ b/packages/moves/src/share-planner.ts
@@ -1,50 +1,19 @@
 import type {MovePolicy} from './move-policy.js';
-
-/** Share of the first step. @public */
-export const firstShare = 0.01;
-
-/** A share may at most double in one step. */
-const maxFactor = 2;
-
-/** The deadline's pace gives a share time in proportion to its -1.5th power. */
-const paceExponent = 1.5;
-
-/**
- * Time before the deadline that the pace keeps free for a store outage of 2
- * minutes and the new lease after it. The policy's margin is a part of the time
- * that is left, so it shrank to 40 s in the last steps.
- */
-const outageReserveMs = 150_000;
-
-/** Time between steps on the way back to a share that was reached. */
-const returnStepMs = 2_000;
+import type {PlannerInput} from './planner-input.js';
+import {
+  allottedMs,
+  controlShare,
+  isTooLate,
+  nextShare,
+  returnStepMs,
+} from './share-pace.js';
+
+/** Time to the deadline that a second hold leaves, in soak times. */
+const secondSoakFactor = 1.5;
 
 /** Calls that a share must have brought if the gates work at all. */
 const expectedCallsForDoubt = 10;
 
-/** What the planner knows of a running move. Times in milliseconds. @public */
-export interface PlannerInput {
-  readonly share: number;
-  /** Highest share of the move so far. */
-  readonly reached: number;
-  /** Time spent at the present share, also before a loss of capacity. */
-  readonly atShareMs: number;
-  /** Time since the last change of the share. */
-  readonly sinceChangeMs: number;
-  /** Time to the deadline; negative after it. */
-  readonly toDeadlineMs: number;
-  /** False while a test has some evidence against the new version. */
-  readonly clean: boolean;
-  /** New calls at this share, of the route with the fewest. */
-  readonly fewestRouteCalls: number;
-  /** New calls at this share over all routes. */
-  readonly newCalls: number;
-  /** Calls of both versions at this share. */
-  readonly allCalls: number;
-  /** Largest share that the ready instances of the new version carry, 0 to 1. */
-  readonly capacityShare: number;
-}
-
 /** What to do with the share. @public */
 export type Plan =
   | {readonly kind: 'hold'; readonly reason: string}
@@ -71,7 +40,8 @@
     };
   }
   if (input.share < Math.min(input.reached, input.capacityShare)) {
-    return planReturn(input);
+    const isAfterChange = input.changes > 0 && input.share >= controlShare;
+    return isAfterChange ? planAfterChange(input, policy) : planReturn(input);
   }
   return planStep(input, policy);
 }
@@ -92,8 +62,28 @@
   };
 }
 
+/**
+ * Holds the control share after a change at 100%. A change that ends with the
+ * full share may come from it: another try at once decides, even if there is
+ * some evidence, because a hold would only give a bad version more calls.
+ */
+function planAfterChange(input: PlannerInput, policy: MovePolicy): Plan {
+  if (input.isUsual) {
+    return {
+      kind: 'setShare',
+      share: input.capacityShare,
+      reason: 'the calls are as before the change at 100%',
+    };
+  }
+  if (!input.clean) return hold('some evidence against the new version');
+  return planControl(input, policy);
+}
+
 function planSoak(input: PlannerInput, policy: MovePolicy): Plan {
-  if (input.atShareMs < policy.soakMs) return hold('soak time at 100%');
+  if (input.change !== null) {
+    return {kind: 'setShare', share: controlShare, reason: input.change};
+  }
+  if (heldMs(input) < policy.soakMs) return hold('soak time at 100%');
   if (!input.clean) return hold('some evidence against the new version');
   return {kind: 'done', reason: `held at 100% for ${seconds(policy.soakMs)}`};
 }
@@ -103,6 +93,7 @@
   if (share <= input.share) return hold('ready capacity of the new version');
   if (!input.clean) return hold('some evidence against the new version');
   if (input.atShareMs < policy.minStepMs) return hold('shortest step time');
+  if (share > controlShare) return planControl(input, policy);
   if (input.fewestRouteCalls >= policy.callsPerStep) {
     return {
       kind: 'setShare',
@@ -124,46 +115,38 @@
 }
 
 /**
- * Time for the present share when the deadline sets the pace. It is weighted
- * by 1/share, so that every share gets the same number of new calls. Weights of
- * 1/sqrt(share) spent so much time near 8% that a version which is slow under
- * load got 2.5% of the calls before the stop.
+ * Holds the control share until the old version has had enough calls to compare
+ * with, or until the deadline's pace ends the hold.
  */
-function allottedMs(input: PlannerInput, policy: MovePolicy): number {
-  const weights = sharesFrom(input.share).map(s => s ** -paceExponent);
-  const sum = weights.reduce((a, b) => a + b, 0);
-  // The time already spent at this share belongs to the plan of this share.
-  const left = input.toDeadlineMs + input.atShareMs;
-  const usable = left - Math.max(left * policy.margin, outageReserveMs);
-  // The shortest step times come first: without them, short deadlines left
-  // too little time for the last steps, and good moves were taken back.
-  const spare = usable - policy.soakMs - weights.length * policy.minStepMs;
-  return policy.minStepMs + (Math.max(0, spare) * (weights[0] ?? 0)) / sum;
-}
-
-/** True when even the shortest steps and the soak end after the deadline. */
-function isTooLate(input: PlannerInput, policy: MovePolicy): boolean {
-  const present = Math.max(0, policy.minStepMs - input.atShareMs);
-  const later = sharesFrom(input.share)
-    .slice(1)
-    .map(s => (s < input.reached ? returnStepMs : policy.minStepMs));
-  const steps = later.reduce((sum, ms) => sum + ms, present);
-  const needed = steps + policy.soakMs;
-  return needed > input.toDeadlineMs;
+function planControl(input: PlannerInput, policy: MovePolicy): Plan {
+  const oldCalls = input.allCalls - input.newCalls;
+  const isObserved =
+    heldMs(input) >= policy.controlMs && oldCalls >= policy.controlCalls;
+  if (!isObserved && !isHoldOver(input, policy)) {
+    return hold(`observed beside ${String(oldCalls)} calls of the old version`);
+  }
+  if (isUnreached(input)) return hold('no calls reach the new version');
+  return {
+    kind: 'setShare',
+    share: input.capacityShare,
+    reason: `no fault beside ${String(oldCalls)} calls of the old version`,
+  };
 }
 
-/** Shares below 100% that are still to be held, the present one first. */
-function sharesFrom(share: number): number[] {
-  const shares: number[] = [];
-  for (let s = Math.max(share, firstShare); s < 1; s = nextShare(s)) {
-    shares.push(s);
-  }
-  return shares;
+/**
+ * True when the deadline ends the hold. After a change at 100% the hold may use
+ * the time that is reserved for an outage, or else it would end at once in moves
+ * that are paced by the deadline.
+ */
+function isHoldOver(input: PlannerInput, policy: MovePolicy): boolean {
+  return input.changes > 0
+    ? input.toDeadlineMs < secondSoakFactor * policy.soakMs
+    : input.atShareMs >= allottedMs(input, policy);
 }
 
-function nextShare(share: number): number {
-  if (share < firstShare) return firstShare;
-  return Math.min(1, share * maxFactor);
+/** Time at the present share; after a change at 100% it counts anew. */
+function heldMs({changes, sinceChangeMs, atShareMs}: PlannerInput): number {
+  return changes > 0 ? sinceChangeMs : atShareMs;
 }
 
 function isUnreached(input: PlannerInput): boolean {
--- /dev/null
+++ b/packages/moves/src/test/evidence-wire.ts
@@ -0,0 +1,29 @@
+import {packEvidence, unpackEvidence} from '../evidence-codec.js';
+import {emptyCounts} from '../evidence.js';
+import type {Counts, Evidence} from '../evidence.js';
+import type {Mechanisms} from './trial-config.js';
+
+/**
+ * Evidence as the controller of a trial receives it, less what the mechanisms
+ * that are turned off would need.
+ *
+ * @internal
+ */
+export function overTheWire(
+  evidence: Evidence,
+  mechanisms: Mechanisms,
+): Evidence {
+  const received = unpackEvidence(packEvidence(evidence)) as Evidence;
+  if (!mechanisms.tests) return withoutOutcomes(received);
+  if (mechanisms.crashLedger) return received;
+  const crashes = received.crashes.map(c => ({...c, fingerprints: []}));
+  return {...received, crashes};
+}
+
+function withoutOutcomes(evidence: Evidence): Evidence {
+  const blank = (counts: Counts) => ({...emptyCounts(), calls: counts.calls});
+  const cells = evidence.cells.map(c => {
+    return {...c, from: blank(c.from), to: blank(c.to)};
+  });
+  return {...evidence, cells, crashes: []};
+}
--- a/packages/moves/src/test/move-trial.ts
+++ b/packages/moves/src/test/move-trial.ts
@@ -1,8 +1,5 @@
 import {Invariants, seededRandom} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
-import {packEvidence, unpackEvidence} from '../evidence-codec.js';
-import {emptyCounts} from '../evidence.js';
-import type {Counts, Evidence} from '../evidence.js';
 import {EvidenceAggregator} from '../evidence-tree.js';
 import {MoveGate} from '../move-gate.js';
 import {localAlphaPart} from '../move-judge.js';
@@ -12,32 +9,12 @@
 import {capacityShare} from '../capacity-share.js';
 import {CrashingCaller} from './crashing-caller.js';
 import {weightedIndex} from './random-draws.js';
+import {overTheWire} from './evidence-wire.js';
 import type {TrialConfig} from './trial-config.js';
 import {TrialControllers} from './trial-controllers.js';
+import type {TrialResult} from './trial-result.js';
 import {TRIAL_ROUTES, UpstreamFleet, nextGapMs} from './upstream-fleet.js';
 
-/** What a trial measured. Times in milliseconds since the start. @internal */
-export interface TrialResult {
-  readonly record: MoveRecord;
-  readonly endedAt: number;
-  /** Done at or before the deadline. */
-  readonly onTime: boolean;
-  /** Calls of the service since the first share. */
-  readonly allCalls: number;
-  /** Of these, calls to the new version. */
-  readonly newCalls: number;
-  /** Of these, calls at or after the onset of the fault. */
-  readonly badCalls: number;
-  /** Calls of the service since the onset. */
-  readonly callsSinceOnset: number;
-  readonly onsetAt: number;
-  readonly stopDecidedAt: number;
-  /** Last call to the new version after the stop was decided; 0 if none. */
-  readonly lateMs: number;
-  /** Times of the steps, the first one first. */
-  readonly stepTimes: readonly number[];
-}
-
 const service = 'redelivery';
 const secondMs = 1_000;
 /** Calls are watched for this long after a decision. */
@@ -147,6 +124,10 @@
     if (record.step < (this.#record?.step ?? 0)) return;
     this.#record = record;
     this.#stepTimes.push(now);
+    // A deadline that cannot be met takes a move back without a stop.
+    if (record.state === 'takenBack') {
+      this.#stopDecidedAt = Math.min(this.#stopDecidedAt, now);
+    }
     // Without the push, a node finds a terminal record with its next poll.
     const polled =
       record.state === 'takenBack' && !this.#config.mechanisms.stopPush;
@@ -181,20 +162,12 @@
     // The way up the tree takes about 1 s.
     const delay = 600 + 800 * this.#rng.float();
     const tree = new EvidenceAggregator();
-    tree.add(evidence.map(e => this.#overTheWire(e)));
+    tree.add(evidence.map(e => overTheWire(e, this.#config.mechanisms)));
     this.#send(now + delay, () => {
       this.#controllers.addEvidence(tree.take(), now);
     });
   }
 
-  #overTheWire(evidence: Evidence): Evidence {
-    const received = unpackEvidence(packEvidence(evidence)) as Evidence;
-    if (!this.#config.mechanisms.tests) return withoutOutcomes(received);
-    if (this.#config.mechanisms.crashLedger) return received;
-    const crashes = received.crashes.map(c => ({...c, fingerprints: []}));
-    return {...received, crashes};
-  }
-
   #runSecond(start: number): void {
     const end = start + secondMs;
     for (;;) {
@@ -312,11 +285,3 @@
     return {gate, ended: new Map()};
   }
 }
-
-function withoutOutcomes(evidence: Evidence): Evidence {
-  const blank = (counts: Counts) => ({...emptyCounts(), calls: counts.calls});
-  const cells = evidence.cells.map(c => {
-    return {...c, from: blank(c.from), to: blank(c.to)};
-  });
-  return {...evidence, cells, crashes: []};
-}
--- a/packages/moves/src/test/trial-config.ts
+++ b/packages/moves/src/test/trial-config.ts
@@ -8,6 +8,9 @@
   'underLoad',
   'underPeakLoad',
   'oneRoute',
+  'nearFullShare',
+  'fromFullShare',
+  'onlyFullShare',
 ] as const;
 /** One of {@link FAULT_KINDS}. @internal */
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -30,6 +33,7 @@
   'noisy',
   'lowTraffic',
   'crashingRequest',
+  'slowerService',
 ] as const;
 /** One of {@link GOOD_KINDS}. @internal */
 export type GoodKind = (typeof GOOD_KINDS)[number];
--- a/packages/moves/src/test/trial-sets.ts
+++ b/packages/moves/src/test/trial-sets.ts
@@ -1,7 +1,7 @@
 import {MoveTrial} from './move-trial.js';
-import type {TrialResult} from './move-trial.js';
 import {lowTraffic, rateOf, trialDefaults} from './trial-config.js';
 import type {Disturbance, Outage, TrialConfig} from './trial-config.js';
+import type {TrialResult} from './trial-result.js';
 
 const outageLeadMs = 1_000;
 const outageMs = 120_000;
--- a/packages/moves/src/test/upstream-fleet.ts
+++ b/packages/moves/src/test/upstream-fleet.ts
@@ -34,6 +34,8 @@
 
 const instancesPerVersion = 4;
 const failureRate = 0.005;
+/** Part of the calls that brings out a fault under load. */
+const loadPart = 0.1;
 /** Windows of the load that brings out a fault, in seconds. */
 const loadSeconds = 10;
 /**
@@ -41,6 +43,16 @@
  * seconds while the share is still 1%.
  */
 const peakLoadSeconds = 1;
+/** Part of the calls over {@link loadSeconds} that is close to all of them. */
+const nearFullPart = 0.8;
+/**
+ * Seconds without an old call that make the share full. At 20 calls/s and a
+ * share of 90%, 1 in 38,000 such windows has no old call.
+ */
+const fullSeconds = 5;
+/** Time for which the whole service is slower from the full share on. */
+const slowerMs = 60_000;
+const slowerFactor = 2;
 const restartMs = 3_000;
 const timeoutMs = 5_000;
 /** A cold instance takes up to 4 times as long. */
@@ -58,8 +70,11 @@
   readonly #laterAt: number;
   /** Calls to the new version in each second of the load window. */
   #newCalls: number[] = [];
+  /** The same for the old version. */
+  #oldCalls: number[] = [];
   #noise = 0;
   #burstUntil = 0;
+  #fullAt: number | null = null;
 
   constructor(config: TrialConfig, rng: RandomSource) {
     this.#config = config;
@@ -89,6 +104,9 @@
   startSecond(now: number): void {
     this.#newCalls.unshift(0);
     this.#newCalls.length = Math.min(this.#newCalls.length, loadSeconds + 1);
+    this.#oldCalls.unshift(0);
+    this.#oldCalls.length = this.#newCalls.length;
+    if (this.#isFull()) this.#fullAt ??= now;
     if (this.#config.good !== 'noisy') return;
     // Noise of the whole service, for example of a shared database.
     this.#noise = 0.9 * this.#noise + 0.2 * normal(this.#rng);
@@ -102,7 +120,8 @@
   /** Runs a call on an instance. */
   run(instance: FakeInstance, route: number, now: number): FakeCall {
     const {effect, size} = this.#config.fault ?? {effect: null, size: 0};
-    if (instance.isNew) this.#newCalls[0] = (this.#newCalls[0] ?? 0) + 1;
+    const counts = instance.isNew ? this.#newCalls : this.#oldCalls;
+    counts[0] = (counts[0] ?? 0) + 1;
     const faulty = instance.isNew && this.#isFaulty(route, now);
     const cold = now - instance.readySince < warmUpMs;
     const failed =
@@ -144,19 +163,29 @@
     const holds = {
       atOnce: () => true,
       later: () => now >= this.#laterAt,
-      underLoad: () => this.#isLoaded(loadSeconds),
-      underPeakLoad: () => this.#isLoaded(peakLoadSeconds),
+      underLoad: () => this.#isLoaded(loadSeconds, loadPart),
+      underPeakLoad: () => this.#isLoaded(peakLoadSeconds, loadPart),
+      nearFullShare: () => this.#isLoaded(loadSeconds, nearFullPart),
+      fromFullShare: () => this.onsetAt < now || this.#isFull(),
+      onlyFullShare: () => this.#isFull(),
       oneRoute: () => route === this.#badRoute,
     }[kind]();
     if (holds) this.onsetAt = Math.min(this.onsetAt, now);
     return holds;
   }
 
-  /** True when the new version got over a tenth of the calls in the window. */
-  #isLoaded(seconds: number): boolean {
+  /** True when the new version got over `part` of the calls in the window. */
+  #isLoaded(seconds: number, part: number): boolean {
     const window = this.#newCalls.slice(1, seconds + 1);
     const calls = window.reduce((sum, n) => sum + n, 0);
-    return calls / seconds > 0.1 * this.#config.callsPerSecond;
+    return calls / seconds > part * this.#config.callsPerSecond;
+  }
+
+  /** True when the new version got all calls of the last seconds. */
+  #isFull(): boolean {
+    const sum = (calls: readonly number[]) =>
+      calls.slice(1, fullSeconds + 1).reduce((total, n) => total + n, 0);
+    return sum(this.#newCalls) > 0 && sum(this.#oldCalls) === 0;
   }
 
   #failureRate(now: number): number {
@@ -170,7 +199,13 @@
     const age = now - instance.readySince;
     const coldFactor = 1 + coldExtra * Math.exp(-age / coldDecayMs);
     const noise = Math.exp(spread * normal(this.#rng) + this.#noise);
-    return medianMs * instance.speed * coldFactor * noise;
+    const slower = this.#isServiceSlower(now) ? slowerFactor : 1;
+    return medianMs * instance.speed * coldFactor * noise * slower;
+  }
+
+  #isServiceSlower(now: number): boolean {
+    if (this.#config.good !== 'slowerService') return false;
+    return this.#fullAt !== null && now < this.#fullAt + slowerMs;
   }
 }
 
