--- a/packages/node/src/moves/moves-service.ts
+++ b/packages/node/src/moves/moves-service.ts
@@ -1,23 +1,8 @@
 import {logger} from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
 import type {Snapshot} from '@verbenabeam/document';
-import {
-  MOVE_POLICIES,
-  MoveGate,
-  capacityShare,
-  decodeRecord,
-  isTerminal,
-  localAlphaPart,
-} from '@verbenabeam/moves';
-import type {
-  CallOutcome,
-  ControllerOutput,
-  JudgeOptions,
-  LoadEstimate,
-  MovePlan,
-  MoveRecord,
-  MoveStop,
-} from '@verbenabeam/moves';
+import {MoveGate, decodeRecord, isTerminal} from '@verbenabeam/moves';
+import type {CallOutcome, ControllerOutput, MoveStop} from '@verbenabeam/moves';
 import type {WatchEvent} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import {every} from '../every.js';
@@ -29,6 +14,7 @@
 import type {MoveKnowledge} from './move-messages.js';
 import {MoveSpreader} from './move-spreader.js';
 import {MoveSync} from './move-sync.js';
+import {PlannedMoves} from './planned-moves.js';
 
 const flushMs = 1_000;
 const syncMs = 2_000;
@@ -49,22 +35,23 @@
   readonly #sender: EvidenceSender;
   readonly #controller: ControllerDriver;
   readonly #sync: MoveSync;
-  #snapshot: Snapshot | null = null;
+  readonly #planned: PlannedMoves;
 
   constructor(options: MovesServiceOptions) {
     this.#options = options;
+    this.#planned = new PlannedMoves(options.membership);
     const {nodeId, environment} = options.membership.own;
     this.gate = new MoveGate({
       nodeId,
       invariants: options.invariants,
-      judgeOptions: record => this.#judgeOptions(record),
+      judgeOptions: record => this.#planned.judgeOptions(record),
     });
     this.#spreader = new MoveSpreader(options);
     this.#controller = new ControllerDriver({
       ...options,
       nodeId,
       environment,
-      capacityShare: (plan, load) => this.#capacityShare(plan, load),
+      capacityShare: (plan, load) => this.#planned.capacityShare(plan, load),
       onOutput: output => this.#onControllerOutput(output),
     });
     this.#sync = new MoveSync({
@@ -79,7 +66,7 @@
 
   /** False while a fresh node may lack the records of running moves. */
   get synced(): boolean {
-    return this.#sync.done || !this.#hasMoves();
+    return this.#sync.done || !this.#planned.hasMoves;
   }
 
   start(): void {
@@ -103,15 +90,11 @@
 
   /** Takes over the moves of a new version. */
   onApplied(snapshot: Snapshot): void {
-    const before = this.#snapshot?.document.moves ?? [];
     // Records of a move are made after the version that plans it, so a node
     // that was there before the move hears of all of them.
-    if (this.#snapshot) this.#sync.markDone();
-    this.#snapshot = snapshot;
+    if (this.#planned.isKnown) this.#sync.markDone();
     const {document} = snapshot;
-    const ids = new Set(document.moves.map(move => move.id));
-    for (const {id} of before) {
-      if (ids.has(id)) continue;
+    for (const id of this.#planned.replace(document)) {
       this.gate.forget(id);
       this.totals.forget(id);
     }
@@ -166,25 +149,7 @@
   }
 
   #syncIfPlanned(): void {
-    if (this.#hasMoves()) void this.#sync.round();
-  }
-
-  #hasMoves(): boolean {
-    return (this.#snapshot?.document.moves.length ?? 0) > 0;
-  }
-
-  #judgeOptions(record: MoveRecord): JudgeOptions | null {
-    const document = this.#snapshot?.document;
-    if (!document) return null;
-    const routes = document.routes.filter(
-      route => route.service.name === record.service,
-    );
-    const {membership} = this.#options;
-    return {
-      policy: MOVE_POLICIES[document.strictness],
-      routes: routes.length,
-      alphaPart: localAlphaPart(membership.live().length),
-    };
+    if (this.#planned.hasMoves) void this.#sync.round();
   }
 
   #flush(): void {
@@ -233,34 +198,10 @@
 
   /** Merges knowledge and returns what was new. */
   #merge({records, stops}: MoveKnowledge): MoveKnowledge {
-    const planned = records.filter(row => this.#isPlanned(row));
+    const planned = records.filter(row => this.#planned.has(row));
     const freshRecords = planned.filter(row => this.gate.offerRecord(row));
     const freshStops = this.gate.offerStops(stops);
     if (freshStops.length > 0) this.#controller.addStops(freshStops);
     return {records: freshRecords, stops: freshStops};
   }
-
-  /**
-   * True for a move of the active document. The store keeps the records of
-   * former moves; a decided one would override the document's current version.
-   */
-  #isPlanned({moveId, service, from, to}: MoveRecord): boolean {
-    const moves = this.#snapshot?.document.moves ?? [];
-    const move = moves.find(row => row.id === moveId);
-    return (
-      move?.service.name === service && move.from === from && move.to === to
-    );
-  }
-
-  #capacityShare(plan: MovePlan, load: LoadEstimate | null): number {
-    const {service, from, to} = plan;
-    const oldSlots = this.#readySlots(service, from);
-    const newSlots = this.#readySlots(service, to);
-    return capacityShare({oldSlots, newSlots, load});
-  }
-
-  #readySlots(service: string, version: string): number {
-    const ready = this.#options.membership.candidates(service, version);
-    return ready.reduce((sum, row) => sum + row.slots, 0);
-  }
 }
