Pass on chunks of a stream without joining their reads

Cause: with bodies of 64 KB the nodes spent 23% (entry) and 33% (serving) of their busy time in garbage collection, with pauses of 60 ms and more. Every chunk frame of 64 KB spans several reads of the socket, and the reader joined them into a new buffer of 64 KB outside the heap; such buffers are what starts full collections.

The reader now passes on each part of a chunk as it arrives, as a view of the read. Flow control counts bytes, so it does not change; other frames are joined as before. A length over the limit is still refused before its bytes.

Bodies of 1 KB fit into one read and are not affected.

The scenario on parts fails when partial chunks are not recognised; the 72 scenarios of @calls, @wire and @routing pass.

--- a/packages/wire/src/chunk-frame.ts
+++ b/packages/wire/src/chunk-frame.ts
@@ -33,15 +33,21 @@
   return header;
 }
 
-/** Reads a chunk frame without its length; null if it is not one. @internal */
-export function decodeChunk(body: Buffer): Chunk | null {
+/**
+ * Reads a chunk frame without its length; null if it is not one. Of a frame
+ * that has not arrived whole, the chunk holds the bytes so far.
+ *
+ * @param length - Bytes of the whole frame.
+ * @internal
+ */
+export function decodeChunk(body: Buffer, length = body.length): Chunk | null {
   const isChunk =
     body.length >= headerBytes &&
     body[0] === array3 &&
     body[1] === FRAME_TYPES.chunk &&
     body[idTagAt] === uint32 &&
     body[payloadTagAt] === byteString32 &&
-    body.readUInt32BE(payloadLengthAt) === body.length - headerBytes;
+    body.readUInt32BE(payloadLengthAt) === length - headerBytes;
   if (!isChunk) return null;
   return {
     streamId: body.readUInt32BE(idAt),
--- a/packages/wire/src/frame-socket.ts
+++ b/packages/wire/src/frame-socket.ts
@@ -1,6 +1,6 @@
 import type {Socket} from 'node:net';
 import {MeshError, WIRE_CODES} from '@verbenabeam/core';
-import {decodeChunk, encodeChunkHeader} from './chunk-frame.js';
+import {encodeChunkHeader} from './chunk-frame.js';
 import {decodeFrame, encodeFrame, MAX_FRAME_BYTES} from './frame.js';
 import type {Frame} from './frame.js';
 import {FrameReader} from './frame-reader.js';
@@ -8,6 +8,7 @@
 /** Takes what a {@link FrameSocket} reads. @internal */
 export interface FrameSink {
   onFrame(frame: Frame): void;
+  /** A chunk of a stream, or a part of one. */
   onChunk(streamId: number, bytes: Buffer): void;
   /** Called once, when the socket is no longer usable. */
   onClose(err: MeshError): void;
@@ -35,7 +36,14 @@
   /** Time of the last read in milliseconds. */
   lastReadAt = performance.now();
   readonly #socket: Socket;
-  readonly #reader = new FrameReader();
+  readonly #reader = new FrameReader({
+    onBody: body => {
+      this.#takeBody(body);
+    },
+    onChunk: (streamId, bytes) => {
+      if (!this.#closed) this.sink?.onChunk(streamId, bytes);
+    },
+  });
   #parts: Uint8Array[] = [];
   #partBytes = 0;
   #queued = 0;
@@ -111,21 +119,14 @@
 
   #read(data: Buffer): void {
     this.lastReadAt = performance.now();
-    const err = this.#reader.push(data, body => {
-      this.#dispatch(body);
-    });
+    const err = this.#reader.push(data);
     // Counted last: a proof in these bytes decides the traffic class.
     this.counter.received += data.length;
     if (err) this.close(err);
   }
 
-  #dispatch(body: Buffer): void {
+  #takeBody(body: Buffer): void {
     if (this.#closed) return;
-    const chunk = decodeChunk(body);
-    if (chunk) {
-      this.sink?.onChunk(chunk.streamId, chunk.bytes);
-      return;
-    }
     const frame = decodeFrame(body);
     if (frame) this.sink?.onFrame(frame);
     else this.close(undecodable(body.length));
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -93,7 +93,7 @@
   return result.isErr ? result.error.code.name : 'ok';
 }
 
-After({tags: '@wire and not @wire-links'}, async () => {
+After({tags: '@wire and not @wire-links and not @frame-reader'}, async () => {
   release();
   await Promise.all([client.close(), server.close()]);
 });
