Test when the bench takes a fleet as settled

The rule of awaitCalm is now a class without timers, so the test covers the windows that were seen at 40 nodes (2,681 B/s falling to 188).

Tried and reverted: writing a single queued frame without cork and uncork.

--- a/apps/bench/src/bench.feature
+++ b/apps/bench/src/bench.feature
@@ -30,3 +30,8 @@
     Given bench results with 100 bytes at rest and 20 more for each node
     And bench results of the changes and restarts with 0 bytes
     Then bench page says "over the target" for "control bytes sent per node"
+
+  Scenario: A fleet counts as settled when its traffic no longer falls
+    Then bench takes windows of 2681 1047 279 219 189 207 189 188 bytes as calm after 8 of them
+    And bench takes windows of 200 198 202 201 bytes as calm after 4 of them
+    And bench takes windows of 900 800 700 600 500 bytes as calm after 0 of them
--- a/apps/bench/src/bench.test.ts
+++ b/apps/bench/src/bench.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then} from '@cucumber/cucumber';
 import {checkBounds} from './bounds.js';
+import {CalmDetector} from './fleet/calm-detector.js';
 import {computeFigures, fleetLimits} from './capacity/figures.js';
 import {FULL_SIZE} from './capacity/fleet-size.js';
 import {Measured} from './capacity/measured.js';
@@ -136,3 +137,16 @@
     assert.ok(line?.includes(text), line);
   },
 );
+
+// Guards against figures at rest that contain the gossip about the start.
+Then(
+  /^bench takes windows of ([\d ]+) bytes as calm after (\d+) of them$/,
+  (windows: string, calmAfter: string) => {
+    const detector = new CalmDetector();
+    const calm = windows.split(' ').map(bytes => {
+      detector.add(Number(bytes));
+      return detector.calm;
+    });
+    assert.equal(calm.indexOf(true) + 1, Number(calmAfter));
+  },
+);
--- a/apps/bench/src/fleet/calm.ts
+++ b/apps/bench/src/fleet/calm.ts
@@ -1,12 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {CalmDetector} from './calm-detector.js';
 import type {Fleet} from './fleet.js';
 
 const msPerSecond = 1_000;
 const windowMs = 5_000;
-/** Windows in a row that must not fall below the lowest one before them. */
-const flatWindows = 3;
-/** Smaller falls than this share are noise between two windows. */
-const noiseShare = 0.05;
 const boundMs = 180_000;
 
 /** How the wait of {@link awaitCalm} ended. @internal */
@@ -25,19 +22,16 @@
  */
 export async function awaitCalm(fleet: Fleet): Promise<Calm> {
   const startAt = Date.now();
-  let lowest = Infinity;
-  let flat = 0;
+  const detector = new CalmDetector();
   let before = await sentOf(fleet);
-  while (flat < flatWindows && Date.now() - startAt < boundMs) {
+  while (!detector.calm && Date.now() - startAt < boundMs) {
     await sleep(windowMs);
     const after = await sentOf(fleet);
-    const sent = after - before;
+    detector.add(after - before);
     before = after;
-    flat = sent < lowest * (1 - noiseShare) ? 0 : flat + 1;
-    lowest = Math.min(lowest, sent);
   }
   const waitedSeconds = (Date.now() - startAt) / msPerSecond;
-  return {settled: flat >= flatWindows, waitedSeconds};
+  return {settled: detector.calm, waitedSeconds};
 }
 
 async function sentOf(fleet: Fleet): Promise<number> {
