--- a/packages/moves/src/moves-trials.feature
+++ b/packages/moves/src/moves-trials.feature
@@ -71,6 +71,7 @@
     Then the move trials take back at least 99 in 100
     And the median move trial gives the bad version at most 2% of the traffic
     And no move trial sends a call later than 1 s after the stop was decided
+    And no move trial stores a step or a decision twice
 
     Examples:
       | disturbance    |
@@ -81,6 +82,7 @@
   Scenario Outline: A good version is finished on time in spite of <disturbance>
     When move trials with "<disturbance>" run with a good version
     Then the move trials finish on time at least 99 in 100
+    And no move trial stores a step or a decision twice
 
     Examples:
       | disturbance    |
--- a/packages/moves/src/moves-trials.test.ts
+++ b/packages/moves/src/moves-trials.test.ts
@@ -145,6 +145,10 @@
   assert.ok(summary.onTime >= requiredPart * summary.trials, explain());
 });
 
+Then('no move trial stores a step or a decision twice', () => {
+  assert.equal(summary.rewrites, 0, explain());
+});
+
 Then('the move trials take back none', () => {
   assert.equal(summary.takenBack, 0, explain());
 });
--- a/packages/moves/src/test/move-trial.ts
+++ b/packages/moves/src/test/move-trial.ts
@@ -19,6 +19,8 @@
 const secondMs = 1_000;
 /** Calls are watched for this long after a decision. */
 const afterMs = 8_000;
+/** A second controller may write after the decision of the first one. */
+const afterTwoMs = 300_000;
 /** Distinct requests per route; shared strings keep their hash. */
 const fingerprintsPerRoute = 1_000;
 const fingerprints = TRIAL_ROUTES.map(route =>
@@ -81,14 +83,15 @@
   }
 
   async run(): Promise<TrialResult> {
-    let endAt = this.#config.deadlineMs + afterMs;
+    const watchMs = this.#config.twoControllers ? afterTwoMs : afterMs;
+    let endAt = this.#config.deadlineMs + watchMs;
     for (let now = 0; now < endAt; now += secondMs) {
       await this.#tick(now);
       this.#fleet.startSecond(now);
       this.#runSecond(now);
       const state = this.#record?.state;
       const decided = state === 'done' || state === 'takenBack';
-      if (decided) endAt = Math.min(endAt, this.#decidedAt() + afterMs);
+      if (decided) endAt = Math.min(endAt, this.#decidedAt() + watchMs);
     }
     return {
       record: this.#record as MoveRecord,
@@ -100,6 +103,7 @@
       onsetAt: this.#fleet.onsetAt,
       stopDecidedAt: this.#stopDecidedAt,
       lateMs: this.#lateMs,
+      rewrites: this.#controllers.rewrites(),
       stepTimes: this.#stepTimes,
     };
   }
--- a/packages/moves/src/test/trial-controllers.ts
+++ b/packages/moves/src/test/trial-controllers.ts
@@ -2,6 +2,7 @@
 import type {Evidence} from '../evidence.js';
 import {MoveController} from '../move-controller.js';
 import type {ControllerInput, ControllerOutput} from '../move-controller.js';
+import {decodeRecord} from '../move-record.js';
 import type {MoveStop} from '../move-stop.js';
 import {FakeStore} from './fake-store.js';
 import {FixedStepController} from './fixed-step-controller.js';
@@ -63,6 +64,14 @@
     };
   }
 
+  /** Records that were stored without a higher step than the one before. */
+  rewrites(): number {
+    const steps = this.#store.committed.flatMap(
+      value => decodeRecord(value)?.step ?? [],
+    );
+    return steps.filter((step, i) => step <= (steps[i - 1] ?? -1)).length;
+  }
+
   #disturb(now: number): void {
     const {outage, controllerLostAt, twoControllers} = this.#config;
     const isDown =
--- a/packages/moves/src/test/trial-result.ts
+++ b/packages/moves/src/test/trial-result.ts
@@ -18,6 +18,8 @@
   readonly stopDecidedAt: number;
   /** Last call to the new version after the stop was decided; 0 if none. */
   readonly lateMs: number;
+  /** Stored records that did not follow the one before; see the controllers. */
+  readonly rewrites: number;
   /** Times of the steps, the first one first. */
   readonly stepTimes: readonly number[];
 }
--- a/packages/moves/src/test/trial-sets.ts
+++ b/packages/moves/src/test/trial-sets.ts
@@ -26,6 +26,8 @@
   readonly detectionS: number;
   /** Worst time from the decision to the last call to the new version. */
   readonly lateMs: number;
+  /** Stored records that did not follow the one before, over all trials. */
+  readonly rewrites: number;
   /** Seeds that did not end as they should, for a closer look. */
   readonly reasons: readonly string[];
 }
@@ -97,6 +99,7 @@
       results.map(r => r.badCalls / Math.max(1, r.callsSinceOnset)),
     ),
     detectionS: median(back.map(r => (r.stopDecidedAt - r.onsetAt) / 1000)),
+    rewrites: results.reduce((sum, r) => sum + r.rewrites, 0),
     lateMs: Math.max(...results.map(r => r.lateMs)),
     reasons: wrong.map(
       ({seed, result}) =>
