moves: allow for chance in a service without failures

Cause: the watch took the spread of earlier windows as it was. A service without any failure has a spread of 0, so one failed call at 100% was a change, and a second one would have taken a good version back. Change: the spread is at least that of the square root of a Poisson count, 0.5. Test: "The watch of the full share allows for chance" failed before ("1 failures in a window at 100% where 0.0 were expected") and passes now.

--- a/packages/moves/src/moves-logic.feature
+++ b/packages/moves/src/moves-logic.feature
@@ -36,6 +36,14 @@
     Then the moves gate has spread one stop
     And the moves gate sends no call to the new version
 
+  Scenario: The watch of the full share allows for chance
+    Guards against a single failure that changes a service without failures.
+    Given a moves change watch that saw 100 s without a failure at share 0.64
+    When the moves change watch sees 1 of 500 calls fail at share 1
+    Then the moves change watch has seen no change
+    When the moves change watch sees 20 of 500 calls fail at share 1
+    Then the moves change watch has seen a change
+
   Scenario: The planner paces by evidence, capacity and deadline
     Then a moves plan follows these facts:
       | share | atShareS | deadlineS | clean | calls | capacity | plan            |
--- a/packages/moves/src/moves-logic.test.ts
+++ b/packages/moves/src/moves-logic.test.ts
@@ -4,6 +4,7 @@
 import {INVARIANT_CODES, Invariants, seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
 import fc from 'fast-check';
+import {ChangeWatch} from './change-watch.js';
 import {packEvidence, unpackEvidence} from './evidence-codec.js';
 import {mergeEvidence} from './evidence.js';
 import type {Evidence} from './evidence.js';
@@ -47,6 +48,8 @@
 let stoppedPart: number;
 let merges: Evidence[][];
 let gate: MoveGate;
+let watch: ChangeWatch;
+let watchedMs: number;
 let spread: MoveStop[];
 
 const newCalls = (isReady: (version: string) => boolean = allReady) =>
@@ -252,6 +255,44 @@
   assert.match(spread[0]!.reason, /route r: 100.0% .* failed, 0.0%/);
 });
 
+/** A window of 5 s; a fifth of the calls each second. */
+function watchWindow(calls: number, failures: number, share: number): void {
+  const bins = new Array<number>(latencyBinCount).fill(0);
+  bins[8] = calls - failures;
+  const to = {calls, failures, bins};
+  const from = {calls: 0, failures: 0, bins: []};
+  const none = {calls: 0, failures: 0, bins: []};
+  const cell = {route: 'r', level: 1};
+  watch.add([{...cell, from, to}], share, watchedMs);
+  watchedMs += 5_000;
+  watch.add([{...cell, from, to: none}], share, watchedMs);
+}
+
+Given(
+  'a moves change watch that saw {int} s without a failure at share {float}',
+  (seconds: number, share: number) => {
+    watch = new ChangeWatch();
+    watchedMs = 0;
+    for (let s = 0; s < seconds; s += 5) watchWindow(500, 0, share);
+    watch.startStep();
+  },
+);
+
+When(
+  'the moves change watch sees {int} of {int} calls fail at share {float}',
+  (failures: number, calls: number, share: number) => {
+    watchWindow(calls, failures, share);
+  },
+);
+
+Then('the moves change watch has seen no change', () => {
+  assert.equal(watch.change(), null);
+});
+
+Then('the moves change watch has seen a change', () => {
+  assert.match(watch.change() ?? '', /^20 failures .* 0.0 were expected/);
+});
+
 Then('a moves plan follows these facts:', (table: DataTable) => {
   for (const row of table.hashes()) {
     const calls = Number(row['calls']);
--- a/packages/moves/src/score-history.ts
+++ b/packages/moves/src/score-history.ts
@@ -7,6 +7,11 @@
 const minScores = 12;
 /** Standard deviations of an unusual score. */
 const unusualDeviations = 5;
+/**
+ * Standard deviation of the square root of a Poisson count. Without this floor
+ * a single failure was unusual in a service that never had one.
+ */
+const leastDeviation = 0.5;
 
 /**
  * The latest scores of windows that count as usual, from which the noise of the
@@ -33,7 +38,7 @@
     if (!this.isKnown) return false;
     const mean = this.#scores.reduce((sum, s) => sum + s, 0) / n;
     const squares = this.#scores.reduce((sum, s) => sum + (s - mean) ** 2, 0);
-    const deviation = Math.sqrt(squares / (n - 1));
+    const deviation = Math.max(leastDeviation, Math.sqrt(squares / (n - 1)));
     const excess = score - mean;
     return (
       score > Math.max(...this.#scores) &&
