Read a refused upload to its end, so that its connection stays usable

Cause: the entry side pauses the request at 64 KB while no instance has been chosen. A call refused in that state was never read further, so its rest blocked the caller's kept-open connection: the next call on it got no answer and no refusal at all. Ruled out: the undici client (no hang in 480 answers cut at random points).

A call that ends now reads the rest of its request and drops it, as Node does for a request that nobody reads.

The focused test fails with the call of discard removed: 'not true within 2000 ms'.

--- /dev/null
+++ b/packages/node/src/calls/calls-uploads.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {Agent} from 'undici';
+import {TestClient, until} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
+
+let node: TestNode;
+let client: TestClient;
+let broken: string[];
+
+Given('a data path upload node that finds no instance', async () => {
+  broken = [];
+  client = new TestClient(new Agent({connections: 1}));
+  node = new TestNode('n1', broken);
+  await node.start({});
+  node.sendTo();
+});
+
+When(
+  'a data path upload of {int} bytes is refused with {int}',
+  async (size: number, refusal: number) => {
+    const {code} = await client.call(node, '/write', {}, Buffer.alloc(size));
+    assert.equal(code, refusal);
+  },
+);
+
+Then(
+  'the next data path call on that connection is answered within {int} ms',
+  async (limitMs: number) => {
+    node.sendTo(node);
+    let code = 0;
+    const next = client.call(node, '/read').then(
+      answer => (code = answer.code),
+      () => (code = -1),
+    );
+    try {
+      await until(() => code !== 0, limitMs);
+      assert.equal(code, 1600);
+    } finally {
+      await client.close();
+      await next;
+      await node.stop();
+    }
+    assert.deepEqual(broken, []);
+  },
+);
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -297,6 +297,7 @@
     if (this.#over) return;
     this.#over = true;
     clearTimeout(this.#timer);
+    this.#body.discard();
     this.#finishClaim();
     this.#retries.end();
     this.#done(
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -21,6 +21,7 @@
   #kept: Buffer[] | null = [];
   #size = 0;
   #ended = false;
+  #discarded = false;
   #target: BodyTarget | null = null;
   #onWhole: (() => void) | null = null;
 
@@ -69,7 +70,19 @@
     this.#req.resume();
   }
 
+  /**
+   * Reads the rest and drops it. Bytes that stay unread would block the
+   * connection for the caller's next call.
+   */
+  discard(): void {
+    this.#discarded = true;
+    this.#kept = null;
+    this.#target = null;
+    if (!this.#ended) this.#req.resume();
+  }
+
   #take(chunk: Buffer): void {
+    if (this.#discarded) return;
     this.#size += chunk.length;
     if (this.#size > REPLAY_LIMIT_BYTES && this.#target) this.#kept = null;
     else this.#kept?.push(chunk);
--- a/packages/node/src/calls/test/test-client.ts
+++ b/packages/node/src/calls/test/test-client.ts
@@ -14,7 +14,8 @@
 
 /** A caller with its own connections. */
 export class TestClient {
-  readonly agent = new Agent();
+  /** @param agent - Connections to use. */
+  constructor(readonly agent = new Agent()) {}
 
   send(
     node: TestNode,
