End the work on claim partitions when the node ends

Cause: an append whose outcome is unknown is read back until the store responds. The loop had no end, so a node that was stopped during an outage of the store kept a timer and its process alive.

The loop ends with the signal of the node, which ClaimOwner takes as an option; the sleep itself does not take it, because a listener for each of 64 partitions exceeds the limit of listeners of one signal. The focused test fails with the check removed (store calls continue after the end).

--- a/packages/claims/src/claim-owner.ts
+++ b/packages/claims/src/claim-owner.ts
@@ -16,6 +16,8 @@
   readonly sleep: Sleep;
   readonly invariants: Invariants;
   readonly limits?: Partial<ClaimLimits>;
+  /** Ends the work on all partitions. Default: never. */
+  readonly signal?: AbortSignal;
   /** A partition without requests for this long is forgotten. Default 60 s. */
   readonly idleMs?: number;
 }
@@ -100,7 +102,7 @@
 
   async #run(number: number, partition: Partition): Promise<void> {
     const prefix = partitionPrefix(this.#options.environment, number);
-    for (;;) {
+    while (!this.#options.signal?.aborted) {
       const action = partition.log.next(this.#time());
       if (action.type === 'idle') break;
       await this.#perform(action, partition.log, prefix);
--- a/packages/claims/src/claims.feature
+++ b/packages/claims/src/claims.feature
@@ -44,3 +44,7 @@
   Scenario: Begins are batched
     Given claim loads of 50, 200 and 1000 begins per second
     Then a claim load waits under 510 ms at p99 and writes at most 4 per second and partition
+
+  Scenario: A claim owner that ends does no more work
+    Given a claim owner whose append is cut off by an outage and that then ends
+    Then the claim owner makes no further store calls
--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -108,6 +108,31 @@
 
 let owner: ClaimOwner;
 
+// Guards against a loop that keeps the process alive after a planned stop.
+Given(
+  'a claim owner whose append is cut off by an outage and that then ends',
+  async () => {
+    setUp();
+    const end = new AbortController();
+    const invariants = new Invariants(true);
+    const base = {environment, clock, sleep: clock.sleep, invariants};
+    const ending = new ClaimOwner({...base, store, signal: end.signal});
+    store.faults.writeMs = 100;
+    void ending.begin(direct('k1', 'c1'));
+    await clock.advance(10);
+    store.setDown(true);
+    await clock.advance(5_000);
+    assert.ok(store.counts.get > 0, 'the append must be uncertain');
+    end.abort();
+  },
+);
+
+Then('the claim owner makes no further store calls', async () => {
+  const before = store.totalCalls();
+  await clock.advance(60_000);
+  assert.equal(store.totalCalls(), before);
+});
+
 Given('a claim owner and a claim client', () => {
   setUp();
   owner = startOwner();
