Refuse claims as not run after the store was restored to an older state

Cause: claims after the copy are lost with a restore. Only a change of the configuration since then was noticed (1205), so without one a new owner of a partition granted a key a second time.

Each response of the store carries its revision. It must not be below the highest revision that was known when the request was sent; responses overtake each other, so the highest one known at their arrival is no bound. A lower one refuses every claim with the new code 1708 until an operator confirms at one node. No store call is added.

Weighed: comparing the last segment in each append costs nothing either, but helps only an owner that remembers it; the cluster id of etcd may stay the same; a key with a generation would need a read per append and is restored as well. Owners still replay what they remember.

--- a/packages/claims/src/claim-client.ts
+++ b/packages/claims/src/claim-client.ts
@@ -92,6 +92,7 @@
       error = reply.error;
     }
     const {message, code} = error;
+    if (code === CLAIM_CODES.storeWentBack) return Result.err(error);
     const details = {cause: code.code};
     return Result.err(new MeshError(CLAIM_CODES.unavailable, message, details));
   }
--- a/packages/core/src/codes/claims.ts
+++ b/packages/core/src/codes/claims.ts
@@ -47,4 +47,11 @@
     http: 409,
     text: 'The call does not hold the claim, so its end was not recorded.',
   },
+  storeWentBack: {
+    code: 1708,
+    exit: 17,
+    http: 503,
+    notRun: true,
+    text: 'The store was restored to an older state; claims wait for an operator.',
+  },
 });
--- a/packages/node/src/admin/status-routes.ts
+++ b/packages/node/src/admin/status-routes.ts
@@ -34,6 +34,15 @@
       admission: operator,
       handle: () => Promise.resolve(Result.ok(moves(ctx))),
     },
+    {
+      method: 'POST',
+      path: '/v1/store/confirm-restore',
+      admission: operator,
+      handle: () => {
+        ctx.claims.confirmRestore();
+        return Promise.resolve(Result.ok({confirmed: true}));
+      },
+    },
     {
       method: 'POST',
       path: '/v1/moves/:move/take-back',
@@ -58,7 +67,9 @@
     configVersion: version,
     configHash: hash === '' ? null : hash,
     storeReachable: storeHealth.reachable,
-    alarms: problem ? [describeProblem(problem)] : [],
+    alarms: [problem, ctx.claims.problem]
+      .filter(found => found !== null)
+      .map(describeProblem),
     nodes: rows.map(row => nodeStatus(row, reports, highest)),
   };
 }
--- a/packages/node/src/calls/claim-step.ts
+++ b/packages/node/src/calls/claim-step.ts
@@ -34,6 +34,7 @@
   const begun = await claims.begin(claim, timeoutMs);
   if (begun.isErr) {
     const {message, code} = begun.error;
+    if (code === CLAIM_CODES.storeWentBack) return refuse(code);
     const cause = {cause: code.name};
     const err = new MeshError(CLAIM_CODES.unavailable, message, cause);
     return {kind: 'refuse', err};
--- a/packages/node/src/claims/claims-service.ts
+++ b/packages/node/src/claims/claims-service.ts
@@ -1,5 +1,4 @@
 import {CLAIM_CODES, MeshError, VERSION_CODES} from '@verbenabeam/core';
-import type {Clock, Invariants} from '@verbenabeam/core';
 import {
   ClaimClient,
   ClaimOwner,
@@ -14,8 +13,7 @@
   FinishRequest,
 } from '@verbenabeam/claims';
 import {systemSleep} from '@verbenabeam/store';
-import type {Store} from '@verbenabeam/store';
-import type {PeerBus} from '@verbenabeam/wire';
+import type {StoreRevisions} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import type {z} from 'zod';
 import type {
@@ -24,8 +22,9 @@
   ClaimResult,
   ClaimsPort,
 } from '../calls/index.js';
-import type {MembershipService} from '../membership/membership-service.js';
+import type {NodeContext} from '../node-context.js';
 import {peerUnknown} from '../peer-unknown.js';
+import {RevisionExchange} from './revision-exchange.js';
 
 const beginKind = 'claim.begin';
 const finishKind = 'claim.finish';
@@ -35,12 +34,9 @@
 type Kind = typeof beginKind | typeof finishKind;
 
 /** Parts of a {@link ClaimsService}. @internal */
-export interface ClaimsServiceOptions {
-  readonly membership: MembershipService;
-  readonly bus: PeerBus;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly invariants: Invariants;
+export interface ClaimsServiceOptions extends NodeContext {
+  /** Revisions that the store shows. */
+  readonly revisions: StoreRevisions;
   /** Problem of the configuration; a store that went back refuses claims. */
   readonly problem: () => MeshError | null;
 }
@@ -50,10 +46,12 @@
   readonly #options: ClaimsServiceOptions;
   readonly #owner: ClaimOwner;
   readonly #client: ClaimClient;
+  readonly #exchange: RevisionExchange;
 
   constructor(options: ClaimsServiceOptions) {
     this.#options = options;
     const {membership} = options;
+    this.#exchange = new RevisionExchange(options, options.revisions);
     const {environment} = membership.own;
     this.#owner = new ClaimOwner({...options, environment, sleep: systemSleep});
     this.#client = new ClaimClient({
@@ -62,8 +60,21 @@
     });
   }
 
+  /** What operators must look at. */
+  get problem(): MeshError | null {
+    const {storeWentBack} = CLAIM_CODES;
+    if (!this.#exchange.wentBack) return null;
+    return new MeshError(storeWentBack, storeWentBack.text);
+  }
+
+  /** Claims are granted again from the store's state as it is now. */
+  confirmRestore(): void {
+    this.#exchange.confirm();
+  }
+
   start(): void {
     const {bus} = this.#options;
+    this.#exchange.start();
     bus.onRequest(beginKind, body => this.#own(beginKind, body));
     bus.onRequest(finishKind, body => this.#own(finishKind, body));
   }
@@ -99,7 +110,10 @@
     const address = membership.addressOf(nodeId);
     if (address === undefined) return Result.err(peerUnknown(nodeId));
     const timeoutMs = 'holdMs' in body ? body.holdMs : finishTimeoutMs;
-    return bus.request(address, kind, body, {timeoutMs});
+    const message = this.#exchange.attach(body);
+    const reply = await bus.request(address, kind, message, {timeoutMs});
+    if (reply.isOk) this.#exchange.take(reply.value);
+    return reply;
   };
 
   /** Serves a request as the owner of its partition. */
@@ -111,12 +125,21 @@
         new MeshError(CLAIM_CODES.unavailable, problem.message),
       );
     }
+    this.#exchange.take(body);
     if (kind === beginKind) {
-      return this.#checked(beginRequest, body, req => this.#owner.begin(req));
+      return this.#checked(beginRequest, body, req => this.#begin(req));
     }
     return this.#checked(finishRequest, body, req => this.#owner.finish(req));
   }
 
+  /** The response that records the claim may show that the store went back. */
+  async #begin(req: BeginRequest): Promise<Result<BeginReply, MeshError>> {
+    if (this.problem) return Result.err(this.problem);
+    const begun = await this.#owner.begin(req);
+    if (this.problem) return Result.err(this.problem);
+    return begun.map(reply => this.#exchange.attach(reply));
+  }
+
   #checked<T, R>(
     schema: z.ZodType<T>,
     body: unknown,
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -8,6 +8,7 @@
   systemClock,
 } from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
+import {StoreRevisions} from '@verbenabeam/store';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
 import {AdminServer} from './admin/admin-server.js';
@@ -59,9 +60,14 @@
     this.#started = started;
   }
 
-  /** Starts a node. Errors: 1003 (certificates) and `wire.listenFailed`. */
+  /**
+   * Starts a node. Errors: 1003 (certificates) and `wire.listenFailed`.
+   *
+   * @param invariants - Tests pass one that collects what is broken.
+   */
   static async start(
     settings: NodeSettings,
+    invariants = new Invariants(),
   ): Promise<Result<MeshNode, MeshError>> {
     const tls = readTls(settings);
     if (tls.isErr) return Result.err(tls.error);
@@ -74,14 +80,15 @@
     });
     const wire = await bus.start(settings.listen.wire);
     if (wire.isErr) return Result.err(wire.error);
-    const store = openStore(settings);
-    const invariants = new Invariants();
+    const revisions = new StoreRevisions();
+    const store = openStore(settings, revisions);
     const parts = createParts({
       settings,
       nodeId,
       wireAddress: wire.value,
       bus,
       store,
+      revisions,
       clock: systemClock,
       random: seededRandom(Math.floor(Math.random() * maxSeed)),
       invariants,
@@ -141,6 +148,23 @@
     return this.#stopped;
   }
 
+  /** Ends at once and cuts what is in flight, as a crash does. @internal */
+  abort(): Promise<void> {
+    this.#stopped ??= this.#abort();
+    return this.#stopped;
+  }
+
+  async #abort(): Promise<void> {
+    const {callers, admin, bus, closeStore, end} = this.#started;
+    end.abort();
+    for (const server of [callers, admin.server]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    await bus.close();
+    await closeStore();
+  }
+
   async #stop(): Promise<void> {
     const {settings, parts, callers, admin, bus, closeStore, end} =
       this.#started;
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -9,7 +9,7 @@
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
 import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
-import type {Store} from '@verbenabeam/store';
+import type {Store, StoreRevisions} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
 import {CALL_EXPLAIN, callRoutes, explainHere} from './admin/call-routes.js';
@@ -59,6 +59,8 @@
   readonly wireAddress: string;
   readonly bus: PeerBus;
   readonly store: Store;
+  /** Revisions that `store` shows. */
+  readonly revisions: StoreRevisions;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly invariants: Invariants;
@@ -116,6 +118,7 @@
     this.claims = new ClaimsService({
       ...context,
       problem: () => this.distribution.tracker.status.problem,
+      revisions: options.revisions,
     });
     this.#admission = new AdmissionAdapter({
       clock,
@@ -138,6 +141,7 @@
       ...shared,
       distribution: this.distribution,
       moves: this.moves,
+      claims: this.claims,
       calls: this.calls,
       metrics: this.metrics,
       storeHealth: store,
--- a/packages/node/src/store/open-store.ts
+++ b/packages/node/src/store/open-store.ts
@@ -1,9 +1,14 @@
 import {HttpStore, StoreBudget} from '@verbenabeam/store';
+import type {StoreRevisions} from '@verbenabeam/store';
 import type {NodeSettings} from '../settings/node-settings.js';
 
 /** Opens the client of the store that the settings name. @internal */
-export function openStore({store}: NodeSettings): HttpStore {
+export function openStore(
+  {store}: NodeSettings,
+  revisions: StoreRevisions,
+): HttpStore {
   return new HttpStore({
+    revisions,
     endpoints: store.endpoints,
     timeoutMs: store.timeout,
     budget: new StoreBudget({
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -27,6 +27,7 @@
 } from './store.js';
 import type {StoreBudget} from './store-budget.js';
 import {overBudget, unavailable, unknownOutcome} from './store-errors.js';
+import {StoreRevisions} from './store-revisions.js';
 import {runWatch} from './watch-stream.js';
 
 /** Options of {@link HttpStore}. @public */
@@ -36,6 +37,8 @@
   /** Limits the calls of this role. Default: no limit. */
   readonly budget?: StoreBudget;
   readonly breaker?: BreakerOptions;
+  /** Gets the revision of each response. Default: one of its own. */
+  readonly revisions?: StoreRevisions;
   /** Time limit of a call without its own, in milliseconds. Default 1,000. */
   readonly timeoutMs?: number;
   /** Time limit to connect to one endpoint. Default 300 ms. */
@@ -77,6 +80,7 @@
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #agent: Agent;
+  readonly #revisions: StoreRevisions;
   #preferred = 0;
 
   constructor(options: HttpStoreOptions) {
@@ -91,6 +95,7 @@
     this.#clock = options.clock ?? systemClock;
     this.#random =
       options.random ?? seededRandom(Math.floor(Math.random() * maxSeed));
+    this.#revisions = options.revisions ?? new StoreRevisions();
     this.#agent = new Agent({
       connections: options.connections ?? defaultConnections,
       pipelining: 1,
@@ -118,8 +123,10 @@
       path: '/v3/kv/txn',
       body: encodeTxn(txn),
     };
+    const sent = this.#revisions.view;
     const res = await this.#call(call, txnResponse, options);
     return res.map(({header, succeeded, responses}) => {
+      this.#revisions.observe(sent, header.revision);
       if (succeeded) {
         return {committed: true as const, revision: header.revision};
       }
@@ -181,8 +188,12 @@
   ): Promise<Result<readonly Entry[], MeshError>> {
     const body = keyRange(key, prefix);
     const call: Call = {kind: 'read', path: '/v3/kv/range', body};
+    const sent = this.#revisions.view;
     const res = await this.#call(call, rangeResponse, options);
-    return res.map(({kvs}) => kvs.map(decodeEntry));
+    return res.map(({header, kvs}) => {
+      this.#revisions.observe(sent, header.revision);
+      return kvs.map(decodeEntry);
+    });
   }
 
   async #call<S extends z.ZodType>(
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -22,6 +22,8 @@
 export type {SettledPut, SettleOptions} from './settled-put.js';
 export {systemSleep} from './sleep.js';
 export type {Sleep} from './sleep.js';
+export {StoreRevisions} from './store-revisions.js';
+export type {RevisionView} from './store-revisions.js';
 export {StoreBudget} from './store-budget.js';
 export type {StoreBudgetOptions} from './store-budget.js';
 export {isUnknownOutcome} from './store-errors.js';
--- a/packages/store/src/store.feature
+++ b/packages/store/src/store.feature
@@ -49,3 +49,9 @@
     Then the http store read fails as unavailable within 400 ms
     And the http store write is unknown within 400 ms
     And the http store breaker opens and refuses without a call
+
+  Scenario: A store that was restored to an older state is noticed
+    Given store revisions that have seen revision 100
+    Then an overtaken response does not make the store revisions go back
+    And a response below the known store revision is noticed until it is confirmed
+    And store revisions of peers are merged in any order
