--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -230,6 +230,7 @@
     if (this.#over) return;
     this.#over = true;
     clearTimeout(this.#timer);
+    this.#body.discard();
     this.#finishClaim();
     this.#retries.end();
     this.#done(
