Compile large versions once, ahead of their use, and forward them first

Cause: a node compiled a 1 MB version synchronously when it was submitted, again when it was offered to the tracker, and its base once more for the diff; diff and delta followed in the same turn. Each node of a push tree forwarded only after that, so a change waited for one compiler after the other, and probes (400 ms) ran out meanwhile. A large push is forwarded at once and not pulled meanwhile. The acceptance takes the base of its diff from the active version, which saves a read of the store. Ruled out: chunking (1 MB goes in one frame, the limit is 1 MB + 64 KB), the backlog limit of a connection (8 frames), pull time limits (2 s; no pull ran), the store's time limit (submits took 0.3 to 1.1 s). A call may reach the store only after some promises, so the virtual time lets them settle before it looks for the first task.

--- a/packages/distribution/src/acceptance.test.ts
+++ b/packages/distribution/src/acceptance.test.ts
@@ -96,6 +96,7 @@
     clock: scheduler,
     fleet: () => fleet,
     sleep: ms => scheduler.wait(ms),
+    pause: () => Promise.resolve(),
   });
   for (const timeout of ['1s', '2s']) await finish(submit(textOf(timeout)));
   await finish(submit(textOf('4s'), 'ana', 'trial'));
--- a/packages/distribution/src/acceptance.ts
+++ b/packages/distribution/src/acceptance.ts
@@ -1,15 +1,34 @@
 import {Result} from 'true-myth';
-import {MeshError, STORE_CODES, VERSION_CODES} from '@verbenabeam/core';
+import {MeshError, VERSION_CODES} from '@verbenabeam/core';
 import type {Clock} from '@verbenabeam/core';
-import {checkDeadlines, compile, diff} from '@verbenabeam/document';
-import type {Change, CompiledDocument, Snapshot} from '@verbenabeam/document';
+import {
+  checkDeadlines,
+  compileInTurns,
+  diffInTurns,
+} from '@verbenabeam/document';
+import type {
+  Change,
+  CompiledDocument,
+  Pause,
+  Snapshot,
+} from '@verbenabeam/document';
 import {settledTxn} from '@verbenabeam/store';
 import type {Entry, Sleep, Store, Txn} from '@verbenabeam/store';
+import {
+  decodeHead,
+  descends,
+  findOperation,
+  restored,
+  snapshotOf,
+  unreadable,
+  withoutOperations,
+} from './acceptance-outcome.js';
 import {checkBase, notReady} from './check-base.js';
+import type {Draft} from './draft.js';
 import type {FleetView} from './distributor-options.js';
 import {STORE_KEYS} from './store-keys.js';
-import {decodeJson, headRecordSchema} from './store-records.js';
 import type {HeadRecord, VersionMetadata} from './store-records.js';
+import type {Promotion, Submission} from './submission.js';
 import {VersionArchive} from './version-archive.js';
 import {versionTxn} from './version-txn.js';
 
@@ -35,24 +54,18 @@
    * environment, `unknown` before its start inquiry is complete.
    */
   readonly fleet: (environment: string) => FleetView | 'unknown' | null;
+  /**
+   * The active version of an environment. A change of it needs no read of its
+   * base from the store. Default: none.
+   */
+  readonly active?: (environment: string) => Snapshot | null;
   /** Waits before an unknown outcome is read back. Default: the system's. */
   readonly sleep?: Sleep;
-}
-
-/** An operator's change. @public */
-export interface Submission {
-  readonly environment: string;
-  readonly text: string;
-  readonly author: string;
-  /** Unique per change; a repeated submission with the same id is one change. */
-  readonly operationId: string;
-  /** Version that the operator edited; another head refuses the change. */
-  readonly baseVersion?: number;
-}
-
-/** A promotion of a named trial version. @public */
-export interface Promotion extends Omit<Submission, 'text'> {
-  readonly from: {readonly environment: string; readonly version: number};
+  /**
+   * Waits between the turns in which a document is compiled and compared.
+   * Default: the next turn of the event loop.
+   */
+  readonly pause?: Pause;
 }
 
 /** An accepted change. @public */
@@ -67,14 +80,6 @@
   readonly record: HeadRecord | null;
 }
 
-/** A submission with its compiled document. */
-interface Draft extends Submission {
-  readonly document: CompiledDocument;
-  readonly promotedFrom: VersionMetadata['promotedFrom'];
-  /** A version that the new one must exceed although the store lacks it. */
-  readonly above?: number;
-}
-
 /**
  * Accepts operators' changes by one transaction on the store.
  *
@@ -86,7 +91,7 @@
 
   constructor(options: AcceptanceOptions) {
     this.#options = options;
-    this.#archive = new VersionArchive(options.store);
+    this.#archive = new VersionArchive(options.store, options.pause);
   }
 
   /** Versions that were accepted before. */
@@ -135,10 +140,9 @@
     submission: Submission,
     promotedFrom: VersionMetadata['promotedFrom'],
   ): Promise<Result<Accepted, MeshError>> {
-    const {clock} = this.#options;
-    const compiled = compile(submission.text).andThen(doc =>
-      checkDeadlines(doc, clock.wallTime()),
-    );
+    const {clock, pause} = this.#options;
+    const made = await compileInTurns(submission.text, pause);
+    const compiled = made.andThen(doc => checkDeadlines(doc, clock.wallTime()));
     if (compiled.isErr) return Result.err(compiled.error);
     const draft = {...submission, document: compiled.value, promotedFrom};
     const head = await this.#readHead(submission.environment);
@@ -201,8 +205,8 @@
     metadata: VersionMetadata,
     base: HeadRecord | null,
   ): Promise<Result<Accepted, MeshError>> {
-    const before = await this.#archive.document(draft.environment, base);
-    const changes = before ? diff(before, draft.document) : [];
+    const before = await this.#document(draft.environment, base);
+    const changes = await this.#compare(before, draft.document);
     return Result.ok({
       metadata,
       changes,
@@ -229,14 +233,32 @@
     draft: Draft,
   ): Promise<Result<Accepted, MeshError>> {
     const code = VERSION_CODES.raceLost;
-    const theirs = await this.#archive.document(draft.environment, winner);
-    const changes = theirs ? diff(theirs, draft.document) : [];
+    const theirs = await this.#document(draft.environment, winner);
+    const changes = await this.#compare(theirs, draft.document);
     const metadata = winner && withoutOperations(winner);
     return Result.err(
       new MeshError(code, code.text, {winner: metadata, changes}),
     );
   }
 
+  async #document(
+    environment: string,
+    row: HeadRecord | null,
+  ): Promise<CompiledDocument | null> {
+    const active = this.#options.active?.(environment);
+    const isActive =
+      active?.version === row?.version && active?.hash === row?.hash;
+    if (active && isActive) return active.document;
+    return this.#archive.document(environment, row);
+  }
+
+  async #compare(
+    before: CompiledDocument | null,
+    after: CompiledDocument,
+  ): Promise<readonly Change[]> {
+    return before ? diffInTurns(before, after, this.#options.pause) : [];
+  }
+
   async #readHead(environment: string): Promise<Result<Head, MeshError>> {
     const got = await this.#options.store.get(STORE_KEYS.head(environment));
     return got.andThen(entry =>
@@ -251,48 +273,3 @@
     return {version, hash, operationId, author, acceptedAt, promotedFrom};
   }
 }
-
-function decodeHead(entry: Entry | null): Result<HeadRecord | null, MeshError> {
-  return entry ? decodeJson(entry, headRecordSchema) : Result.ok(null);
-}
-
-function findOperation(head: HeadRecord | null, id: string): number | null {
-  const found = head?.recentOperations.find(row => row.operationId === id);
-  return found?.version ?? null;
-}
-
-/** False if the store was restored to a state before the base. */
-function descends(head: HeadRecord | null, base: HeadRecord | null): boolean {
-  return base === null || findOperation(head, base.operationId) !== null;
-}
-
-/**
- * A restored store does not show whether the change was applied before the
- * restore, so neither "accepted" nor "race lost" would be true for certain.
- */
-function restored({operationId}: Draft): MeshError {
-  const reason = 'the store was restored; the change may have been applied';
-  return new MeshError(STORE_CODES.unknownOutcome, reason, {operationId});
-}
-
-/** The change was applied, so a code that says "not run" would be false. */
-function unreadable(
-  {operationId}: Draft,
-  version: number,
-  err: MeshError,
-): MeshError {
-  const reason = `version ${version} was accepted but cannot be read`;
-  const details = {operationId, version, cause: err.code.code};
-  return new MeshError(STORE_CODES.unknownOutcome, reason, details);
-}
-
-function withoutOperations(head: HeadRecord): VersionMetadata {
-  const {version, hash, operationId, author, acceptedAt, promotedFrom} = head;
-  return {version, hash, operationId, author, acceptedAt, promotedFrom};
-}
-
-function snapshotOf(draft: Draft, metadata: VersionMetadata): Snapshot {
-  const {version, hash, acceptedAt} = metadata;
-  const {environment, document} = draft;
-  return Object.freeze({environment, version, hash, acceptedAt, document});
-}
--- a/packages/distribution/src/distribution-driver.ts
+++ b/packages/distribution/src/distribution-driver.ts
@@ -4,8 +4,10 @@
 import type {Snapshot} from '@verbenabeam/document';
 import type {Entry, Store} from '@verbenabeam/store';
 import type {Accepted} from './acceptance.js';
+import type {CompileAhead} from './compile-ahead.js';
 import type {Distributor} from './distributor.js';
 import type {Effect} from './effect.js';
+import type {VersionContent} from './messages/config-content.js';
 import {configDigestSchema} from './messages/config-digest.js';
 import type {ConfigDigest} from './messages/config-digest.js';
 import {
@@ -43,6 +45,8 @@
   readonly sender: DistributionSender;
   readonly store: Store;
   readonly clock: Clock;
+  /** Compiles large documents; the tracker of the distributor uses it too. */
+  readonly ahead: CompileAhead;
   /** True while this node holds a relay slot. */
   readonly isRelay: () => boolean;
   /**
@@ -85,7 +89,13 @@
   /** Handles a `config.push` notice. */
   handlePush(from: string, body: unknown): Result<true, MeshError> {
     return parseMessage(configPushSchema, body).map(push => {
-      this.#run(this.#distributor.onPush(from, push, this.#now()));
+      const take = () =>
+        this.#run(this.#distributor.onPush(from, push, this.#now()));
+      if (!this.#isLarge(push)) take();
+      else {
+        this.#run(this.#distributor.onLargePush(push, this.#now()));
+        void this.#compileAhead(push).then(take);
+      }
       return true as const;
     });
   }
@@ -108,6 +118,7 @@
   /** Activates and pushes a change that acceptance wrote. Error: 1204. */
   handleAccepted(accepted: Accepted): Result<true, MeshError> {
     const {document, ...rest} = accepted.snapshot;
+    this.#options.ahead.keep(document);
     const candidate = {...rest, text: document.text};
     return this.#distributor.onAccepted(candidate, this.#now()).map(effects => {
       this.#run(effects);
@@ -159,7 +170,26 @@
     if (res.isErr) {
       logFailure('A pull failed', res.error);
       this.#distributor.onPullFailed();
-    } else this.#run(this.#distributor.onPullResponse(res.value, this.#now()));
+      return;
+    }
+    const answer = res.value;
+    if (answer.status === 'version' && this.#isLarge(answer.value)) {
+      await this.#compileAhead(answer.value);
+    }
+    this.#run(this.#distributor.onPullResponse(answer, this.#now()));
+  }
+
+  #isLarge({content}: VersionContent): boolean {
+    const {ahead, distributor} = this.#options;
+    const characters =
+      'text' in content ? content.text.length : distributor.activeCharacters;
+    return ahead.isLarge(characters);
+  }
+
+  /** Does nothing for a version that cannot be applied; its fault shows later. */
+  async #compileAhead(value: VersionContent): Promise<void> {
+    const text = this.#distributor.textOf(value);
+    if (text !== null) await this.#options.ahead.prepare(text);
   }
 
   async #askDigest({
@@ -175,7 +205,7 @@
   async #readVersion({
     version,
   }: Extract<Effect, {type: 'readVersion'}>): Promise<void> {
-    const {environment, store, isRelay, beforeRelayRead} = this.#options;
+    const {environment, store, isRelay, beforeRelayRead, ahead} = this.#options;
     if (isRelay()) await beforeRelayRead?.();
     if (this.#distributor.digest.version >= version) return;
     const got = await store.get(STORE_KEYS.version(environment, version));
@@ -188,6 +218,7 @@
     if (!record.value) return;
     const {metadata, text} = record.value;
     const {hash, acceptedAt} = metadata;
+    await ahead.prepare(text);
     const candidate = {environment, version, hash, acceptedAt, text};
     const now = this.#now();
     this.#run(this.#distributor.onStoreVersion(candidate, isRelay(), now));
--- a/packages/distribution/src/distributor.ts
+++ b/packages/distribution/src/distributor.ts
@@ -53,6 +53,11 @@
     return this.#tracker.digest;
   }
 
+  /** Length of the active text; 0 after an empty start. */
+  get activeCharacters(): number {
+    return this.#tracker.current?.document.text.length ?? 0;
+  }
+
   /** Null until the start inquiry is complete. */
   get fleetView(): FleetView | null {
     const known = this.#ready || this.#inquiry.isComplete(this.#planner.peers);
@@ -75,6 +80,28 @@
     return [...effects, ...this.#forward(push), ...this.#pullIfDue(now)];
   }
 
+  /**
+   * Takes a push whose document is compiled in several turns before
+   * {@link onPush} gets it. It is forwarded at once, so that a deep tree does
+   * not wait for one compiler after the other, and it is not pulled meanwhile.
+   */
+  onLargePush(push: ConfigPush, now: number): readonly Effect[] {
+    const {environment, version} = this.digest;
+    if (push.environment !== environment || push.version <= version) return [];
+    this.#see(push.version);
+    this.#puller.hold(now);
+    return this.#forward(push);
+  }
+
+  /** Returns the text of a newer version, or null if there is none to apply. */
+  textOf(value: VersionContent): string | null {
+    const {environment, version} = this.digest;
+    if (value.environment !== environment || value.version <= version) {
+      return null;
+    }
+    return decodeContent(value.content, this.#tracker.current).unwrapOr(null);
+  }
+
   /** Takes the digest on a probe or probe response. */
   onDigest(from: string, seen: ConfigDigest, now: number): readonly Effect[] {
     if (seen.environment !== this.digest.environment) return [];
@@ -221,7 +248,10 @@
 
   #onSwap(snapshot: Snapshot): void {
     this.#recent.add(snapshot);
-    this.#forwarded = new Set();
+    // A large push was forwarded before it became active.
+    const prefix = `${snapshot.version}/`;
+    const current = [...this.#forwarded].filter(key => key.startsWith(prefix));
+    this.#forwarded = new Set(current);
     this.#updateReady();
   }
 
--- a/packages/distribution/src/fakes/sim-node.ts
+++ b/packages/distribution/src/fakes/sim-node.ts
@@ -2,6 +2,7 @@
 import {Invariants, seededRandom} from '@verbenabeam/core';
 import type {RandomSource, ResultCode} from '@verbenabeam/core';
 import {Acceptance} from '../acceptance.js';
+import {CompileAhead} from '../compile-ahead.js';
 import {DistributionDriver} from '../distribution-driver.js';
 import {Distributor} from '../distributor.js';
 import {FullTextCap} from '../full-text-cap.js';
@@ -31,6 +32,8 @@
 const fanout = 2;
 const tickMs = 500;
 const gossipMs = 1_000;
+/** Lets messages arrive between the turns of a compilation. */
+const turnMs = 20;
 const maxSeed = 2 ** 31;
 
 /** One process of a node; a restart makes a new one. @internal */
@@ -63,7 +66,9 @@
     invariants.onBroken(code => world.onBroken(code));
     const members = () => world.nodes().map(row => row.member);
     const self = {nodeId, dataCentre, environment};
-    this.tracker = new VersionTracker(environment, invariants);
+    const pause = () => scheduler.wait(turnMs);
+    const ahead = new CompileAhead({minCharacters: 0, pause});
+    this.tracker = new VersionTracker(environment, invariants, ahead.compile);
     this.distributor = new Distributor({
       tracker: this.tracker,
       planner: new PushPlanner({self, members, fanout}),
@@ -88,6 +93,7 @@
       distributor: this.distributor,
       store,
       clock: scheduler,
+      ahead,
       isRelay: () => this.relay.isRelay,
       sender: {
         push: (to, message) =>
@@ -111,6 +117,7 @@
       clock: scheduler,
       fleet: () => this.distributor.fleetView ?? 'unknown',
       sleep: ms => scheduler.wait(ms),
+      pause: () => Promise.resolve(),
     });
   }
 
--- a/packages/distribution/src/fakes/sim-scheduler.ts
+++ b/packages/distribution/src/fakes/sim-scheduler.ts
@@ -44,6 +44,8 @@
   /** Advances the time and lets all promises settle after each task. */
   async advance(ms: number, afterStep: () => void): Promise<void> {
     const end = this.#time + ms;
+    // A call may schedule its first task only after some promises.
+    await settled();
     for (;;) {
       const next = this.#tasks[0];
       if (!next || next.at > end) break;
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -5,12 +5,9 @@
  * @packageDocumentation
  */
 export {Acceptance} from './acceptance.js';
-export type {
-  Accepted,
-  AcceptanceOptions,
-  Promotion,
-  Submission,
-} from './acceptance.js';
+export type {Accepted, AcceptanceOptions} from './acceptance.js';
+export {CompileAhead} from './compile-ahead.js';
+export type {CompileAheadOptions} from './compile-ahead.js';
 export {DistributionDriver} from './distribution-driver.js';
 export type {
   DistributionDriverOptions,
@@ -57,5 +54,6 @@
 } from './store-records.js';
 export {VersionArchive} from './version-archive.js';
 export type {HistoryOptions} from './version-archive.js';
+export type {Promotion, Submission} from './submission.js';
 export {VersionTracker} from './version-tracker.js';
 export type {Candidate, TrackerStatus} from './version-tracker.js';
--- a/packages/distribution/src/puller.ts
+++ b/packages/distribution/src/puller.ts
@@ -56,6 +56,11 @@
     return {to: source.peer, message};
   }
 
+  /** A newer version has arrived and is being compiled. */
+  hold(now: number): void {
+    this.#pendingUntil = now + pullTimeoutMs;
+  }
+
   /** The pull ended; the next digest or tick may start another. */
   done(): void {
     this.#pendingUntil = 0;
--- a/packages/distribution/src/recent-versions.ts
+++ b/packages/distribution/src/recent-versions.ts
@@ -1,5 +1,5 @@
 import {hashText} from '@verbenabeam/core';
-import {delta} from '@verbenabeam/document';
+import {smallDelta} from '@verbenabeam/document';
 import type {Delta, Snapshot} from '@verbenabeam/document';
 import type {ConfigContent, VersionContent} from './messages/config-content.js';
 
@@ -9,6 +9,8 @@
 const maxCharacters = 4_000_000;
 /** A delta above this share of the text saves too little to risk a mismatch. */
 const maxDeltaShare = 0.5;
+/** Bounds the time to find a delta and to check it, to about 30 ms each. */
+const maxDeltaSteps = 4_000;
 /** Estimated bytes of a copy step on the wire. */
 const copyStepBytes = 12;
 
@@ -51,8 +53,9 @@
     const active = this.#kept.at(-1);
     if (!base || !active) return null;
     const {text} = active.document;
-    const change = delta(base.document.text, text);
-    if (estimateBytes(change) > text.length * maxDeltaShare) return null;
+    const change = smallDelta(base.document.text, text, maxDeltaSteps);
+    if (!change || estimateBytes(change) > text.length * maxDeltaShare)
+      return null;
     return {base: base.version, delta: mutableDelta(change)};
   }
 }
--- a/packages/distribution/src/relay-wait.test.ts
+++ b/packages/distribution/src/relay-wait.test.ts
@@ -3,7 +3,7 @@
 import {Result} from 'true-myth';
 import {ManualClock, MemoryStore} from '@verbenabeam/store/fakes';
 import {candidateOf, distributorAt, environment} from './fakes/candidates.js';
-import {DistributionDriver, STORE_KEYS} from './index.js';
+import {CompileAhead, DistributionDriver, STORE_KEYS} from './index.js';
 import type {ConfigPush} from './index.js';
 import {encodeJson, encodeVersion} from './store-records.js';
 
@@ -41,6 +41,7 @@
     distributor,
     store,
     clock,
+    ahead: new CompileAhead(),
     isRelay: () => true,
     beforeRelayRead: () => Promise.resolve(beforeRelayRead(driver)),
     sender: {
--- a/packages/distribution/src/version-archive.ts
+++ b/packages/distribution/src/version-archive.ts
@@ -1,7 +1,7 @@
 import {Result} from 'true-myth';
 import {MeshError, VERSION_CODES} from '@verbenabeam/core';
-import {compile, diff} from '@verbenabeam/document';
-import type {Change, CompiledDocument} from '@verbenabeam/document';
+import {compileInTurns, diffInTurns} from '@verbenabeam/document';
+import type {Change, CompiledDocument, Pause} from '@verbenabeam/document';
 import type {Store} from '@verbenabeam/store';
 import {STORE_KEYS} from './store-keys.js';
 import {
@@ -23,9 +23,12 @@
 /** Reads accepted versions from the store. @public */
 export class VersionArchive {
   readonly #store: Store;
+  readonly #pause: Pause | undefined;
 
-  constructor(store: Store) {
+  /** @param pause - Between the turns in which documents are compiled. */
+  constructor(store: Store, pause?: Pause) {
     this.#store = store;
+    this.#pause = pause;
   }
 
   /** Reads one version. Errors: 1209, 1212, 13xx. */
@@ -67,11 +70,13 @@
   ): Promise<Result<readonly Change[], MeshError>> {
     const before = await this.read(environment, from);
     const after = await this.read(environment, to);
-    return before.andThen(a =>
-      after.andThen(b =>
-        compile(a.text).andThen(x => compile(b.text).map(y => diff(x, y))),
-      ),
-    );
+    if (before.isErr) return Result.err(before.error);
+    if (after.isErr) return Result.err(after.error);
+    const a = await compileInTurns(before.value.text, this.#pause);
+    if (a.isErr) return Result.err(a.error);
+    const b = await compileInTurns(after.value.text, this.#pause);
+    if (b.isErr) return Result.err(b.error);
+    return Result.ok(await diffInTurns(a.value, b.value, this.#pause));
   }
 
   /** Returns the document of a version, or null if it cannot be read. @internal */
@@ -81,7 +86,8 @@
   ): Promise<CompiledDocument | null> {
     if (!row) return null;
     const found = await this.read(environment, row.version);
-    return found.andThen(record => compile(record.text)).unwrapOr(null);
+    if (found.isErr) return null;
+    return (await compileInTurns(found.value.text, this.#pause)).unwrapOr(null);
   }
 
   async #metadata(
--- a/packages/node/src/distribution/distribution-service.ts
+++ b/packages/node/src/distribution/distribution-service.ts
@@ -2,6 +2,7 @@
 import type {MeshError} from '@verbenabeam/core';
 import {
   Acceptance,
+  CompileAhead,
   CONFIG_PULL,
   CONFIG_PUSH,
   DistributionDriver,
@@ -57,7 +58,12 @@
     const {store, clock, random, membership} = options;
     const {own} = membership;
     const {environment} = own;
-    this.tracker = new VersionTracker(environment, options.invariants);
+    const ahead = new CompileAhead();
+    this.tracker = new VersionTracker(
+      environment,
+      options.invariants,
+      ahead.compile,
+    );
     this.distributor = new Distributor({
       tracker: this.tracker,
       planner: new PushPlanner({
@@ -74,6 +80,7 @@
       sender: this.#sender(),
       store,
       clock,
+      ahead,
       isRelay: () => this.isRelay,
       beforeRelayRead: () => systemSleep(relayWaitMs * (0.5 + random.float())),
       onApplied: snapshot => this.#onApplied(snapshot),
@@ -93,6 +100,7 @@
     this.acceptance = new Acceptance({
       store,
       clock,
+      active: name => (name === environment ? this.tracker.current : null),
       fleet: name =>
         name === environment ? (this.distributor.fleetView ?? 'unknown') : null,
     });
