--- a/apps/bench/src/bench.feature
+++ b/apps/bench/src/bench.feature
@@ -48,6 +48,6 @@
     And bench rows "" are 8 of the call part
 
   Scenario: A fleet counts as settled when its traffic no longer falls
-    Then bench takes windows of 2681 1047 279 219 189 207 189 188 bytes as calm after 8 of them
-    And bench takes windows of 200 198 202 201 bytes as calm after 4 of them
-    And bench takes windows of 900 800 700 600 500 bytes as calm after 0 of them
+    Then bench takes windows of 2681 1047 279 219 189 207 189 188 bytes as steady after 8 of them
+    And bench takes windows of 200 198 202 201 bytes as steady after 4 of them
+    And bench takes windows of 900 800 700 600 500 bytes as steady after 0 of them
--- a/apps/bench/src/bench.test.ts
+++ b/apps/bench/src/bench.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {Given, Then} from '@cucumber/cucumber';
 import {checkBounds} from './bounds.js';
-import {CalmDetector} from './fleet/calm-detector.js';
 import {computeFigures, fleetLimits} from './capacity/figures.js';
 import {FULL_SIZE} from './capacity/fleet-size.js';
 import {Measured} from './capacity/measured.js';
 import {renderPage} from './capacity/page.js';
+import {flatWindows} from './fleet/steady-traffic.js';
 import {callScenarios, isChosen} from './parts/call-scenarios.js';
-import {SteadyState} from './parts/steady-state.js';
+import {SteadyState} from './report/steady-state.js';
 import type {PartResult, Row} from './report/part-result.js';
 
 interface World {
@@ -192,13 +192,13 @@
 
 // Guards against figures at rest that contain the gossip about the start.
 Then(
-  /^bench takes windows of ([\d ]+) bytes as calm after (\d+) of them$/,
-  (windows: string, calmAfter: string) => {
-    const detector = new CalmDetector();
-    const calm = windows.split(' ').map(bytes => {
-      detector.add(Number(bytes));
-      return detector.calm;
+  /^bench takes windows of ([\d ]+) bytes as steady after (\d+) of them$/,
+  (windows: string, steadyAfter: string) => {
+    const state = new SteadyState(flatWindows);
+    const reached = windows.split(' ').map(bytes => {
+      state.add(Number(bytes));
+      return state.reached;
     });
-    assert.equal(calm.indexOf(true) + 1, Number(calmAfter));
+    assert.equal(reached.indexOf(true) + 1, Number(steadyAfter));
   },
 );
--- a/apps/bench/src/fleet/calm.ts
+++ b/apps/bench/src/fleet/steady-traffic.ts
@@ -1,13 +1,15 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {CalmDetector} from './calm-detector.js';
+import {SteadyState} from '../report/steady-state.js';
 import type {Fleet} from './fleet.js';
 
 const msPerSecond = 1_000;
 const windowMs = 5_000;
 const boundMs = 180_000;
+/** Windows in a row that must not fall. */
+export const flatWindows = 3;
 
-/** How the wait of {@link awaitCalm} ended. @internal */
-export interface Calm {
+/** How the wait of {@link awaitSteadyTraffic} ended. @internal */
+export interface SteadyTraffic {
   /** False if the traffic still fell at the bound. */
   readonly settled: boolean;
   readonly waitedSeconds: number;
@@ -20,18 +22,18 @@
  *
  * @internal
  */
-export async function awaitCalm(fleet: Fleet): Promise<Calm> {
+export async function awaitSteadyTraffic(fleet: Fleet): Promise<SteadyTraffic> {
   const startAt = Date.now();
-  const detector = new CalmDetector();
+  const state = new SteadyState(flatWindows);
   let before = await sentOf(fleet);
-  while (!detector.calm && Date.now() - startAt < boundMs) {
+  while (!state.reached && Date.now() - startAt < boundMs) {
     await sleep(windowMs);
     const after = await sentOf(fleet);
-    detector.add(after - before);
+    state.add(after - before);
     before = after;
   }
   const waitedSeconds = (Date.now() - startAt) / msPerSecond;
-  return {settled: detector.calm, waitedSeconds};
+  return {settled: state.reached, waitedSeconds};
 }
 
 async function sentOf(fleet: Fleet): Promise<number> {
--- a/apps/bench/src/parts/bytes.ts
+++ b/apps/bench/src/parts/bytes.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {documentText} from '../fleet/document-text.js';
-import {awaitCalm} from '../fleet/calm.js';
+import {awaitSteadyTraffic} from '../fleet/steady-traffic.js';
 import {Fleet} from '../fleet/fleet.js';
 import type {NodeUsage} from '../fleet/host-commands.js';
 import {currentLoad} from '../report/machine.js';
@@ -36,7 +36,7 @@
   }
 
   async rest(seconds: number): Promise<void> {
-    const {settled, waitedSeconds} = await awaitCalm(this.#fleet);
+    const {settled, waitedSeconds} = await awaitSteadyTraffic(this.#fleet);
     const traffic = await this.#during(() => sleep(seconds * msPerSecond));
     this.#rest = {
       sent: traffic.sent / seconds,
--- a/apps/bench/src/parts/cost.ts
+++ b/apps/bench/src/parts/cost.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {documentText} from '../fleet/document-text.js';
-import {awaitCalm} from '../fleet/calm.js';
+import {awaitSteadyTraffic} from '../fleet/steady-traffic.js';
 import {Fleet} from '../fleet/fleet.js';
 import type {ProcessUsage} from '../fleet/host-commands.js';
 import type {Host} from '../fleet/host.js';
@@ -93,10 +93,10 @@
   for (const nodes of options.nodes) {
     await withProbe(nodes, async (fleet, probe) => {
       await change(fleet, documentText({size: smallBytes}));
-      const {settled, waitedSeconds} = await awaitCalm(fleet);
+      const {settled, waitedSeconds} = await awaitSteadyTraffic(fleet);
       const values = await atRest(probe, options.seconds);
-      const calm = {settled: settled ? 1 : 0, waitedSeconds};
-      add({measure: 'rest', nodes, ...base}, {...values, ...calm});
+      const waited = {settled: settled ? 1 : 0, waitedSeconds};
+      add({measure: 'rest', nodes, ...base}, {...values, ...waited});
     });
   }
   const nodes = 10;
--- a/apps/bench/src/parts/warm-up.ts
+++ b/apps/bench/src/parts/warm-up.ts
@@ -1,7 +1,7 @@
 import type {CallLoad, CallPaths} from './call-paths.js';
 import {allCallPaths} from './call-paths.js';
 import {percentileMs} from './open-loop.js';
-import {SteadyState} from './steady-state.js';
+import {SteadyState} from '../report/steady-state.js';
 
 const windowSeconds = 1;
 const percent = 50;
