Close the connections of callers at a planned stop

Cause: a stop closes only idle connections. One that carried an unfinished upload at that moment stayed open, and the stopped node answered each further call on it with 1605 for as long as the caller used it. In the program the open connection also kept the process from ending. No version went back in any node.

A refusal for draining now closes its connection, and a stop closes those that are left once nothing is in flight.

The focused test fails without both: the upload and the next call on its connection are both answered with 1605.

--- a/packages/node/src/calls/refusal.ts
+++ b/packages/node/src/calls/refusal.ts
@@ -1,4 +1,5 @@
 import type {ServerResponse} from 'node:http';
+import {CALL_CODES} from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
 import {CALL_HEADERS} from './call-headers.js';
 
@@ -43,6 +44,8 @@
     ...markHeaders(mark, code),
   ];
   if (notRun) headers.push(CALL_HEADERS.notRun, 'true');
+  // A caller that kept its connection would meet the ending node again.
+  if (err.code === CALL_CODES.draining) headers.push('connection', 'close');
   res.writeHead(err.code.http, headers);
   res.end(body);
 }
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -179,6 +179,9 @@
     admin.server.closeIdleConnections();
     await bus.close();
     await closeStore();
+    // Only refusals can be left; an open connection would be served for ever.
+    callers.closeAllConnections();
+    admin.server.closeAllConnections();
     log('Node stopped.', {nodeId: this.addresses().nodeId});
   }
 }
