moves: give paced moves the whole hold at the control share

It held 90% for 21 s only: the time for the hold was kept free at lower shares, and then subtracted at 90% again, so moves that are paced by the deadline held it for 20 s. Change: the control share uses the time that the earlier shares left for it. Test: two rows of the planner's table. A lower tolerance was ruled out: machines of 10% difference reach an odds ratio of 1.5 over p99.

--- a/packages/moves/src/moves-logic.feature
+++ b/packages/moves/src/moves-logic.feature
@@ -59,6 +59,7 @@
       | 0.9   | 30       | 1000      | yes   | 2000  | 1        | hold            |
       | 0.9   | 60       | 1000      | yes   | 500   | 1        | hold            |
       | 0.9   | 60       | 1000      | yes   | 2000  | 1        | setShare 1      |
-      | 0.9   | 250      | 250       | yes   | 500   | 1        | setShare 1      |
+      | 0.9   | 70       | 221       | yes   | 500   | 1        | hold            |
+      | 0.9   | 90       | 201       | yes   | 500   | 1        | setShare 1      |
       | 1     | 30       | 1000      | yes   | 500   | 1        | hold            |
       | 1     | 60       | 1000      | yes   | 500   | 1        | done            |
--- a/packages/moves/src/share-pace.ts
+++ b/packages/moves/src/share-pace.ts
@@ -48,7 +48,9 @@
   const usable = left - Math.max(left * policy.margin, outageReserveMs);
   // The shortest step times come first: without them, short deadlines left
   // too little time for the last steps, and good moves were taken back.
-  const fixed = policy.soakMs + policy.controlMs;
+  // Earlier shares leave time for the hold; the control share uses it.
+  const controlMs = input.share < controlShare ? policy.controlMs : 0;
+  const fixed = policy.soakMs + controlMs;
   const spare = usable - fixed - weights.length * policy.minStepMs;
   return policy.minStepMs + (Math.max(0, spare) * (weights[0] ?? 0)) / sum;
 }
