--- a/apps/cli/src/cli.feature
+++ b/apps/cli/src/cli.feature
@@ -15,4 +15,5 @@
       | take back | take-back redelivery-v2 | 0 | POST /v1/moves/redelivery-v2/take-back |
       | explain   | explain c1 | 0   | GET /v1/calls/c1                          |
       | lost race | promote 3 | 12   | POST /v1/environments/production/promote  |
+      | confirm restore | confirm-restore | 0 | POST /v1/store/confirm-restore |
       | reassert  | reassert  | 0    | POST /v1/environments/production/reassert |
--- a/apps/cli/src/commands/all-commands.ts
+++ b/apps/cli/src/commands/all-commands.ts
@@ -1,6 +1,7 @@
 import type {Command} from '../command.js';
 import {checkCommand} from './check.js';
 import {completionCommand} from './completion.js';
+import {confirmRestoreCommand} from './confirm-restore.js';
 import {diffCommand} from './diff.js';
 import {explainCommand} from './explain.js';
 import {historyCommand} from './history.js';
@@ -15,6 +16,7 @@
   submitCommand,
   promoteCommand,
   reassertCommand,
+  confirmRestoreCommand,
   historyCommand,
   diffCommand,
   statusCommand,
--- a/apps/cli/src/fakes/admin-answers.ts
+++ b/apps/cli/src/fakes/admin-answers.ts
@@ -119,5 +119,6 @@
   'GET /v1/moves': {status: 200, body: moves},
   'GET /v1/calls/c1': {status: 200, body: call},
   'POST /v1/environments/production/promote': {status: 409, body: raceLost},
+  'POST /v1/store/confirm-restore': {status: 200, body: {confirmed: true}},
   'POST /v1/environments/production/reassert': {status: 200, body: winner},
 };
--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -6,6 +6,10 @@
  */
 export {checkResponseSchema} from './check.js';
 export type {CheckResponse} from './check.js';
+export {
+  confirmRestoreRequestSchema,
+  confirmRestoreResponseSchema,
+} from './confirm-restore.js';
 export {errorBodySchema} from './error-body.js';
 export type {ErrorBody} from './error-body.js';
 export {callAttemptSchema, callRecordSchema} from './explain.js';
--- a/packages/node/src/admin/admin.feature
+++ b/packages/node/src/admin/admin.feature
@@ -21,6 +21,7 @@
       | unknown field   | POST   | /v1/documents/check                  | 400    | 1903 |
       | no author       | POST   | /v1/environments/production/reassert | 400    | 1903 |
       | no author       | POST   | /v1/moves/findings-v2/take-back      | 400    | 1903 |
+      | no author       | POST   | /v1/store/confirm-restore            | 400    | 1903 |
       | long author     | POST   | /v1/moves/findings-v2/take-back      | 400    | 1903 |
       | long author     | POST   | /v1/environments/production/submit   | 400    | 1903 |
       | other fleet     | POST   | /v1/environments/trial/reassert      | 400    | 1903 |
--- a/packages/node/src/admin/admin.test.ts
+++ b/packages/node/src/admin/admin.test.ts
@@ -40,6 +40,7 @@
   reassert: ['author'],
   check: ['document'],
   'take-back': ['author'],
+  'confirm-restore': ['author'],
 };
 
 function bodyOf(path: string, extra = {}): string {
@@ -80,7 +81,8 @@
       reassert: note,
     };
     const moves = {takeBack: note};
-    const ctx = {distribution, moves} as unknown as AdminContext;
+    const claims = {confirmRestore: note};
+    const ctx = {distribution, moves, claims} as unknown as AdminContext;
     const routes = [...documentRoutes(ctx), ...statusRoutes(ctx)];
     server = new AdminServer({routes, operatorToken});
     server.server.listen(0, '127.0.0.1');
--- a/packages/node/src/admin/status-routes.ts
+++ b/packages/node/src/admin/status-routes.ts
@@ -1,11 +1,14 @@
-import {takeBackRequestSchema} from '@verbenabeam/admin-api';
+import {
+  confirmRestoreRequestSchema,
+  takeBackRequestSchema,
+} from '@verbenabeam/admin-api';
 import type {
   MoveStatus,
   MovesResponse,
   NodeStatus,
   StatusResponse,
 } from '@verbenabeam/admin-api';
-import {MOVE_CODES, MeshError} from '@verbenabeam/core';
+import {MOVE_CODES, MeshError, logger} from '@verbenabeam/core';
 import type {InstanceRecord} from '@verbenabeam/membership';
 import type {MoveRecord} from '@verbenabeam/moves';
 import {Result} from 'true-myth';
@@ -16,6 +19,7 @@
 import type {AdminCall, AdminRoute} from './admin-route.js';
 import {parseBody} from './parse-body.js';
 
+const log = logger('admin');
 const peerTimeoutMs = 1_000;
 /** Nodes that one status request asks at most. */
 const maxAsked = 200;
@@ -40,10 +44,7 @@
       method: 'POST',
       path: '/v1/store/confirm-restore',
       admission: operator,
-      handle: () => {
-        ctx.claims.confirmRestore();
-        return Promise.resolve(Result.ok({confirmed: true}));
-      },
+      handle: call => Promise.resolve(confirmRestore(ctx, call)),
     },
     {
       method: 'POST',
@@ -148,6 +149,18 @@
   };
 }
 
+/** Clears 1708; the keys that ran after the copy may then run again. */
+function confirmRestore(
+  {claims}: AdminContext,
+  {body}: AdminCall,
+): Result<{confirmed: true}, MeshError> {
+  const req = parseBody(confirmRestoreRequestSchema, body);
+  if (req.isErr) return Result.err(req.error);
+  log('Restore confirmed.', {author: req.value.author});
+  claims.confirmRestore();
+  return Result.ok({confirmed: true});
+}
+
 function takeBack(
   {moves: service}: AdminContext,
   {params, body}: AdminCall,
--- a/packages/node/src/runs/restored-store.test.ts
+++ b/packages/node/src/runs/restored-store.test.ts
@@ -71,7 +71,8 @@
     assert.equal(alarm?.code, CLAIM_CODES.storeWentBack);
     const url = `http://${first.addresses.admin}/v1/store/confirm-restore`;
     const headers = {authorization: `Bearer ${operatorToken}`};
-    const res = await fetch(url, {method: 'POST', headers});
+    const body = JSON.stringify({author: 'ana'});
+    const res = await fetch(url, {method: 'POST', headers, body});
     assert.equal(res.status, 200, await res.text());
     const endAt = Date.now() + spreadMs;
     for (const member of world.up) {
