Read no version from the store while its push is being compiled

Cause: a relay waits for the push of the accepting node before it reads a version; with compilation in turns the push had arrived and was not active yet, so the relay read the version again and pushed a second tree.

--- a/packages/distribution/src/distribution-driver.ts
+++ b/packages/distribution/src/distribution-driver.ts
@@ -207,7 +207,7 @@
   }: Extract<Effect, {type: 'readVersion'}>): Promise<void> {
     const {environment, store, isRelay, beforeRelayRead, ahead} = this.#options;
     if (isRelay()) await beforeRelayRead?.();
-    if (this.#distributor.digest.version >= version) return;
+    if (this.#distributor.holds(version)) return;
     const got = await store.get(STORE_KEYS.version(environment, version));
     const record = got.andThen(entry =>
       entry ? decodeVersion(entry) : Result.ok(null),
--- a/packages/distribution/src/distributor.ts
+++ b/packages/distribution/src/distributor.ts
@@ -36,6 +36,8 @@
   #forwarded = new Set<string>();
   #ready = false;
   #highestSeen = 0;
+  /** Version of a large push that is being compiled; 0 if there is none. */
+  #compiling = 0;
 
   constructor(options: DistributorOptions) {
     this.#tracker = options.tracker;
@@ -69,6 +71,7 @@
   /** Takes a push; forwards it once for each root. */
   onPush(from: string, push: ConfigPush, now: number): readonly Effect[] {
     if (push.environment !== this.digest.environment) return [];
+    if (push.version === this.#compiling) this.#compiling = 0;
     const effects: Effect[] = [];
     if (push.moves.length > 0) effects.push({type: 'moves', moves: push.moves});
     effects.push(...this.#takePush(from, push, now));
@@ -89,10 +92,16 @@
     const {environment, version} = this.digest;
     if (push.environment !== environment || push.version <= version) return [];
     this.#see(push.version);
+    this.#compiling = Math.max(this.#compiling, push.version);
     this.#puller.hold(now);
     return this.#forward(push);
   }
 
+  /** True if this version, or a newer one, is active or being compiled. */
+  holds(version: number): boolean {
+    return Math.max(this.digest.version, this.#compiling) >= version;
+  }
+
   /** Returns the text of a newer version, or null if there is none to apply. */
   textOf(value: VersionContent): string | null {
     const {environment, version} = this.digest;
