Use one exit listener for all environments of a test run

Cause: each Environment added a listener to process 'exit' and kept it after its end; from the eleventh on Node.js warned (MaxListenersExceededWarning). One listener serves a set from which an ended environment removes itself. Ruled out: raising the limit, which would keep ended environments alive.

--- a/scripts/lib/environment.mjs
+++ b/scripts/lib/environment.mjs
@@ -17,6 +17,14 @@
 export const operatorToken = 'demo-operator-token-0123456789';
 export const nodeKey = 'demo-node-key-0123456789';
 
+/** Environments with processes; one listener serves all of them. */
+const running = new Set();
+
+// A test run that ends early must not leave processes behind.
+process.once('exit', () => {
+  for (const environment of running) environment.killNow();
+});
+
 /** Starts a program and resolves with the JSON of its first output line. */
 export async function startProcess(args, options = {}) {
   const child = spawn(process.execPath, args, {
@@ -115,10 +123,12 @@
     this.folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
     this.instances = [];
     this.processes = [];
-    // A test run that ends early must not leave processes behind.
-    process.once('exit', () => {
-      for (const {child} of this.processes) child.kill('SIGKILL');
-    });
+    running.add(this);
+  }
+
+  /** Sends SIGKILL to every process without waiting for its end. */
+  killNow() {
+    for (const {child} of this.processes) child.kill('SIGKILL');
   }
 
   async startStore() {
@@ -217,14 +227,19 @@
     for (const started of this.processes) {
       graceful.push(await stopProcess(started));
     }
-    rmSync(this.folder, {recursive: true, force: true});
+    this.#end();
     return graceful.every(Boolean);
   }
 
   /** Kills every process at once. */
   async kill() {
     await Promise.all(this.processes.map(killProcess));
+    this.#end();
+  }
+
+  #end() {
     rmSync(this.folder, {recursive: true, force: true});
+    running.delete(this);
   }
 
   async #start(args) {
