Make the leaving upstream's scenario fail without the draining state

Cause of the pass without the mechanism: streams of 2 s raise the service time that the picker has measured for an instance, so it sent upstream 4 hardly any request in the seconds that count (fewer than 5 in 2 s in one run; none reached 5 in a second within 15 s in another). There was nothing to refuse. Now the busiest upstream leaves. It must have run 5 requests in the second before, its callers must send its node 40 calls later than 3 s after (it takes requests for 7 s), and none may run there. The bound of 3 s is unchanged. Ruled out: upstream 4 with a longer wait; its precondition failed in 2 of 4 runs.

--- a/apps/node/src/processes-stops.test.ts
+++ b/apps/node/src/processes-stops.test.ts
@@ -1,10 +1,14 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {waitUntil} from '../../../scripts/lib/environment.mjs';
 import type {Started} from '../../../scripts/lib/environment.mjs';
 import {fleet, newFleet} from './test/current-fleet.js';
 import type {SeenCall} from './test/steady-load.js';
 
+const msPerSecond = 1_000;
+/** A quarter of the rate at which the upstream is expected to take them. */
+const leastRuns = 5;
 const stopTimeoutMs = 20_000;
 /** P8: a leaving upstream gets no new request after this time. */
 const leaveBoundMs = 3_000;
@@ -15,12 +19,14 @@
 let stopped: Started | null = null;
 let stoppedTarget = '';
 let stoppedAt = 0;
+/** Time that the leaving upstream goes on taking requests. */
+let lingerMs = 0;
 
 Given(
   'a process fleet of {int} instances whose upstreams take requests for {int} s after leaving, under a load of {int} calls a second',
   async (count: number, seconds: number, callsPerSecond: number) => {
-    const linger = String(seconds * 1_000);
-    await newFleet().start(count, ['--linger-ms', linger]);
+    lingerMs = seconds * msPerSecond;
+    await newFleet().start(count, ['--linger-ms', String(lingerMs)]);
     await fleet().begin(callsPerSecond);
   },
 );
@@ -50,13 +56,37 @@
   fleet().load.aim(others.filter(target => target !== stoppedTarget));
 });
 
-When('process fleet upstream {int} is told to stop', (number: number) => {
-  const {upstream} = fleet().instance(number);
-  assert.ok(upstream);
-  stopped = upstream;
-  upstream.child.kill('SIGTERM');
+/**
+ * The streams make the picker avoid some upstreams for seconds. One that gets no
+ * requests would pass without being told to leave, so the busiest one stops.
+ */
+When('the busiest process fleet upstream is told to stop', async () => {
+  const busiest = () =>
+    fleet()
+      .members.map(instance => ({
+        instance,
+        runs: runsBefore(instance.upstream?.child.pid, Date.now()).length,
+      }))
+      .sort((a, b) => b.runs - a.runs)[0];
+  await waitUntil(
+    () => (busiest()?.runs ?? 0) >= leastRuns,
+    `an upstream takes ${leastRuns} requests in a second`,
+  );
+  const leaving = busiest()?.instance;
+  assert.ok(leaving?.upstream);
+  stopped = leaving.upstream;
+  stoppedTarget = leaving.node.info['callers'] ?? '';
+  stopped.child.kill('SIGTERM');
 });
 
+/** Requests that an upstream ran in the time before. */
+function runsBefore(pid: number | undefined, at: number, spanMs = msPerSecond) {
+  return fleet()
+    .runLog()
+    .filter(line => line.pid === pid && line.event === 'run')
+    .filter(run => run.at < at && run.at >= at - spanMs);
+}
+
 async function assertEnded(): Promise<void> {
   assert.ok(stopped);
   const ended = await Promise.race([
@@ -71,7 +101,7 @@
   assertEnded(),
 );
 
-Then('process fleet upstream {int} ends by itself with status 0', (_: number) =>
+Then('the leaving process fleet upstream ends by itself with status 0', () =>
   assertEnded(),
 );
 
@@ -97,17 +127,46 @@
 );
 
 Then(
-  'process fleet upstream {int} ran requests before it left and none later than 3 s after',
-  (_: number) => {
-    const pid = stopped?.child.pid;
-    const lines = fleet()
-      .runLog()
-      .filter(line => line.pid === pid);
-    const left = lines.find(line => line.event === 'leaving');
-    assert.ok(left, 'the upstream did not say that it leaves');
-    const runs = lines.filter(line => line.event === 'run');
-    assert.ok(runs.some(run => run.at < left.at));
-    const late = runs.filter(run => run.at > left.at + leaveBoundMs);
+  'the leaving process fleet upstream ran requests just before it left',
+  () => {
+    const {left} = runsOfLeaving();
+    // The announcement of leaving may take a part of the second.
+    const before = runsBefore(stopped?.child.pid, left, 2 * msPerSecond);
+    assert.ok(before.length >= leastRuns, `${before.length} runs`);
+  },
+);
+
+/** Without these calls the next check could hold with nothing to refuse. */
+Then(
+  'process fleet callers sent its node at least {int} calls later than 3 s after, while it took requests',
+  (least: number) => {
+    const {left} = runsOfLeaving();
+    const sent = fleet().load.seen.filter(
+      call =>
+        call.target === stoppedTarget &&
+        call.sentAt > left + leaveBoundMs &&
+        call.sentAt < left + lingerMs,
+    );
+    assert.ok(sent.length >= least, `${sent.length} calls`);
+  },
+);
+
+Then(
+  'the leaving process fleet upstream ran no request later than 3 s after it left',
+  () => {
+    const {left, runs} = runsOfLeaving();
+    const late = runs.filter(run => run.at > left + leaveBoundMs);
     assert.deepEqual(late, []);
   },
 );
+
+/** When the stopped upstream said that it leaves, and what it ran. */
+function runsOfLeaving() {
+  const pid = stopped?.child.pid;
+  const lines = fleet()
+    .runLog()
+    .filter(line => line.pid === pid);
+  const left = lines.find(line => line.event === 'leaving');
+  assert.ok(left, 'the upstream did not say that it leaves');
+  return {left: left.at, runs: lines.filter(line => line.event === 'run')};
+}
