bench: measure changes of 1 MB and the longest block again

Cause: the row was left out because a rewrite of 1 MB was not active on 10 nodes within 10 s at load 21. Each event also shows the longest block of an event loop by the delay histogram of perf_hooks. A block of 50 ms is not shown by this arrangement, because ten nodes share a loop.

--- a/apps/bench/src/fleet/fleet.ts
+++ b/apps/bench/src/fleet/fleet.ts
@@ -152,6 +152,14 @@
     };
   }
 
+  /** Longest block of an event loop of the fleet since the last call, in ms. */
+  async longestBlock(): Promise<number> {
+    const all = await Promise.all(
+      this.hosts.map(host => host.run('longestBlock', null)),
+    );
+    return Math.max(...all);
+  }
+
   async bytes(): Promise<NodeUsage[]> {
     const all = await Promise.all(
       this.hosts.map(host => host.run('bytes', null)),
--- a/apps/bench/src/fleet/host-commands.ts
+++ b/apps/bench/src/fleet/host-commands.ts
@@ -48,6 +48,8 @@
   candidates(body: null): Promise<number[]>;
   bytes(body: null): Promise<NodeUsage[]>;
   process(body: null): Promise<ProcessUsage>;
+  /** Longest time in ms that the event loop stood still since the last call. */
+  longestBlock(body: null): Promise<number>;
   /** Collects garbage, so that the heap shows what is in use. */
   collect(body: null): Promise<void>;
   /** Starts a byte relay to an address and returns its own address. */
--- a/apps/bench/src/fleet/node-host.ts
+++ b/apps/bench/src/fleet/node-host.ts
@@ -5,6 +5,7 @@
  */
 import net from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {MeshNode, nodeSettingsSchema} from '@verbenabeam/node';
 import type {NodeAddresses} from '@verbenabeam/node';
@@ -14,9 +15,13 @@
 const operatorToken = 'bench-operator-token-0123456789';
 const anyPort = '127.0.0.1:0';
 const pollMs = 2;
+const nsPerMs = 1e6;
+/** The histogram counts this period of its own timer as delay. */
+const delayResolutionMs = 5;
 const bytesLine =
   /^verbenabeam_wire_bytes\{class="(\w+)",direction="(\w+)"\} (\S+)$/gm;
 const nodes = new Map<string, MeshNode>();
+const loopDelay = monitorEventLoopDelay({resolution: delayResolutionMs});
 
 async function startNode(spec: NodeSpec): Promise<NodeAddresses> {
   const file = nodeSettingsSchema.parse({
@@ -119,6 +124,11 @@
     const {rss, heapUsed} = process.memoryUsage();
     return Promise.resolve({cpuMs: (user + system) / 1_000, rss, heapUsed});
   },
+  longestBlock: () => {
+    const longestMs = loopDelay.max / nsPerMs - delayResolutionMs;
+    loopDelay.reset();
+    return Promise.resolve(Math.max(0, longestMs));
+  },
   collect: () => {
     globalThis.gc?.();
     return Promise.resolve();
@@ -132,6 +142,7 @@
   readonly body: never;
 }
 
+loopDelay.enable();
 process.on('message', (req: Request) => {
   commands[req.name](req.body).then(
     value => process.send?.({id: req.id, value}),
--- a/apps/bench/src/parts/bytes.ts
+++ b/apps/bench/src/parts/bytes.ts
@@ -15,7 +15,8 @@
  * ran, and changes seemed to cost less than nothing.
  */
 const settleMs = 10_000;
-const documentSizes = [10_000, 100_000];
+/** The largest is just below the limit of 1 MB. */
+const documentSizes = [10_000, 100_000, 999_000];
 /** 186 nodes are a data centre at full size; 1,300 took over a minute to model. */
 const modelSizes = [40, 186];
 
@@ -57,6 +58,7 @@
     run: () => Promise<number>,
   ): Promise<void> {
     let missing = 0;
+    await this.#fleet.longestBlock();
     const startAt = Date.now();
     const traffic = await this.#during(async () => {
       missing = await run();
@@ -68,6 +70,7 @@
       receivedBytes: traffic.received - this.#rest.received * seconds,
       mostSentBytes: traffic.most - this.#rest.most * seconds,
       notActive: missing,
+      longestBlockMs: await this.#fleet.longestBlock(),
     });
   }
 
