--- a/apps/bench/src/parts/bytes.ts
+++ b/apps/bench/src/parts/bytes.ts
@@ -12,7 +12,8 @@
 const activeTimeoutMs = 10_000;
 /** Time in which an event and its repetitions by gossip are sent. */
 const eventMs = 2_000;
-const documentSizes = [10_000, 100_000];
+/** The largest is just below the limit of 1 MB. */
+const documentSizes = [10_000, 100_000, 999_000];
 /** 186 nodes are a data centre at full size; 1,300 took over a minute to model. */
 const modelSizes = [40, 186];
 
@@ -64,6 +65,7 @@
     run: () => Promise<number>,
   ): Promise<void> {
     let missing = 0;
+    await this.#fleet.longestBlock();
     const startAt = Date.now();
     const traffic = await this.#during(async () => {
       missing = await run();
@@ -75,6 +77,7 @@
       receivedBytes: traffic.received - this.#rest.received * seconds,
       mostSentBytes: traffic.most - this.#rest.most * seconds,
       notActive: missing,
+      longestBlockMs: await this.#fleet.longestBlock(),
     });
   }
 
