--- a/packages/distribution/src/distributor.ts
+++ b/packages/distribution/src/distributor.ts
@@ -15,6 +15,7 @@
 import type {ConfigPush} from './messages/config-push.js';
 import {Puller} from './puller.js';
 import type {PushPlanner} from './push-planner.js';
+import {PushSender} from './push-sender.js';
 import {describe, fullText, RecentVersions} from './recent-versions.js';
 import {StartInquiry} from './start-inquiry.js';
 import type {Candidate, VersionTracker} from './version-tracker.js';
@@ -31,9 +32,9 @@
   readonly #cap: FullTextCap;
   readonly #random: RandomSource;
   readonly #recent = new RecentVersions();
+  readonly #sender: PushSender;
   readonly #puller = new Puller();
   readonly #inquiry = new StartInquiry();
-  #forwarded = new Set<string>();
   #ready = false;
   #highestSeen = 0;
   /** Version of a large push that is being compiled; 0 if there is none. */
@@ -44,6 +45,11 @@
     this.#planner = options.planner;
     this.#cap = options.cap;
     this.#random = options.random;
+    this.#sender = new PushSender(
+      options.planner,
+      this.#recent,
+      options.random,
+    );
   }
 
   /** True once the node may serve calls; it stays true. */
@@ -80,7 +86,7 @@
       push.version < version ||
       (push.version === version && push.hash !== hash);
     if (isOld) return effects;
-    return [...effects, ...this.#forward(push), ...this.#pullIfDue(now)];
+    return [...effects, ...this.#sender.forward(push), ...this.#pullIfDue(now)];
   }
 
   /**
@@ -94,7 +100,7 @@
     this.#see(push.version);
     this.#compiling = Math.max(this.#compiling, push.version);
     this.#puller.hold(now);
-    return this.#forward(push);
+    return this.#sender.forward(push);
   }
 
   /** True if this version, or a newer one, is active or being compiled. */
@@ -188,7 +194,7 @@
   ): readonly Effect[] {
     const applied = this.#offer(candidate, now);
     if (!isRelay || applied.isErr) return effectsOf(applied);
-    return [...effectsOf(applied), ...this.#pushAsRoot(applied.value)];
+    return [...effectsOf(applied), ...this.#sender.asRoot(applied.value)];
   }
 
   /**
@@ -210,8 +216,8 @@
     if (applied.isErr) return Result.ok([]);
     return Result.ok([
       ...effectsOf(applied),
-      ...this.#pushAsRoot(applied.value),
-      ...this.#pushToOtherCentres(applied.value),
+      ...this.#sender.asRoot(applied.value),
+      ...this.#sender.toOtherCentres(applied.value),
     ]);
   }
 
@@ -257,10 +263,7 @@
 
   #onSwap(snapshot: Snapshot): void {
     this.#recent.add(snapshot);
-    // A large push was forwarded before it became active.
-    const prefix = `${snapshot.version}/`;
-    const current = [...this.#forwarded].filter(key => key.startsWith(prefix));
-    this.#forwarded = new Set(current);
+    this.#sender.onActive(snapshot.version);
     this.#updateReady();
   }
 
@@ -271,22 +274,6 @@
     this.#ready = isComplete && isHighest;
   }
 
-  #forward(push: ConfigPush): readonly Effect[] {
-    const key = `${push.version}/${push.hash}/${push.root}`;
-    if (this.#forwarded.has(key)) return [];
-    this.#forwarded.add(key);
-    return this.#planner.forward(push);
-  }
-
-  #pushAsRoot(snapshot: Snapshot): readonly Effect[] {
-    return this.#planner.toTree(this.#recent.describeForPush(snapshot));
-  }
-
-  #pushToOtherCentres(snapshot: Snapshot): readonly Effect[] {
-    const value = this.#recent.describeForPush(snapshot);
-    return this.#planner.toOtherCentres(value, this.#random);
-  }
-
   #pullIfDue(now: number): readonly Effect[] {
     const pull = this.#puller.next(this.digest, now);
     return pull ? [{type: 'pull', ...pull}] : [];
