--- a/apps/node/src/processes-kills.feature
+++ b/apps/node/src/processes-kills.feature
@@ -34,9 +34,3 @@
     And no process fleet version went back
     And no process fleet write ran twice
     And each process fleet write answered as run has one run
-
-  Scenario: A request that crashes its upstream kills at most two of a process fleet
-    Given a process fleet of 4 instances under a load of 40 calls a second
-    When a process fleet caller sends a crashing request 12 times and upstreams are restarted
-    Then at most 2 process fleet upstreams died and the request is refused with 1609
-    And only process fleet reads in flight at the crashed upstreams failed, and succeed when repeated
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -200,11 +200,11 @@
 
   #onAck(from: string, ack: GossipMessageOf<'ack'>, now: number): void {
     if (!this.#detector.answered(ack)) return;
-    const isStranger = this.table.get(ack.s[0]) === undefined;
+    const isUnknown = this.table.get(ack.s[0]) === undefined;
     const wanted = this.#want(ack.s);
     this.#meet(from, ack, now);
     if (wanted.w) this.#askRecord(from);
-    if (isStranger) this.#exchange.meetStranger(from, now);
+    if (isUnknown) this.#exchange.onUnknownSender(from, now);
   }
 
   #askRecord(to: string): void {
--- a/packages/membership/src/table-exchange.ts
+++ b/packages/membership/src/table-exchange.ts
@@ -21,7 +21,7 @@
  */
 const reunitedMs = 5000;
 /** Shortest time between two exchanges with unknown senders. */
-const strangerMs = 15_000;
+const unknownSenderMs = 15_000;
 /** Other members that a busy seed names. */
 const referred = 3;
 
@@ -31,7 +31,7 @@
   readonly #join = new JoinClient();
   readonly #tables = new TableServer();
   readonly #reconciler: Reconciler;
-  #strangerAt = -Infinity;
+  #unknownSenderAt = -Infinity;
   #reunitedAt = -Infinity;
   #digestAt = -Infinity;
   #activeUntil = -Infinity;
@@ -92,9 +92,9 @@
    * may belong to an island of nodes. After a mass restart most answers are of
    * such senders, so the exchanges are limited.
    */
-  meetStranger(from: string, now: number): void {
-    if (now < this.#strangerAt) return;
-    this.#strangerAt = now + strangerMs;
+  onUnknownSender(from: string, now: number): void {
+    if (now < this.#unknownSenderAt) return;
+    this.#unknownSenderAt = now + unknownSenderMs;
     this.#reconciler.sendDigest(from);
   }
 
