--- a/apps/bench/src/capacity/page.ts
+++ b/apps/bench/src/capacity/page.ts
@@ -156,11 +156,11 @@
   return (
     [
       '# Capacity',
-      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes of a change are the largest that was measured at any size, those of a joining or leaving node the larger of that and of the gossip model at full size. Memory is the used heap, which follows the number of nodes, and the largest rest of a process. Bytes at rest far above those of the gossip model mean that the fleet had not settled after its start when it was measured; the processor time at rest of such a fleet is too high as well. "not measured" means that no run has produced the figure.',
+      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes of a change are the largest that was measured at any size, those of a joining or leaving node the larger of that and of the gossip model at full size. Memory is the used heap, which follows the number of nodes, and the largest rest of a process. Bytes and processor time at rest are measured when the traffic of a fleet no longer falls after its start. "not measured" means that no run has produced the figure.',
       `Size: ${size.servers.toLocaleString('en-US')} servers, ${size.services} services, ${size.callsPerSecond.toLocaleString('en-US')} calls/s (${cell(f.callsPerNode, '')} per node), ${size.dataCentres} data centres, ${size.changesPerDay.toLocaleString('en-US')} changes and ${size.restartsPerDay + size.failuresPerDay} restarts a day. A document of ${cell(size.documentBytes, 'B')} is assumed.`,
       '## Targets',
       targetTable(f),
-      'Control bytes are those between nodes, in the direction "sent"; calls to the store and announcements of upstreams are not in them. Claims and moves are in none of the figures.',
+      'Control bytes are those between nodes, in the direction "sent"; calls to the store and announcements of upstreams are not in them. What nodes tell each other about the revision of the store is in them. Claims and moves are in none of the figures.',
       '## Roles',
       table(
         ['role', 'state', 'messages', 'processor time', 'memory', 'carried by'],
