--- a/packages/membership/src/membership-exchange.test.ts
+++ b/packages/membership/src/membership-exchange.test.ts
@@ -3,8 +3,8 @@
 import {seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
 import {decode, encode} from 'cbor-x';
+import {record} from './fakes/instance-record.js';
 import {Gossip} from './gossip.js';
-import type {InstanceRecord} from './instance-record.js';
 import {decodeGossip, encodeGossip} from './message-codec.js';
 import type {GossipAction} from './messages.js';
 import {encodeRecord} from './update.js';
@@ -12,23 +12,6 @@
 
 const rng = seededRandom(testSeed());
 
-function record(change: Partial<InstanceRecord> = {}): InstanceRecord {
-  return {
-    nodeId: 'a',
-    incarnation: 1,
-    sequence: 1,
-    address: '10.0.0.1:1',
-    dataCentre: 'dc',
-    region: 'r',
-    environment: 'e',
-    state: 'alive',
-    upstream: null,
-    relay: false,
-    configVersion: 0,
-    ...change,
-  };
-}
-
 // Guards against ids, addresses or times that the compact form changes.
 Then('membership keeps messages through the form that travels', () => {
   const nodeId = '6b0a7c52-93f1-4d1e-8a44-000000000001';
--- a/packages/membership/src/membership-rules.test.ts
+++ b/packages/membership/src/membership-rules.test.ts
@@ -3,6 +3,7 @@
 import type {DataTable} from '@cucumber/cucumber';
 import {seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
+import {record} from './fakes/instance-record.js';
 import {Gossip} from './gossip.js';
 import type {InstanceRecord} from './instance-record.js';
 import {TableServer} from './join-policy.js';
@@ -13,23 +14,6 @@
 
 const rng = seededRandom(testSeed());
 
-function record(change: Partial<InstanceRecord> = {}): InstanceRecord {
-  return {
-    nodeId: 'a',
-    incarnation: 1,
-    sequence: 1,
-    address: '10.0.0.1:1',
-    dataCentre: 'dc',
-    region: 'r',
-    environment: 'e',
-    state: 'alive',
-    upstream: null,
-    relay: false,
-    configVersion: 0,
-    ...change,
-  };
-}
-
 // Guards against twice the limit around the border of two fixed seconds.
 Then('membership serves at most {int} tables in any second', (most: number) => {
   const server = new TableServer();
