--- a/apps/node/src/processes-fleet.test.ts
+++ b/apps/node/src/processes-fleet.test.ts
@@ -4,7 +4,7 @@
 import type {MovesResponse} from '@verbenabeam/admin-api';
 import {waitUntil} from '../../../scripts/lib/environment.mjs';
 import {fleet, newFleet} from './test/current-fleet.js';
-import {fleetDocument, fleetService} from './test/fleet-document.js';
+import {fleetDocument} from './test/fleet-document.js';
 import {StoreRates} from './test/store-rates.js';
 
 /** Time after the last start in which the store's rates are watched. */
@@ -86,15 +86,8 @@
 When(
   'a process fleet operator submits a move to v2 with a deadline in {int} s',
   async (seconds: number) => {
-    const deadline = new Date(Date.now() + seconds * 1_000).toISOString();
-    const move = `
-[[moves]]
-id = "to-v2"
-service = "${fleetService}"
-to = "v2"
-deadline = ${deadline}
-`;
-    const {status, err} = await fleet().submit(fleetDocument({move}));
+    const moveBy = Date.now() + seconds * 1_000;
+    const {status, err} = await fleet().submit(fleetDocument({moveBy}));
     assert.equal(status, 0, err);
   },
 );
--- a/apps/node/src/processes-kills.test.ts
+++ b/apps/node/src/processes-kills.test.ts
@@ -4,7 +4,7 @@
 import {killProcess, waitUntil} from '../../../scripts/lib/environment.mjs';
 import type {Instance} from '../../../scripts/lib/environment.mjs';
 import {fleet, newFleet} from './test/current-fleet.js';
-import {fleetDocument, fleetService} from './test/fleet-document.js';
+import {fleetDocument} from './test/fleet-document.js';
 import type {SeenCall} from './test/steady-load.js';
 
 const pollMs = 100;
@@ -129,15 +129,8 @@
 Given(
   'the process fleet has a move, so that one node is its controller',
   async () => {
-    const deadline = new Date(Date.now() + 3_600_000).toISOString();
-    const move = `
-[[moves]]
-id = "to-v2"
-service = "${fleetService}"
-to = "v2"
-deadline = ${deadline}
-`;
-    const {status, err} = await fleet().submit(fleetDocument({move}));
+    const moveBy = Date.now() + 3_600_000;
+    const {status, err} = await fleet().submit(fleetDocument({moveBy}));
     assert.equal(status, 0, err);
     await waitUntil(async () => (await controller()) !== null, 'a controller');
     await fleet().untilAllHold(2);
--- a/apps/node/src/test/fleet-document.ts
+++ b/apps/node/src/test/fleet-document.ts
@@ -2,7 +2,8 @@
 export interface DocumentOptions {
   /** Time limit of the read route, which makes versions differ. */
   readonly timeout?: string;
-  readonly move?: string;
+  /** Deadline of a move to v2, in ms since the Unix epoch; default no move. */
+  readonly moveBy?: number;
   readonly strictness?: string;
 }
 
@@ -11,7 +12,8 @@
 
 /** A document with one route for reads and one for keyed writes. @internal */
 export function fleetDocument(options: DocumentOptions = {}): string {
-  const {timeout = '5s', move = '', strictness = 'fast'} = options;
+  const {timeout = '5s', moveBy, strictness = 'fast'} = options;
+  const move = moveBy === undefined ? '' : moveText(moveBy);
   return `
 [policy]
 strictness = "${strictness}"
@@ -45,3 +47,13 @@
 timeout = "5s"
 ${move}`;
 }
+
+function moveText(deadlineAt: number): string {
+  return `
+[[moves]]
+id = "to-v2"
+service = "${fleetService}"
+to = "v2"
+deadline = ${new Date(deadlineAt).toISOString()}
+`;
+}
