--- /dev/null
+++ b/apps/hosted-node/src/main.ts
@@ -0,0 +1,82 @@
+#!/usr/bin/env node
+import {setLogSink} from '@verbenabeam/core';
+import type {MeshError} from '@verbenabeam/core';
+import {HostedNode} from '@verbenabeam/node';
+import type {HostedSettings} from '@verbenabeam/node';
+import {
+  KvStore,
+  operatorFormat,
+  platformProtocol,
+  readBootSettings,
+  upstreamFormat,
+} from '@verbenabeam/platform';
+import {StoreBudget} from '@verbenabeam/store';
+import {cac} from 'cac';
+import {createLogSink} from './log-sink.js';
+
+const usageExit = 10;
+/** Names the settings file if the command line does not. */
+const settingsVariable = 'VERBENABEAM_BOOT';
+/** Share of the store's rates that one node may use at once. */
+const storeShare = 0.1;
+
+const cli = cac('verbenabeam-hosted-node');
+cli.option('--config <file>', `Settings file; default $${settingsVariable}`);
+cli.option('--check', 'Check the settings and exit');
+cli.option('--print-settings', 'Print the settings in use and exit');
+cli.help();
+const {options} = cli.parse();
+if (options['help'] !== true) process.exitCode = await main();
+
+async function main(): Promise<number> {
+  const given: unknown = options['config'];
+  const path = typeof given === 'string' ? given : process.env[settingsVariable];
+  if (path === undefined) return fail(`--config or $${settingsVariable} is needed`);
+  const read = readBootSettings(path);
+  if (read.isErr) return fail(read.error);
+  if (options['check'] === true) {
+    process.stdout.write('settings are valid\n');
+    return 0;
+  }
+  if (options['printSettings'] === true) {
+    process.stdout.write(`${JSON.stringify(read.value, null, 2)}\n`);
+    return 0;
+  }
+  return run(read.value);
+}
+
+async function run(settings: HostedSettings): Promise<number> {
+  const sink = createLogSink(settings.nodeId);
+  setLogSink(sink.write);
+  const stopped = new Promise<void>(resolve => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+  const {address, readsPerSecond} = settings.store;
+  const budget = new StoreBudget({
+    role: 'node',
+    callsPerSecond: readsPerSecond * storeShare,
+  });
+  const node = await HostedNode.start({
+    settings,
+    protocol: platformProtocol({service: settings.service}),
+    operatorFormat,
+    upstreamFormat,
+    store: new KvStore({address, budget}),
+  });
+  if (node.isErr) return fail(node.error);
+  await stopped;
+  await node.value.stop();
+  sink.flush();
+  process.exit(0);
+}
+
+function fail(err: MeshError | string): number {
+  if (typeof err === 'string') {
+    process.stderr.write(`error: ${err}\n`);
+    return usageExit;
+  }
+  const {code, name, exit} = err.code;
+  process.stderr.write(`error ${code} ${name}: ${err.message}\n`);
+  return exit;
+}
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -1,13 +1,32 @@
 import debug from 'debug';
 
-/** Fields appended to a log line as `key=value`. @public */
+/** Fields appended to a log line. @public */
 export type LogFields = Readonly<Record<string, unknown>>;
 
 /** Writes one short sentence with optional fields. @public */
 export type Logger = (sentence: string, fields?: LogFields) => void;
 
+/** Takes the lines of all parts. @public */
+export type LogSink = (
+  part: string,
+  sentence: string,
+  fields: LogFields | undefined,
+) => void;
+
+let sink: LogSink | null = null;
+
+/**
+ * Sends the lines of all parts to a sink, for example a structured log. Without
+ * one `DEBUG=verbenabeam:*` prints them.
+ *
+ * @public
+ */
+export function setLogSink(next: LogSink | null): void {
+  sink = next;
+}
+
 /**
- * Creates the logger of one part. `DEBUG=verbenabeam:*` turns all parts on.
+ * Creates the logger of one part.
  *
  * @param prefix - Name of the part, for example `gossip`.
  * @public
@@ -15,8 +34,8 @@
 export function logger(prefix: string): Logger {
   const write = debug(`verbenabeam:${prefix}`);
   return (sentence, fields) => {
-    if (!write.enabled) return;
-    write('%s%s', sentence, formatFields(fields));
+    if (sink) sink(prefix, sentence, fields);
+    else if (write.enabled) write('%s%s', sentence, formatFields(fields));
   };
 }
 
--- a/packages/document/src/snapshot.ts
+++ b/packages/document/src/snapshot.ts
@@ -31,6 +31,20 @@
   readonly idempotent: boolean;
   readonly timeoutMs: number;
   readonly idempotencyKey: KeyRule;
+  /** Services that share the calls by weight; default: all to `service`. */
+  readonly split?: readonly WeightedService[];
+  /** Upstreams that one call may be sent to; default: no limit of the route. */
+  readonly maxAttempts?: number;
+  /** Rank of the route; 0, the default, is the most urgent. */
+  readonly priority?: number;
+  /** Time within which an answer is as useful as an earlier one. */
+  readonly targetLatencyMs?: number;
+}
+
+/** One part of a route whose calls are split. @public */
+export interface WeightedService {
+  readonly service: Service;
+  readonly weight: number;
 }
 
 /** A planned move of a service from its current version to another. @public */
@@ -58,6 +72,17 @@
   /** Most specific route first. */
   readonly routes: readonly Route[];
   readonly moves: readonly Move[];
+  /** Limits for callers; default: those of the node. */
+  readonly callerLimits?: CallerLimits;
+}
+
+/** What callers may send, and how long they may take. @public */
+export interface CallerLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  /** Longest time between two requests on a connection. */
+  readonly idleTimeoutMs: number;
 }
 
 /** A version of an environment as nodes serve it. @public */
--- a/packages/membership/src/announcement.ts
+++ b/packages/membership/src/announcement.ts
@@ -12,6 +12,8 @@
   /** Calls that the upstream runs at once. */
   slots: z.int().min(1).max(maxSlots),
   state: z.enum(['cold', 'ready', 'leaving']),
+  /** Identity of the process, if it has one. */
+  process: z.string().min(1).max(256).optional(),
 });
 
 /** What an upstream says of itself, once a second. @public */
--- a/packages/membership/src/upstream-monitor.ts
+++ b/packages/membership/src/upstream-monitor.ts
@@ -24,6 +24,7 @@
   #address: string | null = null;
   #heardAt = -Infinity;
   #leavingAt = -Infinity;
+  #leavingProcess: string | undefined;
 
   constructor(options: UpstreamMonitorOptions = {}) {
     this.#silenceMs = options.silenceMs ?? defaultSilenceMs;
@@ -64,7 +65,10 @@
     }
     this.#heardAt = now;
     this.#address = parsed.data.address;
-    if (parsed.data.state === 'leaving') this.#leavingAt = now;
+    if (parsed.data.state === 'leaving') {
+      this.#leavingAt = now;
+      this.#leavingProcess = parsed.data.process;
+    }
     return Result.ok(this.#set(this.#recordOf(parsed.data, now, wallTime)));
   }
 
@@ -99,11 +103,14 @@
 
   /**
    * An announcement that was overtaken by `leaving` must not make the upstream
-   * ready again. A replacement is believed once the leaver has been silent.
+   * ready again. A replacement is believed once the leaver has been silent, or
+   * at once if it names another process.
    */
   #stateOf(announcement: Announcement, now: number): UpstreamState {
-    const {state} = announcement;
+    const {state, process} = announcement;
     if (state === 'leaving') return UPSTREAM_STATES.draining;
+    const isOther = process !== undefined && process !== this.#leavingProcess;
+    if (isOther) return state;
     const mayBeLate =
       this.#record?.state === UPSTREAM_STATES.draining &&
       now - this.#leavingAt < this.#silenceMs;
--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -1,7 +1,7 @@
+import type {Service} from '@verbenabeam/document';
 import {Attempt} from './attempt.js';
 import type {AttemptListener} from './attempt.js';
 import type {CallHead} from './call-head.js';
-import {passedHeaders} from './call-headers.js';
 import type {EntryPorts, VersionChoice} from './entry-ports.js';
 import type {ReplayBody} from './replay-body.js';
 import type {RoutedCall} from './routed-call.js';
@@ -14,13 +14,20 @@
   readonly #passed: readonly string[];
   /** Node ids that were tried. */
   readonly #tried = new Set<string>();
+  readonly #service: Service;
   #choice: VersionChoice | null = null;
 
-  constructor(call: RoutedCall, ports: EntryPorts, body: ReplayBody) {
+  constructor(
+    call: RoutedCall,
+    service: Service,
+    ports: EntryPorts,
+    body: ReplayBody,
+  ) {
+    this.#service = service;
     this.#call = call;
     this.#ports = ports;
     this.#body = body;
-    this.#passed = passedHeaders(call.req.rawHeaders);
+    this.#passed = ports.protocol.toServing(call.req);
   }
 
   /** Version of the last attempt; null before the first. */
@@ -39,9 +46,9 @@
     passRetries: () => number,
     listener: AttemptListener,
   ): Attempt | null {
-    const {snapshot, route, callId} = this.#call;
+    const {snapshot, callId} = this.#call;
     const {versions, instances} = this.#ports;
-    const {service} = route;
+    const service = this.#service;
     // Asked for each attempt, because a move may have been stopped while the
     // call waited for its claim, its body or an instance.
     this.#choice = versions.choose(snapshot, service, callId, this.#tried);
@@ -54,17 +61,28 @@
     return new Attempt(this.#ports, target, head, this.#body, listener);
   }
 
+  /** Time until an answer is of less use; at most what remains. */
+  #targetMs(remainingMs: number): number {
+    const {route, startAt} = this.#call;
+    if (route.targetLatencyMs === undefined) return remainingMs;
+    const leftMs = startAt + route.targetLatencyMs - performance.now();
+    return Math.min(remainingMs, leftMs);
+  }
+
   #head(version: string, remainingMs: number, retriesLeft: number): CallHead {
     const {callId, req, route, headers} = this.#call;
     return {
       callId,
-      service: route.service.name,
+      service: this.#service.name,
       version,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       remainingMs,
       depth: headers.depth + 1,
       retriesLeft,
+      routeName: route.name,
+      priority: route.priority ?? 0,
+      targetMs: this.#targetMs(remainingMs),
       bodyBytes: headers.bodyBytes,
       headers: this.#passed,
     };
--- a/packages/node/src/calls/call-head.ts
+++ b/packages/node/src/calls/call-head.ts
@@ -16,6 +16,11 @@
   /** Depth that the upstream gets. */
   readonly depth: number;
   readonly retriesLeft: number;
+  readonly routeName: string;
+  /** Rank of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time until an answer is of less use, in ms. */
+  readonly targetMs: number;
   /** 0: no body; null: not known in advance. */
   readonly bodyBytes: number | null;
   /** Flat list of names and values, without hop-by-hop headers. */
@@ -48,6 +53,9 @@
     h.remainingMs,
     h.depth,
     h.retriesLeft,
+    h.routeName,
+    h.priority,
+    h.targetMs,
     h.bodyBytes,
     h.headers,
   ];
@@ -58,10 +66,11 @@
   if (!Array.isArray(value)) return null;
   const [callId, service, version, method, path, ...rest] =
     value as readonly unknown[];
-  const [remainingMs, depth, retriesLeft, bodyBytes, headers] = rest;
+  const [remainingMs, depth, retriesLeft, routeName, ...last] = rest;
+  const [priority, targetMs, bodyBytes, headers] = last;
   const valid =
-    [callId, service, version, method, path].every(isString) &&
-    [remainingMs, depth, retriesLeft].every(isNumber) &&
+    [callId, service, version, method, path, routeName].every(isString) &&
+    [remainingMs, depth, retriesLeft, priority, targetMs].every(isNumber) &&
     (bodyBytes === null || isNumber(bodyBytes)) &&
     isHeaderList(headers);
   if (!valid) return null;
@@ -74,6 +83,9 @@
     remainingMs,
     depth,
     retriesLeft,
+    routeName,
+    priority,
+    targetMs,
     bodyBytes,
     headers,
   } as CallHead;
--- a/packages/node/src/calls/call-retries.ts
+++ b/packages/node/src/calls/call-retries.ts
@@ -30,6 +30,8 @@
   readonly parentCallId: string | null;
   /** From `vb-retries-left`; used if the parent is unknown on this node. */
   readonly retriesLeft: number;
+  /** Whether the upstream may use the retries for calls of its own. */
+  readonly passes: boolean;
 }
 
 /**
@@ -68,6 +70,7 @@
 
   /** Takes the retries that go with the next attempt. */
   pass(): number {
+    if (!this.#options.passes) return 0;
     this.#passed = this.#held > 1 ? this.#held - 1 : this.#held;
     this.#held -= this.#passed;
     return this.#passed;
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -2,9 +2,9 @@
 import type {MeshError} from '@verbenabeam/core';
 import type {AnswerHead} from './call-head.js';
 import {passedHeaders} from './call-headers.js';
+import type {CallProtocol} from './call-protocol.js';
 import type {StoredAnswer} from './entry-ports.js';
-import {markHeaders, sendRefusal} from './refusal.js';
-import type {ResponseMark} from './refusal.js';
+import type {ResponseMark} from './response-mark.js';
 
 /** Marks that do not change during a call. @internal */
 export type CallMark = Omit<ResponseMark, 'retriesLeft'>;
@@ -12,31 +12,59 @@
 /** Answers of claims are kept up to this size. */
 const keptLimitBytes = 16_384;
 
+/** The head of an answer that is not sent yet, with its marks. */
+interface HeldAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly pieces: Uint8Array[];
+}
+
 /** The response to the caller, and a copy of it for the claim. @internal */
 export class CallerResponse {
+  /** Status that was sent, or will be once a held answer is whole. */
   status = 0;
   bytes = 0;
   readonly #res: ServerResponse;
+  readonly #protocol: CallProtocol;
   readonly #mark: CallMark;
   /** Null if no copy is needed or the body is too large. */
   #kept: Uint8Array[] | null;
   #headers: readonly string[] = [];
+  #held: HeldAnswer | null = null;
 
-  constructor(res: ServerResponse, mark: CallMark, keep: boolean) {
+  constructor(
+    res: ServerResponse,
+    protocol: CallProtocol,
+    mark: CallMark,
+    keep: boolean,
+  ) {
     this.#res = res;
+    this.#protocol = protocol;
     this.#mark = mark;
     this.#kept = keep ? [] : null;
   }
 
+  /** Whether bytes were sent to the caller. */
   get started(): boolean {
-    return this.status !== 0;
+    return this.status !== 0 && !this.#held;
   }
 
   head(answer: AnswerHead, code: number, retriesLeft: number): void {
-    this.status = answer.status;
+    const mark = {...this.#mark, retriesLeft};
+    const passed = this.#protocol.toCaller(
+      answer.status,
+      answer.headers,
+      mark,
+      code,
+    );
+    this.status = passed.status;
     this.#headers = passedHeaders(answer.headers);
-    const marks = markHeaders({...this.#mark, retriesLeft}, code);
-    this.#res.writeHead(answer.status, [...this.#headers, ...marks]);
+    const limit = this.#protocol.heldAnswerBytes;
+    if (limit > 0 && lengthOf(answer.headers) <= limit) {
+      this.#held = {...passed, pieces: []};
+    } else {
+      this.#res.writeHead(passed.status, [...passed.headers]);
+    }
   }
 
   /** False asks to wait for `drain`. */
@@ -44,16 +72,33 @@
     this.bytes += chunk.length;
     if (this.bytes > keptLimitBytes) this.#kept = null;
     this.#kept?.push(chunk);
-    return this.#res.write(chunk);
+    if (!this.#held) return this.#res.write(chunk);
+    this.#held.pieces.push(chunk);
+    return true;
   }
 
   end(): void {
-    this.#res.end();
+    const held = this.#held;
+    this.#held = null;
+    if (!held) {
+      this.#res.end();
+      return;
+    }
+    this.#res.writeHead(held.status, [...held.headers]);
+    this.#res.end(Buffer.concat(held.pieces));
+  }
+
+  /** Drops a held answer, so that another one can take its place. */
+  dropHeld(): void {
+    this.#held = null;
+    this.status = 0;
+    this.bytes = 0;
   }
 
   refuse(err: MeshError, retriesLeft: number): void {
-    this.status = err.code.http;
-    sendRefusal(this.#res, err, {...this.#mark, retriesLeft});
+    const mark = {...this.#mark, retriesLeft};
+    this.dropHeld();
+    this.status = sendRefusal(this.#res, this.#protocol, err, mark);
   }
 
   /** Repeats the stored answer of a finished claim. */
@@ -75,3 +120,26 @@
     return {status: this.status, headers: this.#headers, body};
   }
 }
+
+/** Sends a refusal; returns its status. @internal */
+export function sendRefusal(
+  res: ServerResponse,
+  protocol: CallProtocol,
+  err: MeshError,
+  mark: ResponseMark,
+): number {
+  const {status, headers, body} = protocol.refusal(err, mark);
+  res.writeHead(status, [...headers]);
+  res.end(body);
+  return status;
+}
+
+/** Announced length of a body; infinite if there is none. */
+function lengthOf(headers: readonly string[]): number {
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]?.toLowerCase() === 'content-length') {
+      return Number(headers[i + 1]);
+    }
+  }
+  return Infinity;
+}
--- a/packages/node/src/calls/calls-waits.test.ts
+++ b/packages/node/src/calls/calls-waits.test.ts
@@ -14,6 +14,7 @@
 import {VersionAdapter} from '../entry/version-adapter.js';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {MovesService} from '../moves/moves-service.js';
+import {Admission} from '@verbenabeam/routing';
 import {AdmissionAdapter} from '../serving/admission-adapter.js';
 import {StoppedVersionsAdapter} from '../serving/stopped-versions-adapter.js';
 import {CALL_HEADERS} from './call-headers.js';
@@ -304,13 +305,14 @@
 );
 
 Given('a wait admission with 1 slot', () => {
-  const options = {clock: systemClock, maxWaitMs: 1000, slots: 1};
-  admission = new AdmissionAdapter(options);
+  const policy = new Admission({maxWaitMs: 1000, slots: 1});
+  admission = new AdmissionAdapter({clock: systemClock, admission: policy});
 });
 
 function enter(callId: string) {
   const deadlineAt = systemClock.now() + 1000;
-  return admission.enter({callId, deadlineAt});
+  const rest = {route: 'files', priority: 0, targetAt: deadlineAt};
+  return admission.enter({callId, deadlineAt, ...rest});
 }
 
 When('its queued wait call is cancelled before and after the grant', () => {
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -5,6 +5,7 @@
   MeshError,
 } from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
+import type {Service} from '@verbenabeam/document';
 import {failedFrom, outcomeOf} from './attempt.js';
 import type {Attempt, AttemptListener} from './attempt.js';
 import {AttemptFactory} from './attempt-factory.js';
@@ -12,13 +13,14 @@
 import {CallClaim} from './call-claim.js';
 import type {AnswerHead, AnswerTrailer} from './call-head.js';
 import type {CallRecord} from './call-record.js';
+import {chooseService, maxRetriesOf} from './choose-service.js';
 import {recordOf} from './entry-record.js';
 import type {RoutedCall} from './routed-call.js';
 import {CallerResponse} from './caller-response.js';
 import {CallRetries} from './call-retries.js';
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome} from './entry-ports.js';
-import {REPLAY_LIMIT_BYTES, ReplayBody} from './replay-body.js';
+import {ReplayBody} from './replay-body.js';
 
 /** One call on the entry side, from its route to its end. @internal */
 export class EntryCall implements AttemptListener {
@@ -32,6 +34,7 @@
   readonly #retries: CallRetries;
   readonly #attempts: AttemptFactory;
   readonly #log: AttemptLog;
+  readonly #service: Service;
   #attempt: Attempt | null = null;
   #claim: CallClaim | null = null;
   #headMs: number | null = null;
@@ -47,23 +50,28 @@
     this.#ports = ports;
     this.#done = done;
     this.#log = new AttemptLog(callId, startAt);
+    const service = chooseService(route, ports.random);
+    this.#service = service;
     const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
     this.#retries = new CallRetries(ports, {
-      service: route.service.name,
+      service: service.name,
       idempotent: route.idempotent,
       deadlineAt: this.#deadlineAt,
       parentCallId: headers.parentCallId,
-      retriesLeft: headers.retriesLeft,
+      retriesLeft: Math.min(headers.retriesLeft, maxRetriesOf(route)),
+      passes: ports.protocol.passesRetries,
     });
     this.#timer = setTimeout(() => {
       this.#expire();
     }, limitMs);
-    this.#body = new ReplayBody(req, headers.bodyBytes !== 0);
-    this.#attempts = new AttemptFactory(call, ports, this.#body);
+    const {protocol} = ports;
+    const hasBody = headers.bodyBytes !== 0;
+    this.#body = new ReplayBody(req, hasBody, protocol.replayBytes);
+    this.#attempts = new AttemptFactory(call, service, ports, this.#body);
     const mark = {callId, configVersion: snapshot.version};
     const keep = !route.idempotent && headers.idempotencyKey !== null;
-    this.#response = new CallerResponse(res, mark, keep);
+    this.#response = new CallerResponse(res, protocol, mark, keep);
     res.on('close', () => {
       if (!res.writableFinished) this.#cancel();
     });
@@ -84,10 +92,11 @@
   }
 
   onHead(head: AnswerHead): void {
-    clearTimeout(this.#timer);
     this.#headMs = performance.now() - this.#call.startAt;
     this.#retries.answered(head.retriesLeft);
     this.#response.head(head, CALL_CODES.ok.code, this.#retries.toReport);
+    // A held answer can still be replaced by that of another attempt.
+    if (this.#response.started) clearTimeout(this.#timer);
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -108,6 +117,7 @@
     }
     const fails = this.#response.status >= failedFrom;
     this.#record(fails ? OUTCOMES.failed : OUTCOMES.ok, CALL_CODES.ok);
+    if (fails && this.#replacesFailure()) return;
     this.#response.end();
     this.#finish(CALL_CODES.ok);
   }
@@ -120,12 +130,33 @@
       this.#response.cut();
       this.#finish(err.code);
     } else if (this.#body.replayable && this.#retries.tryAgain(err)) {
+      this.#response.dropHeld();
       this.#try(err);
     } else {
       this.#refuseWith(this.#log.asCallError(err));
     }
   }
 
+  /**
+   * Repeats an idempotent call whose upstream failed it, if nothing of the
+   * failure was sent to the caller.
+   */
+  #replacesFailure(): boolean {
+    const {idempotent} = this.#call.route;
+    if (this.#response.started || !idempotent) return false;
+    if (!this.#body.replayable) return false;
+    const err = new MeshError(
+      CALL_CODES.outcomeUnknown,
+      `The upstream answered with status ${this.#response.status}`,
+    );
+    if (!this.#retries.tryAgain(err)) return false;
+    this.#attempt = null;
+    this.#log.leaveOpen(err);
+    this.#response.dropHeld();
+    this.#try(err);
+    return true;
+  }
+
   async #startClaimed(key: string): Promise<void> {
     const claim = new CallClaim(this.#ports.claims, this.#call, key);
     this.#claim = claim;
@@ -146,7 +177,7 @@
   /** A small body is read first: it then leaves with the head in one write. */
   #begin(): void {
     const {bodyBytes} = this.#call.headers;
-    if (bodyBytes === null || bodyBytes > REPLAY_LIMIT_BYTES) this.#try();
+    if (bodyBytes === null || bodyBytes > this.#ports.protocol.replayBytes) this.#try();
     else this.#body.whenWhole(() => this.#try());
   }
 
@@ -160,7 +191,7 @@
   }
 
   #noInstance(): MeshError {
-    const {name} = this.#call.route.service;
+    const {name} = this.#service;
     const version = this.#attempts.choice?.version ?? '';
     const message = `No instance of ${name} ${version} can take the call`;
     return new MeshError(CALL_CODES.noInstance, message);
@@ -235,6 +266,7 @@
     this.#retries.end();
     this.#done(
       recordOf(this.#call, {
+        service: this.#service.name,
         choice: this.#attempts.choice,
         attempts: this.#log.records,
         headMs: this.#headMs,
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -1,14 +1,13 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {CALL_CODES, INVARIANT_CODES, MeshError, newId} from '@verbenabeam/core';
+import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
-import {readCallerHeaders} from './call-headers.js';
 import type {CallRecord} from './call-record.js';
+import {sendRefusal} from './caller-response.js';
 import {EntryCall} from './entry-call.js';
 import type {EntryPorts} from './entry-ports.js';
 import {recordOf} from './entry-record.js';
 import {InFlight} from './in-flight.js';
-import {sendRefusal} from './refusal.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
 
 /** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
@@ -37,8 +36,9 @@
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
     const startAt = performance.now();
-    const callId = newId();
-    const headers = readCallerHeaders(req);
+    const {protocol} = this.#ports;
+    const callId = protocol.callId(req);
+    const headers = protocol.readCaller(req);
     const snapshot = this.#ports.config.current();
     const route = snapshot && this.#route(snapshot, req);
     const known = headers.unwrapOr(null);
@@ -105,17 +105,15 @@
 
   #refuse(call: ReceivedCall, err: MeshError): void {
     const configVersion = call.snapshot?.version ?? 0;
-    sendRefusal(call.res, err, {
-      callId: call.callId,
-      configVersion,
-      retriesLeft: null,
-    });
+    const mark = {callId: call.callId, configVersion, retriesLeft: null};
+    const status = sendRefusal(call.res, this.#ports.protocol, err, mark);
     this.#ports.observer.onCall(
       recordOf(call, {
+        service: call.route?.service.name ?? null,
         choice: null,
         attempts: [],
         headMs: null,
-        status: err.code.http,
+        status,
         responseBytes: 0,
         code: err.code,
       }),
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -1,9 +1,10 @@
 import type {Result} from 'true-myth';
-import type {Invariants, MeshError} from '@verbenabeam/core';
+import type {Invariants, MeshError, RandomSource} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
 import type {LoadReport, RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {ByteStream, PeerAddress, PeerBus} from '@verbenabeam/wire';
 import type {CallHead} from './call-head.js';
+import type {CallProtocol} from './call-protocol.js';
 import type {CallRecord} from './call-record.js';
 
 /** What a route is looked up by. @public */
@@ -166,5 +167,8 @@
   readonly bus: Pick<PeerBus, 'openStream'>;
   readonly serving: LocalServing;
   readonly observer: CallObserver;
+  readonly protocol: CallProtocol;
+  /** Divides the calls of a route over its services. */
+  readonly random: RandomSource;
   readonly invariants: Invariants;
 }
--- a/packages/node/src/calls/entry-record.ts
+++ b/packages/node/src/calls/entry-record.ts
@@ -5,6 +5,7 @@
 
 /** How a call ended. @internal */
 export interface CallEnd {
+  readonly service: string | null;
   readonly choice: VersionChoice | null;
   readonly attempts: readonly AttemptRecord[];
   readonly headMs: number | null;
@@ -27,7 +28,7 @@
     path: req.url ?? '',
     callerClass: headers?.callerClass ?? 'other',
     route: route?.name ?? null,
-    service: route?.service.name ?? null,
+    service: end.service,
     version: end.choice?.version ?? null,
     moveId: end.choice?.moveId ?? null,
     configVersion: snapshot?.version ?? 0,
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -5,8 +5,16 @@
  */
 export {CALL_STREAM} from './call-head.js';
 export type {CallHead} from './call-head.js';
-export {CALL_HEADERS} from './call-headers.js';
+export {CALL_HEADERS, passedHeaders} from './call-headers.js';
+export type {CallerHeaders} from './call-headers.js';
 export {CallLog} from './call-log.js';
+export {ANSWER_KINDS} from './call-protocol.js';
+export type {
+  AnswerKind,
+  CallProtocol,
+  PassedAnswer,
+  RefusalResponse,
+} from './call-protocol.js';
 export type {AttemptRecord, CallRecord} from './call-record.js';
 export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
@@ -29,6 +37,8 @@
   VersionChoice,
   VersionChooser,
 } from './entry-ports.js';
+export {nativeProtocol} from './native-protocol.js';
+export type {ResponseMark} from './response-mark.js';
 export {ServingHandler} from './serving-handler.js';
 export type {
   AdmissionDecision,
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 
-/** Bodies up to this size are kept for retries. @internal */
+/** Default size up to which bodies are kept for retries. @internal */
 export const REPLAY_LIMIT_BYTES = 65_536;
 
 /** Takes the body of one attempt. @internal */
@@ -18,6 +18,7 @@
  */
 export class ReplayBody {
   readonly #req: IncomingMessage;
+  readonly #limitBytes: number;
   #kept: Buffer[] | null = [];
   #size = 0;
   #ended = false;
@@ -25,8 +26,10 @@
   #target: BodyTarget | null = null;
   #onWhole: (() => void) | null = null;
 
-  constructor(req: IncomingMessage, hasBody: boolean) {
+  /** @param limitBytes - Bodies up to this many bytes are kept for retries. */
+  constructor(req: IncomingMessage, hasBody: boolean, limitBytes: number) {
     this.#req = req;
+    this.#limitBytes = limitBytes;
     if (!hasBody) {
       this.#ended = true;
       return;
@@ -84,9 +87,9 @@
   #take(chunk: Buffer): void {
     if (this.#discarded) return;
     this.#size += chunk.length;
-    if (this.#size > REPLAY_LIMIT_BYTES && this.#target) this.#kept = null;
+    if (this.#size > this.#limitBytes && this.#target) this.#kept = null;
     else this.#kept?.push(chunk);
-    const isFull = this.#size > REPLAY_LIMIT_BYTES && !this.#target;
+    const isFull = this.#size > this.#limitBytes && !this.#target;
     if (this.#target?.write(chunk) === false || isFull) this.#req.pause();
   }
 
--- a/packages/node/src/calls/serving-body.ts
+++ b/packages/node/src/calls/serving-body.ts
@@ -1,5 +1,4 @@
 import type {ByteStream} from '@verbenabeam/wire';
-import {REPLAY_LIMIT_BYTES} from './replay-body.js';
 import {UpstreamBody} from './upstream-body.js';
 
 const noBody = Buffer.alloc(0);
@@ -17,9 +16,16 @@
   #pieces: Uint8Array[] = [];
   #whole: Buffer | null = null;
 
-  /** @param bodyBytes - 0: no body; null: not known in advance. */
-  constructor(bodyBytes: number | null, stream: ByteStream) {
-    const isLarge = bodyBytes === null || bodyBytes > REPLAY_LIMIT_BYTES;
+  /**
+   * @param bodyBytes - 0: no body; null: not known in advance.
+   * @param collectBytes - Bodies up to this many bytes are collected.
+   */
+  constructor(
+    bodyBytes: number | null,
+    stream: ByteStream,
+    collectBytes: number,
+  ) {
+    const isLarge = bodyBytes === null || bodyBytes > collectBytes;
     this.#passed = isLarge ? new UpstreamBody(stream) : null;
     this.#isEmpty = bodyBytes === 0;
   }
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -16,6 +16,7 @@
   readonly #head: CallHead;
   readonly #stream: ByteStream;
   readonly #context: ServingContext;
+  readonly #startAt: number;
   readonly #deadlineAt: number;
   readonly #body: ServingBody;
   #ticket: Ticket | null = null;
@@ -31,8 +32,10 @@
     this.#head = head;
     this.#stream = stream;
     this.#context = context;
-    this.#body = new ServingBody(head.bodyBytes, stream);
-    this.#deadlineAt = performance.now() + head.remainingMs;
+    const {replayBytes} = context.ports.protocol;
+    this.#body = new ServingBody(head.bodyBytes, stream, replayBytes);
+    this.#startAt = performance.now();
+    this.#deadlineAt = this.#startAt + head.remainingMs;
   }
 
   /** A call whose body is collected enters at the body's end. */
@@ -86,8 +89,12 @@
   }
 
   /** The upstream said that it did not run the request. */
-  onUpstreamNotRun(): void {
+  onUpstreamNotRun(otherUpstream: boolean): void {
     if (this.#over) return;
+    if (otherUpstream) {
+      const {upstream} = this.#context.ports;
+      upstream.markDown('Another upstream has its address');
+    }
     this.#refuse(CALL_CODES.upstreamShed, true);
   }
 
@@ -122,15 +129,22 @@
       this.#refuse(blocked.code);
       return;
     }
-    const decision = admission.enter({callId, deadlineAt: this.#deadlineAt});
+    const {routeName, priority, targetMs} = this.#head;
+    const decision = admission.enter({
+      callId,
+      deadlineAt: this.#deadlineAt,
+      route: routeName,
+      priority,
+      targetAt: this.#startAt + targetMs,
+    });
     if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
-    else if (decision.kind === 'refused') this.#refuse(decision.err.code);
+    else if (decision.kind === 'refused') this.#refuseWith(decision.err);
     else {
       this.#cancelQueue = decision.cancel;
       void decision.decided.then(result => {
         this.#cancelQueue = null;
         if (result.isOk) this.#dispatchQueued(result.value);
-        else if (!this.#over) this.#refuse(result.error.code);
+        else if (!this.#over) this.#refuseWith(result.error);
       });
     }
   }
@@ -191,9 +205,10 @@
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#dispatchAt = performance.now();
     const remainingMs = this.#deadlineAt - this.#dispatchAt;
-    this.#request = new UpstreamRequest(this.#head, this);
+    this.#request = new UpstreamRequest(this.#head, ports.protocol, this);
     const upstreamPool = pool.get(upstream.address);
-    this.#request.dispatch(upstreamPool, this.#body.content, remainingMs);
+    const {content} = this.#body;
+    this.#request.dispatch(upstreamPool, upstream, content, remainingMs);
   }
 
   #refuse(code: ResultCode, saidByUpstream = false): void {
@@ -207,14 +222,20 @@
     this.#reset(new MeshError(code, code.text), false);
   }
 
+  /** Refuses a call that admission turned away. */
+  #refuseWith(err: MeshError): void {
+    this.#reset(err, false);
+  }
+
   /** Reports a failure with the load and the retries that are left. */
-  #reset({code, message}: MeshError, suspect: boolean): void {
+  #reset(err: MeshError, suspect: boolean): void {
+    const {code, message} = err;
     const {admission, ledger} = this.#context.ports;
     const {callId} = this.#head;
     const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
     const load = encodeLoad(admission.load());
-    const details = {load, ...left, ...(suspect ? {suspect} : {})};
+    const details = {...err.details, load, ...left, ...(suspect ? {suspect} : {})};
     this.#stream.reset(new MeshError(code, message, details));
   }
 
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,4 +1,5 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
+import type {CallProtocol} from './call-protocol.js';
 import type {UpstreamState} from '@verbenabeam/membership';
 import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
 import type {Result} from 'true-myth';
@@ -9,6 +10,8 @@
   readonly version: string;
   /** `ip:port` of its HTTP listener. */
   readonly address: string;
+  /** Identity of its process, if it announces one. */
+  readonly id?: string | null;
   readonly state: UpstreamState;
 }
 
@@ -25,6 +28,12 @@
   readonly callId: string;
   /** Time of the deadline on the clock of `performance.now()`, in ms. */
   readonly deadlineAt: number;
+  /** Name of the route; times in the upstream are kept for each. */
+  readonly route: string;
+  /** Rank of the route; 0 is the most urgent. */
+  readonly priority: number;
+  /** Time after which an answer is of less use, on the same clock. */
+  readonly targetAt: number;
 }
 
 /** A slot that a call holds. @public */
@@ -95,5 +104,6 @@
   readonly stopped: StoppedVersions;
   /** Shared with the entry side of this node. */
   readonly ledger: RetryLedger;
+  readonly protocol: CallProtocol;
   readonly invariants: Invariants;
 }
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -6,11 +6,13 @@
   StandinOptions,
   UpstreamStandin,
 } from '@verbenabeam/app-upstream-standin';
+import {seededRandom} from '@verbenabeam/core';
 import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {CALL_STREAM} from '../call-head.js';
 import {CallLog} from '../call-log.js';
 import {EntryHandler} from '../entry-handler.js';
+import {nativeProtocol} from '../native-protocol.js';
 import {ServingHandler} from '../serving-handler.js';
 import {
   collectingInvariants,
@@ -56,6 +58,7 @@
       quarantine,
       stopped: this.versions,
       ledger,
+      protocol: nativeProtocol,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -72,6 +75,8 @@
       bus: this.bus,
       serving: this.serving,
       observer: this.log,
+      protocol: nativeProtocol,
+      random: seededRandom(1),
       invariants,
     });
     this.bus.onStream(CALL_STREAM, this.serving.onStream);
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -1,6 +1,8 @@
 import type {Dispatcher, Pool} from 'undici';
 import type {CallHead} from './call-head.js';
-import {CALL_HEADERS, passedHeaders} from './call-headers.js';
+import {ANSWER_KINDS} from './call-protocol.js';
+import type {AnswerKind, CallProtocol} from './call-protocol.js';
+import type {OwnUpstream} from './serving-ports.js';
 import type {UpstreamBody} from './upstream-body.js';
 
 /** Callbacks of an {@link UpstreamRequest}; one of the last three ends it. */
@@ -9,7 +11,8 @@
   /** False asks to wait for `resume`. */
   onUpstreamData(chunk: Uint8Array): boolean;
   onUpstreamEnd(): void;
-  onUpstreamNotRun(): void;
+  /** `otherUpstream`: another upstream has taken the address. */
+  onUpstreamNotRun(otherUpstream: boolean): void;
   /** `sent` is false if no byte of the request was written. */
   onUpstreamError(err: Error, sent: boolean): void;
 }
@@ -27,24 +30,35 @@
   /** Whether the request was written to a connection, at least in part. */
   sent = false;
   readonly #head: CallHead;
+  readonly #protocol: CallProtocol;
   readonly #listener: UpstreamListener;
   #abort: ((err?: Error) => void) | null = null;
   #resume: (() => void) | null = null;
   #aborted = false;
-  #notRun = false;
+  #kind: AnswerKind = ANSWER_KINDS.answer;
 
-  constructor(head: CallHead, listener: UpstreamListener) {
+  constructor(
+    head: CallHead,
+    protocol: CallProtocol,
+    listener: UpstreamListener,
+  ) {
     this.#head = head;
+    this.#protocol = protocol;
     this.#listener = listener;
   }
 
   dispatch(
     pool: Pool,
+    upstream: OwnUpstream,
     body: Buffer | UpstreamBody | null,
     remainingMs: number,
   ): void {
     const {method, path} = this.#head;
-    const headers = this.#headers(remainingMs);
+    const headers = this.#protocol.toUpstream(
+      this.#head,
+      remainingMs,
+      upstream,
+    );
     const options = {method: method as Dispatcher.HttpMethod, path, headers};
     pool.dispatch({...options, body}, this);
   }
@@ -69,50 +83,41 @@
     if (status < firstFinalStatus) return true;
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
-    this.#notRun = saysNotRun(headers);
-    if (!this.#notRun) this.#listener.onUpstreamHead(status, headers);
+    this.#kind = this.#protocol.classify(this.#head, status, headers);
+    if (this.#kind === ANSWER_KINDS.answer) {
+      this.#listener.onUpstreamHead(status, headers);
+    } else if (this.#kind === ANSWER_KINDS.foreign) {
+      this.#abort?.(new Error('The answer belongs to another request'));
+    }
     return true;
   }
 
   onData(chunk: Buffer): boolean {
-    if (this.#notRun || this.#aborted) return true;
+    if (this.#kind !== ANSWER_KINDS.answer || this.#aborted) return true;
     return this.#listener.onUpstreamData(chunk);
   }
 
   onComplete(): void {
     if (this.#aborted) return;
-    if (this.#notRun) this.#listener.onUpstreamNotRun();
+    if (this.#isNotRun) this.#reportNotRun();
     else this.#listener.onUpstreamEnd();
   }
 
   onError(err: Error): void {
     if (this.#aborted) return;
-    if (this.#notRun) this.#listener.onUpstreamNotRun();
+    if (this.#isNotRun) this.#reportNotRun();
     else this.#listener.onUpstreamError(err, this.sent);
   }
 
-  #headers(remainingMs: number): string[] {
-    const {callId, depth, retriesLeft, headers} = this.#head;
-    return [
-      ...passedHeaders(headers),
-      CALL_HEADERS.callId,
-      callId,
-      CALL_HEADERS.deadlineMs,
-      String(Math.floor(remainingMs)),
-      CALL_HEADERS.depth,
-      String(depth),
-      CALL_HEADERS.retriesLeft,
-      String(retriesLeft),
-    ];
+  get #isNotRun(): boolean {
+    const {notRun, otherUpstream} = ANSWER_KINDS;
+    return this.#kind === notRun || this.#kind === otherUpstream;
   }
-}
 
-function saysNotRun(headers: readonly string[]): boolean {
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    if (headers[i]?.toLowerCase() !== CALL_HEADERS.notRun) continue;
-    return headers[i + 1] === 'true';
+  #reportNotRun(): void {
+    const isOther = this.#kind === ANSWER_KINDS.otherUpstream;
+    this.#listener.onUpstreamNotRun(isOther);
   }
-  return false;
 }
 
 /** Whether undici rejects the request itself, whatever the upstream does. */
--- /dev/null
+++ b/packages/node/src/hosted/call-logger.ts
@@ -0,0 +1,51 @@
+import {CALL_CODES, logger} from '@verbenabeam/core';
+import type {CallRecord} from '../calls/index.js';
+import type {NodeMetrics} from '../metrics/node-metrics.js';
+
+const log = logger('calls');
+const firstServerError = 500;
+
+/** Counts each finished call and logs those that did not go as planned. */
+export class CallLogger {
+  readonly #metrics: NodeMetrics;
+
+  constructor(metrics: NodeMetrics) {
+    this.#metrics = metrics;
+  }
+
+  onCall(record: CallRecord): void {
+    const {attempts, code, service, callerClass, durationMs} = record;
+    this.#metrics.recordCall({
+      callerClass,
+      service: service ?? 'none',
+      code: code.code,
+      durationMs,
+      retries: Math.max(0, attempts.length - 1),
+    });
+    const isPlain =
+      code === CALL_CODES.ok &&
+      attempts.length === 1 &&
+      record.status < firstServerError;
+    if (isPlain) return;
+    log('Call did not go as planned.', {
+      requestId: record.callId,
+      route: record.route,
+      service,
+      configVersion: record.configVersion,
+      status: record.status,
+      code: code.code,
+      ms: Math.round(durationMs),
+      attempts: attempts.map(
+        ({nodeId, version, outcome, code, atMs, latencyMs}) =>
+          [
+            nodeId,
+            version,
+            outcome,
+            code,
+            Math.round(atMs),
+            Math.round(latencyMs),
+          ].join(' '),
+      ),
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -0,0 +1,203 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import {
+  Invariants,
+  logger,
+  seededRandom,
+  systemClock,
+} from '@verbenabeam/core';
+import type {MeshError} from '@verbenabeam/core';
+import type {CallerLimits} from '@verbenabeam/document';
+import type {Store} from '@verbenabeam/store';
+import {systemSleep} from '@verbenabeam/store';
+import {TcpPeerBus} from '@verbenabeam/wire';
+import {Result} from 'true-myth';
+import type {CallProtocol} from '../calls/index.js';
+import {listen} from '../listen.js';
+import {HostedParts} from './hosted-parts.js';
+import type {HostedSettings} from './hosted-settings.js';
+import {
+  createAnnouncementServer,
+  createMetricsServer,
+  createReadinessServer,
+} from './listeners.js';
+import type {OperatorFormat} from './operator-documents.js';
+import type {UpstreamFormat} from './upstream-report.js';
+
+const log = logger('node');
+const maxSeed = 2 ** 31;
+/** Above the header limits of all configurations; those refuse with 431. */
+const maxHeaderBytes = 131_072;
+/** Time beyond the callers' idle limit, so that no request meets the close. */
+const idleSlackMs = 2_000;
+/** Idle limit before the first configuration. */
+const defaultIdleMs = 30_000;
+/** Callers leave after two questions a second apart get no 200. */
+const callersLeaveMs = 2_600;
+/** Peers know within this time that the upstream takes nothing more. */
+const peersKnowMs = 500;
+/** Kept of the grace time for closing connections and leaving the store. */
+const exitReserveMs = 700;
+/** Dead connections between nodes are noticed within about 2 s. */
+const wire = {
+  connectTimeoutMs: 1_000,
+  pingAfterMs: 500,
+  silenceLimitMs: 1_500,
+};
+
+/** Parts of a {@link HostedNode}. @public */
+export interface HostedNodeOptions {
+  readonly settings: HostedSettings;
+  readonly protocol: CallProtocol;
+  readonly operatorFormat: OperatorFormat;
+  readonly upstreamFormat: UpstreamFormat;
+  /** The platform's store; the node closes it. */
+  readonly store: Store & {close(): Promise<void>};
+}
+
+/** A node whose configuration the platform's store keeps. @public */
+export class HostedNode {
+  readonly #options: HostedNodeOptions;
+  readonly #parts: HostedParts;
+  readonly #bus: TcpPeerBus;
+  readonly #end: AbortController;
+  readonly #callers: Server;
+  readonly #others: readonly Server[];
+  #closesConnections = false;
+
+  private constructor(
+    options: HostedNodeOptions,
+    bus: TcpPeerBus,
+    wireAddress: string,
+  ) {
+    this.#options = options;
+    this.#bus = bus;
+    this.#end = new AbortController();
+    const invariants = new Invariants();
+    invariants.onBroken((code, details) => {
+      log('Invariant is broken.', {code: code.code, ...details});
+    });
+    this.#parts = new HostedParts({
+      ...options,
+      wireAddress,
+      bus,
+      clock: systemClock,
+      random: seededRandom(Math.floor(Math.random() * maxSeed)),
+      invariants,
+      signal: this.#end.signal,
+    });
+    this.#callers = createServer(
+      {
+        maxHeaderSize: maxHeaderBytes,
+        keepAliveTimeout: defaultIdleMs + idleSlackMs,
+        requestTimeout: 0,
+      },
+      (req, res) => {
+        if (this.#closesConnections) res.shouldKeepAlive = false;
+        this.#parts.entry.handle(req, res);
+      },
+    );
+    this.#parts.onConfig = ({document}) => {
+      if (document.callerLimits) this.#applyLimits(document.callerLimits);
+    };
+    this.#others = this.#createListeners();
+  }
+
+  /** Starts a node. Error: `wire.listenFailed`. */
+  static async start(
+    options: HostedNodeOptions,
+  ): Promise<Result<HostedNode, MeshError>> {
+    const {settings} = options;
+    const bus = new TcpPeerBus({
+      nodeId: settings.nodeId,
+      // The platform gives nodes no secret; the key keeps out other programs.
+      nodeKey: Buffer.from(`verbenabeam ${settings.store.address}`),
+      ...wire,
+    });
+    const started = await bus.start(settings.listen.wire);
+    if (started.isErr) return Result.err(started.error);
+    const node = new HostedNode(options, bus, started.value);
+    const failure = await node.#listen();
+    if (failure) {
+      await node.#close();
+      return Result.err(failure);
+    }
+    node.#parts.start();
+    const {nodeId, service, listen: addresses} = settings;
+    log('Node started.', {nodeId, service, ...addresses, pid: process.pid});
+    return Result.ok(node);
+  }
+
+  /**
+   * Ends what runs and leaves. Callers are told to go first; the upstream's own
+   * calls are served until its last request has ended.
+   */
+  async stop(): Promise<void> {
+    const startAt = performance.now();
+    const parts = this.#parts;
+    const {graceMs} = this.#options.settings.bounds;
+    const deadlineAt = startAt + graceMs - exitReserveMs;
+    log('Node stops.', {graceMs, inFlight: parts.entry.inFlight});
+    parts.beginDrain();
+    this.#closesConnections = true;
+    await systemSleep(peersKnowMs);
+    const served = parts.serving.drain();
+    await systemSleep(callersLeaveMs - peersKnowMs);
+    await Promise.race([served, sleepUntil(deadlineAt)]);
+    this.#callers.close();
+    await Promise.race([parts.entry.drain(), sleepUntil(deadlineAt)]);
+    const cut = parts.entry.inFlight + parts.serving.inFlight;
+    await Promise.race([parts.leave(), systemSleep(exitReserveMs / 2)]);
+    await this.#close();
+    log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
+  }
+
+  #createListeners(): readonly Server[] {
+    const {upstreamFormat} = this.#options;
+    const parts = this.#parts;
+    return [
+      createReadinessServer(upstreamFormat.readinessPath, () => parts.isReady),
+      createAnnouncementServer(upstreamFormat, message =>
+        parts.upstream.take(message),
+      ),
+      createMetricsServer(parts.metrics),
+    ];
+  }
+
+  async #listen(): Promise<MeshError | null> {
+    const {callers, readiness, announcements, metrics} =
+      this.#options.settings.listen;
+    const addresses = [readiness, announcements, metrics];
+    const pairs = this.#others.map(
+      (server, i) => [server, addresses[i] ?? null] as const,
+    );
+    for (const [server, address] of [
+      [this.#callers, callers] as const,
+      ...pairs,
+    ]) {
+      if (address === null) continue;
+      const listened = await listen(server, address);
+      if (listened.isErr) return listened.error;
+    }
+    return null;
+  }
+
+  #applyLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
+    this.#callers.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
+    this.#callers.headersTimeout = headerTimeoutMs;
+  }
+
+  async #close(): Promise<void> {
+    this.#end.abort();
+    for (const server of [this.#callers, ...this.#others]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    await this.#bus.close();
+    await this.#options.store.close();
+  }
+}
+
+function sleepUntil(at: number): Promise<void> {
+  return systemSleep(Math.max(0, at - performance.now()));
+}
--- /dev/null
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -0,0 +1,291 @@
+import {newId} from '@verbenabeam/core';
+import type {Clock, Invariants, RandomSource} from '@verbenabeam/core';
+import {findRoute} from '@verbenabeam/document';
+import type {Snapshot} from '@verbenabeam/document';
+import {NODE_STATES} from '@verbenabeam/membership';
+import type {GossipOptions, InstanceRecord} from '@verbenabeam/membership';
+import {RetryBudget, RetryLedger, SlotQueue} from '@verbenabeam/routing';
+import type {Store} from '@verbenabeam/store';
+import type {PeerBus} from '@verbenabeam/wire';
+import {CALL_STREAM, EntryHandler, ServingHandler} from '../calls/index.js';
+import type {CallProtocol, CallRecord} from '../calls/index.js';
+import {InstanceAdapter} from '../entry/instance-adapter.js';
+import {every} from '../every.js';
+import {
+  countByState,
+  MembershipService,
+} from '../membership/membership-service.js';
+import {NodeMetrics} from '../metrics/node-metrics.js';
+import {AdmissionAdapter} from '../serving/admission-adapter.js';
+import {QuarantineAdapter} from '../serving/quarantine-adapter.js';
+import {StoreHealth} from '../store/store-health.js';
+import {CallLogger} from './call-logger.js';
+import type {HostedSettings} from './hosted-settings.js';
+import {HostedVersions} from './hosted-versions.js';
+import {NodeDirectory} from './node-directory.js';
+import {noClaims} from './no-claims.js';
+import type {OperatorFormat} from './operator-documents.js';
+import {OperatorFeed} from './operator-feed.js';
+import {OperatorRecords} from './operator-records.js';
+import {HostedUpstream} from './own-upstream.js';
+import {PeerRecords} from './peer-records.js';
+import {Rollouts} from './rollouts.js';
+
+/** Environment of all nodes: the platform keeps one configuration. */
+const environment = 'platform';
+/** Slots of an upstream that has not announced itself yet. */
+const initialSlots = 1;
+/** Heartbeats that may be missing before the upstream counts as down. */
+const missedHeartbeats = 3.2;
+/** Time after which a node without peers asks the directory again. */
+const aloneMs = 400;
+/** Time between two looks for nodes that this one does not know. */
+const directoryMs = 15_000;
+const retainMs = 10_000;
+/** A node without a known peer takes calls after this time. */
+const aloneReadyMs = 3_000;
+/** Share of the platform's retries that nodes use in the long run. */
+const retryShareUsed = 0.5;
+/** Share of the platform's minimum of retries that nodes use at once. */
+const retryMinimumUsed = 0.7;
+
+/**
+ * Gossip of fleets up to some hundred nodes: members that were cut off or
+ * restarted must be known again within about a second.
+ */
+const gossip: GossipOptions = {
+  tablesPerSecond: 20,
+  retryAfterMs: 200,
+  reunionMs: 500,
+  digestMs: 5_000,
+};
+
+/** What a hosted node is made from. @internal */
+export interface HostedPartsOptions {
+  readonly settings: HostedSettings;
+  readonly protocol: CallProtocol;
+  readonly operatorFormat: OperatorFormat;
+  readonly wireAddress: string;
+  readonly bus: PeerBus;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly invariants: Invariants;
+  readonly signal: AbortSignal;
+}
+
+/** The parts of a node whose configuration the platform keeps. @internal */
+export class HostedParts {
+  readonly membership: MembershipService;
+  readonly records: OperatorRecords;
+  readonly upstream: HostedUpstream;
+  readonly rollouts: Rollouts;
+  readonly entry: EntryHandler;
+  readonly serving: ServingHandler;
+  readonly metrics: NodeMetrics;
+  /** Called with each configuration that comes into force. */
+  onConfig: (snapshot: Snapshot) => void = () => undefined;
+  readonly #options: HostedPartsOptions;
+  readonly #store: Store;
+  readonly #admission: AdmissionAdapter;
+  readonly #quarantine: QuarantineAdapter;
+  readonly #instances: InstanceAdapter;
+  readonly #directory: NodeDirectory;
+  readonly #peerRecords: PeerRecords;
+  readonly #retries: RetryBudget;
+  readonly #calls: CallLogger;
+  #startedAt = Infinity;
+  #draining = false;
+
+  constructor(options: HostedPartsOptions) {
+    this.#options = options;
+    const {bus, clock, random, invariants, signal, settings} = options;
+    this.metrics = this.#createMetrics();
+    invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
+    this.#store = new StoreHealth(options.store, () =>
+      this.metrics.recordStoreCall('node'),
+    );
+    const own = ownRecord(options);
+    this.membership = new MembershipService({
+      own,
+      bus,
+      clock,
+      random,
+      signal,
+      gossip,
+      silenceMs: settings.heartbeatMs * missedHeartbeats,
+    });
+    const shared = {membership: this.membership, bus, clock, random};
+    this.rollouts = new Rollouts(random);
+    this.records = new OperatorRecords(options.operatorFormat, invariants, {
+      onConfig: snapshot => this.#onConfig(snapshot),
+      onOrder: known => this.rollouts.onOrder(known),
+    });
+    this.upstream = new HostedUpstream({
+      membership: this.membership,
+      clock,
+      isKnownService: service => this.#isKnownService(service),
+    });
+    this.#peerRecords = new PeerRecords({
+      ...shared,
+      records: this.records,
+      onNewer: () => this.#peerRecords.announce(),
+    });
+    this.#directory = new NodeDirectory({
+      store: this.#store,
+      nodeId: settings.nodeId,
+      address: options.wireAddress,
+      random,
+      signal,
+    });
+    this.#admission = new AdmissionAdapter({
+      clock,
+      admission: new SlotQueue({slots: initialSlots}),
+    });
+    this.#quarantine = new QuarantineAdapter(shared);
+    this.#instances = new InstanceAdapter(shared);
+    this.#retries = this.#createRetries();
+    this.#calls = new CallLogger(this.metrics);
+    const versions = new HostedVersions(this.membership, this.rollouts);
+    const ledger = new RetryLedger();
+    const {protocol} = options;
+    this.serving = new ServingHandler({
+      upstream: this.upstream,
+      admission: this.#admission,
+      quarantine: this.#quarantine,
+      stopped: versions,
+      ledger,
+      protocol,
+      invariants,
+    });
+    this.entry = new EntryHandler({
+      config: {
+        current: () => this.records.snapshot,
+        match: (snapshot, query) => findRoute(snapshot, query),
+      },
+      versions,
+      instances: this.#instances,
+      retries: this.#retries,
+      ledger,
+      claims: noClaims,
+      bus,
+      serving: this.serving,
+      observer: {onCall: record => this.#onCall(record)},
+      protocol,
+      random,
+      invariants,
+    });
+  }
+
+  /** Whether the node knows a configuration and other nodes. */
+  get isReady(): boolean {
+    if (this.#draining || !this.records.snapshot) return false;
+    if (this.membership.live().length > 1) return true;
+    return this.#options.clock.now() - this.#startedAt > aloneReadyMs;
+  }
+
+  /** Starts the protocols. */
+  start(): void {
+    const {bus, signal, settings, clock, random, operatorFormat} =
+      this.#options;
+    this.#startedAt = clock.now();
+    bus.onStream(CALL_STREAM, this.serving.onStream);
+    this.membership.monitor.onChange(({slots}) =>
+      this.#admission.setSlots(slots),
+    );
+    this.#quarantine.start();
+    this.#peerRecords.start();
+    this.membership.start(settings.seeds);
+    const feed = new OperatorFeed({
+      store: this.#store,
+      prefix: operatorFormat.prefix,
+      random,
+      signal,
+      onRecords: found => {
+        if (this.records.offer(found)) this.#peerRecords.announce();
+      },
+    });
+    void feed.run();
+    void this.#directory.run();
+    void this.#join();
+    every(aloneMs, signal, () => {
+      if (this.membership.live().length <= 1) void this.#join();
+    });
+    every(directoryMs, signal, () => void this.#join());
+    every(retainMs, signal, () => this.#instances.retainMembers());
+  }
+
+  /** Says that the node leaves: peers send it nothing more. */
+  beginDrain(): void {
+    this.#draining = true;
+    this.membership.drain();
+  }
+
+  /** Tells the peers and the store that this node ends. */
+  async leave(): Promise<void> {
+    this.membership.leave();
+    await this.#directory.leave();
+  }
+
+  /** Joins the nodes that the directory names and that are not known here. */
+  async #join(): Promise<void> {
+    const found = await this.#directory.others();
+    if (!found) return;
+    const known = new Set(this.membership.live().map(({address}) => address));
+    const unknown = found.filter(address => !known.has(address));
+    if (unknown.length > 0) this.membership.rejoin(unknown);
+  }
+
+  #isKnownService(service: string): boolean {
+    const {snapshot} = this.records;
+    return !snapshot || snapshot.document.services.has(service);
+  }
+
+  #onConfig(snapshot: Snapshot): void {
+    this.#retries.retain(new Set(snapshot.document.services.keys()));
+    this.onConfig(snapshot);
+  }
+
+  #onCall(record: CallRecord): void {
+    this.#calls.onCall(record);
+  }
+
+  #createRetries(): RetryBudget {
+    const {bounds} = this.#options.settings;
+    return new RetryBudget({
+      share: bounds.retryShare * retryShareUsed,
+      burst: () => {
+        const nodes = Math.max(1, this.membership.live().length);
+        return (bounds.retryMinimum * retryMinimumUsed) / nodes;
+      },
+    });
+  }
+
+  #createMetrics(): NodeMetrics {
+    return new NodeMetrics({
+      configVersion: () => this.records.snapshot?.version ?? 0,
+      members: () => countByState(this.membership.live()),
+      bytes: () => this.#options.bus.bytes(),
+      sentByKind: () => this.#options.bus.sentByKind(),
+      inFlight: () => this.serving.inFlight,
+    });
+  }
+}
+
+function ownRecord(options: HostedPartsOptions): InstanceRecord {
+  const {nodeId, dataCentre, region} = options.settings;
+  return {
+    // A restarted process is another member: its clock may be behind.
+    nodeId: `${nodeId}.${newId()}`,
+    incarnation: options.clock.wallTime(),
+    sequence: 1,
+    address: options.wireAddress,
+    dataCentre,
+    region,
+    environment,
+    state: NODE_STATES.alive,
+    upstream: null,
+    relay: false,
+    configVersion: 0,
+  };
+}
--- /dev/null
+++ b/packages/node/src/hosted/node-directory.ts
@@ -0,0 +1,95 @@
+import {logger} from '@verbenabeam/core';
+import type {RandomSource} from '@verbenabeam/core';
+import {systemSleep} from '@verbenabeam/store';
+import type {Store} from '@verbenabeam/store';
+
+const prefix = 'verbenabeam/nodes/';
+/** An entry outlives a restart of its node, but not long. */
+const leaseMs = 12_000;
+/** Time between two renewals; three may fail. */
+const renewMs = 3_500;
+/** Longest wait after a failure; entries must be back in about 2 s. */
+const retryMs = 900;
+const timeoutMs = 1_000;
+const log = logger('directory');
+
+/** Parts of a {@link NodeDirectory}. @internal */
+export interface NodeDirectoryOptions {
+  readonly store: Store;
+  readonly nodeId: string;
+  /** Wire address of this node. */
+  readonly address: string;
+  readonly random: RandomSource;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Wire addresses of the nodes in the store, by which a node that knows no peer
+ * finds the others. An entry ends with its lease; whether a node lives is
+ * decided by gossip alone.
+ *
+ * @internal
+ */
+export class NodeDirectory {
+  readonly #options: NodeDirectoryOptions;
+  #lease: string | null = null;
+
+  constructor(options: NodeDirectoryOptions) {
+    this.#options = options;
+  }
+
+  /** Keeps the own entry until the signal aborts. */
+  async run(): Promise<void> {
+    const {signal, random} = this.#options;
+    while (!signal.aborted) {
+      const kept = this.#lease === null ? await this.#enter() : await this.#renew();
+      const waitMs = kept ? renewMs : random.float() * retryMs;
+      await systemSleep(waitMs, signal);
+    }
+  }
+
+  /** Addresses of the other nodes; null if the store did not answer. */
+  async others(): Promise<readonly string[] | null> {
+    const {store, address} = this.#options;
+    const listed = await store.list(prefix, {timeoutMs});
+    if (listed.isErr) return null;
+    const decoder = new TextDecoder();
+    const addresses = listed.value.map(({value}) => decoder.decode(value));
+    return [...new Set(addresses)].filter(other => other !== address);
+  }
+
+  /** Removes the own entry. */
+  async leave(): Promise<void> {
+    if (this.#lease === null) return;
+    const ended = await this.#options.store.revoke(this.#lease, {timeoutMs});
+    if (ended.isErr) log('Entry ends with its lease.', {lease: this.#lease});
+  }
+
+  async #enter(): Promise<boolean> {
+    const {store, nodeId, address} = this.#options;
+    const granted = await store.grantLease(leaseMs, {timeoutMs});
+    if (granted.isErr) return false;
+    const lease = granted.value;
+    const put = {
+      key: `${prefix}${nodeId}`,
+      value: Buffer.from(address),
+      lease,
+    };
+    // Only this node writes the key, so a repeated write does no harm.
+    const written = await store.txn({compares: [], puts: [put]}, {timeoutMs});
+    if (written.isErr) return false;
+    this.#lease = lease;
+    log('Entered the directory.', {nodeId, address, lease});
+    return true;
+  }
+
+  async #renew(): Promise<boolean> {
+    const {store} = this.#options;
+    const alive = await store.keepAlive(this.#lease ?? '', {timeoutMs});
+    if (alive.isErr) return false;
+    if (alive.value) return true;
+    log('Entry has lapsed.', {lease: this.#lease});
+    this.#lease = null;
+    return this.#enter();
+  }
+}
--- /dev/null
+++ b/packages/node/src/hosted/operator-records.ts
@@ -0,0 +1,114 @@
+import {INVARIANT_CODES, logger} from '@verbenabeam/core';
+import type {Invariants} from '@verbenabeam/core';
+import type {Snapshot} from '@verbenabeam/document';
+import type {OperatorFormat, RolloutOrder} from './operator-documents.js';
+
+/** A key that operators wrote, as the store or a peer shows it. @internal */
+export interface OperatorRecord {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: Uint8Array;
+}
+
+/** An order with the revision that identifies it. @internal */
+export interface KnownOrder {
+  readonly order: RolloutOrder;
+  readonly revision: number;
+}
+
+/** Called for each newer document. @internal */
+export interface OperatorListener {
+  onConfig(snapshot: Snapshot): void;
+  onOrder(known: KnownOrder): void;
+}
+
+const log = logger('config');
+
+/**
+ * What operators wrote, by the highest revision that this node saw of each key.
+ * Records come from the store and from peers, in any order. The configuration
+ * only moves to higher versions, and one that cannot be read changes nothing.
+ *
+ * @internal
+ */
+export class OperatorRecords {
+  readonly #format: OperatorFormat;
+  readonly #invariants: Invariants;
+  readonly #listener: OperatorListener;
+  readonly #records = new Map<string, OperatorRecord>();
+  #snapshot: Snapshot | null = null;
+  #revision = 0;
+
+  constructor(
+    format: OperatorFormat,
+    invariants: Invariants,
+    listener: OperatorListener,
+  ) {
+    this.#format = format;
+    this.#invariants = invariants;
+    this.#listener = listener;
+  }
+
+  /** The configuration in force; null before the first. */
+  get snapshot(): Snapshot | null {
+    return this.#snapshot;
+  }
+
+  /** Highest revision of a known record; 0 for none. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Records with a higher revision, for a peer that lacks them. */
+  since(revision: number): readonly OperatorRecord[] {
+    return [...this.#records.values()].filter(r => r.revision > revision);
+  }
+
+  /** Takes records; returns whether one of them was newer. */
+  offer(records: readonly OperatorRecord[]): boolean {
+    const newer = records.filter(r => this.#isNewer(r));
+    for (const record of newer) this.#take(record);
+    return newer.length > 0;
+  }
+
+  #isNewer({key, revision}: OperatorRecord): boolean {
+    return revision > (this.#records.get(key)?.revision ?? 0);
+  }
+
+  #take(record: OperatorRecord): void {
+    const {key, revision, value} = record;
+    this.#records.set(key, record);
+    this.#revision = Math.max(this.#revision, revision);
+    const parsed = this.#format.parse(key, value);
+    if (parsed.isErr) {
+      const {code, message} = parsed.error;
+      log('Document refused.', {key, revision, code: code.code, message});
+    } else if (parsed.value?.kind === 'config') {
+      this.#apply(parsed.value.snapshot, revision);
+    } else if (parsed.value?.kind === 'order') {
+      this.#listener.onOrder({order: parsed.value.order, revision});
+    }
+  }
+
+  #apply(next: Snapshot, revision: number): void {
+    const active = this.#snapshot?.version ?? 0;
+    if (next.version <= active) {
+      const {version} = next;
+      log('Configuration is not newer.', {version, active, revision});
+      return;
+    }
+    this.#invariants.check(
+      INVARIANT_CODES.versionWentBack,
+      next.version > active,
+      {version: next.version, active},
+    );
+    this.#snapshot = next;
+    log('Configuration is in force.', {
+      version: next.version,
+      before: active,
+      revision,
+      routes: next.document.routes.length,
+    });
+    this.#listener.onConfig(next);
+  }
+}
--- /dev/null
+++ b/packages/node/src/hosted/own-upstream.ts
@@ -0,0 +1,104 @@
+import {logger} from '@verbenabeam/core';
+import type {Clock, MeshError} from '@verbenabeam/core';
+import {Result} from 'true-myth';
+import type {OwnUpstream, OwnUpstreamPort} from '../calls/index.js';
+import type {MembershipService} from '../membership/membership-service.js';
+import type {UpstreamMessage, UpstreamReport} from './upstream-report.js';
+
+/** Parts of a {@link HostedUpstream}. @internal */
+export interface HostedUpstreamOptions {
+  readonly membership: MembershipService;
+  readonly clock: Clock;
+  /** Whether the configuration names the service. */
+  readonly isKnownService: (service: string) => boolean;
+}
+
+const log = logger('upstream');
+
+/**
+ * Follows the heartbeats of the upstream beside the node. A heartbeat may be
+ * late: one of an earlier start, or one that a newer has overtaken, changes
+ * nothing. What has said that it leaves does not come back under the same
+ * start.
+ *
+ * @internal
+ */
+export class HostedUpstream implements OwnUpstreamPort {
+  readonly #options: HostedUpstreamOptions;
+  #report: UpstreamReport | null = null;
+  #isLeaving = false;
+
+  constructor(options: HostedUpstreamOptions) {
+    this.#options = options;
+  }
+
+  /** The last heartbeat that counts; null before the first. */
+  get report(): UpstreamReport | null {
+    return this.#report;
+  }
+
+  current(): OwnUpstream | null {
+    const {record, address} = this.#options.membership.monitor;
+    if (!record || address === null) return null;
+    const {service, version, state} = record;
+    return {service, version, state, address, id: this.#report?.id ?? null};
+  }
+
+  markDown(reason: string): void {
+    log('Upstream is down.', {id: this.#report?.id, reason});
+    this.#options.membership.monitor.markDown();
+  }
+
+  /** Takes a call of the upstream. Error: 1501. */
+  take(message: UpstreamMessage): Result<true, MeshError> {
+    if (message.kind === 'leave') {
+      this.#leave(message.id);
+      return Result.ok(true);
+    }
+    const {report} = message;
+    if (!this.#options.isKnownService(report.service)) {
+      const {id, service} = report;
+      log('Heartbeat names an unknown service.', {id, service});
+      return Result.ok(true);
+    }
+    if (this.#isLate(report)) {
+      const {id, sequence, bornAt} = report;
+      log('Late heartbeat ignored.', {id, sequence, bornAt});
+      return Result.ok(true);
+    }
+    const isSameStart = this.#isSameStart(report);
+    this.#isLeaving = report.isDraining || (isSameStart && this.#isLeaving);
+    if (!isSameStart) {
+      const {id, service, version, bornAt, address} = report;
+      log('Upstream has started.', {id, service, version, bornAt, address});
+    }
+    this.#report = report;
+    return this.#announce(report);
+  }
+
+  #leave(id: string): void {
+    if (this.#report?.id !== id) return;
+    this.#isLeaving = true;
+    this.#announce(this.#report);
+  }
+
+  #announce(report: UpstreamReport): Result<true, MeshError> {
+    const {service, version, address, slots, id, bornAt} = report;
+    const state = this.#isLeaving ? 'leaving' : 'ready';
+    const process = `${id} ${bornAt}`;
+    return this.#options.membership
+      .announce({service, version, address, slots, state, process})
+      .map(() => true as const);
+  }
+
+  #isSameStart({id, bornAt}: UpstreamReport): boolean {
+    return this.#report?.id === id && this.#report.bornAt === bornAt;
+  }
+
+  #isLate(next: UpstreamReport): boolean {
+    const known = this.#report;
+    if (!known) return false;
+    if (next.bornAt !== known.bornAt) return next.bornAt < known.bornAt;
+    return next.id === known.id && next.sequence <= known.sequence;
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,6 +5,34 @@
  */
 export {MeshNode} from './mesh-node.js';
 export type {NodeAddresses} from './mesh-node.js';
+export {ANSWER_KINDS} from './calls/index.js';
+export type {
+  AnswerKind,
+  CallerHeaders,
+  CallHead,
+  CallProtocol,
+  OwnUpstream,
+  PassedAnswer,
+  RefusalResponse,
+  ResponseMark,
+} from './calls/index.js';
+export {passedHeaders} from './calls/index.js';
+export {HostedNode} from './hosted/hosted-node.js';
+export type {HostedNodeOptions} from './hosted/hosted-node.js';
+export type {HostedBounds, HostedSettings} from './hosted/hosted-settings.js';
+export {ROLLOUT_STATES} from './hosted/operator-documents.js';
+export type {
+  OperatorDocument,
+  OperatorFormat,
+  RolloutOrder,
+  RolloutState,
+  RolloutStatus,
+} from './hosted/operator-documents.js';
+export type {
+  UpstreamFormat,
+  UpstreamMessage,
+  UpstreamReport,
+} from './hosted/upstream-report.js';
 export {loadSettings} from './settings/load-settings.js';
 export {nodeSettingsSchema} from './settings/node-settings.js';
 export type {NodeSettings, NodeSettingsFile} from './settings/node-settings.js';
--- a/packages/node/src/membership/membership-service.ts
+++ b/packages/node/src/membership/membership-service.ts
@@ -10,6 +10,7 @@
 } from '@verbenabeam/membership';
 import type {
   GossipAction,
+  GossipOptions,
   InstanceRecord,
   UpstreamRecord,
 } from '@verbenabeam/membership';
@@ -33,11 +34,14 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly signal: AbortSignal;
+  readonly gossip?: GossipOptions;
+  /** Silence after which the own upstream is down, in milliseconds. */
+  readonly silenceMs?: number;
 }
 
 /** Runs the membership protocol and knows the instances. @internal */
 export class MembershipService {
-  readonly monitor = new UpstreamMonitor();
+  readonly monitor: UpstreamMonitor;
   readonly #options: MembershipServiceOptions;
   readonly #gossip: Gossip;
   /** Ready instances by service and version; dropped on each change. */
@@ -46,7 +50,11 @@
 
   constructor(options: MembershipServiceOptions) {
     this.#options = options;
-    this.#gossip = new Gossip(options.own, options.random);
+    const {own, random, gossip, silenceMs} = options;
+    this.monitor = new UpstreamMonitor(
+      silenceMs === undefined ? {} : {silenceMs},
+    );
+    this.#gossip = new Gossip(own, random, gossip);
     this.#gossip.table.onChange(() => this.#candidates.clear());
     this.monitor.onChange(record => this.#onUpstream(record));
   }
@@ -129,6 +137,22 @@
     return found;
   }
 
+  /** Ready instances of a service by version, without the given nodes. */
+  versions(
+    service: string,
+    exclude: ReadonlySet<string>,
+  ): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const {nodeId, upstream} of this.live()) {
+      const isReady =
+        upstream?.service === service &&
+        upstream.state === UPSTREAM_STATES.ready;
+      if (!isReady || exclude.has(nodeId)) continue;
+      counts.set(upstream.version, (counts.get(upstream.version) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   #serves(row: InstanceRecord, service: string, version: string): boolean {
     const {upstream} = row;
     return (
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -8,7 +8,7 @@
 import type {Snapshot} from '@verbenabeam/document';
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
-import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
+import {Admission, RetryBudget, RetryLedger} from '@verbenabeam/routing';
 import type {Store, StoreRevisions} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
@@ -22,6 +22,7 @@
   CallLog,
   drainCalls,
   EntryHandler,
+  nativeProtocol,
   ServingHandler,
 } from './calls/index.js';
 import type {ConfigPort} from './calls/index.js';
@@ -123,8 +124,10 @@
     });
     this.#admission = new AdmissionAdapter({
       clock,
-      maxWaitMs: settings.limits.queue_wait,
-      slots: initialSlots,
+      admission: new Admission({
+        slots: initialSlots,
+        maxWaitMs: settings.limits.queue_wait,
+      }),
     });
     this.#quarantine = new QuarantineAdapter(shared);
     this.#instances = new InstanceAdapter({...shared, random});
@@ -134,6 +137,7 @@
       quarantine: this.#quarantine,
       stopped: new StoppedVersionsAdapter(this.moves.gate),
       ledger: this.#ledger,
+      protocol: nativeProtocol,
       invariants,
     });
     this.#retries = new RetryBudget({share: settings.limits.retry_share});
@@ -195,7 +199,7 @@
   }
 
   #createEntry(): EntryHandler {
-    const {bus, invariants, clock} = this.#options;
+    const {bus, invariants, clock, random} = this.#options;
     const finished = new FinishedCalls({
       calls: this.calls,
       metrics: this.metrics,
@@ -213,6 +217,8 @@
       bus,
       serving: this.serving,
       observer: finished,
+      protocol: nativeProtocol,
+      random,
       invariants,
     });
   }
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -1,8 +1,9 @@
 import {MeshError} from '@verbenabeam/core';
 import type {Clock} from '@verbenabeam/core';
-import {Admission, Deadline} from '@verbenabeam/routing';
+import {Deadline} from '@verbenabeam/routing';
 import type {
   AdmissionDecision as Decision,
+  AdmissionPolicy,
   LoadReport,
 } from '@verbenabeam/routing';
 import {Result} from 'true-myth';
@@ -18,22 +19,19 @@
 /** Options of {@link AdmissionAdapter}. @internal */
 export interface AdmissionAdapterOptions {
   readonly clock: Clock;
-  /** Longest expected wait for a slot, in milliseconds. */
-  readonly maxWaitMs: number;
-  /** Slots until the upstream has announced itself. */
-  readonly slots: number;
+  readonly admission: AdmissionPolicy;
 }
 
 /** Connects the admission logic to timers and promises. @internal */
 export class AdmissionAdapter implements AdmissionPort {
   readonly #clock: Clock;
-  readonly #admission: Admission;
+  readonly #admission: AdmissionPolicy;
   readonly #waiting = new Map<string, Settle>();
   #timer: NodeJS.Timeout | null = null;
 
-  constructor({clock, maxWaitMs, slots}: AdmissionAdapterOptions) {
+  constructor({clock, admission}: AdmissionAdapterOptions) {
     this.#clock = clock;
-    this.#admission = new Admission({slots, maxWaitMs});
+    this.#admission = admission;
   }
 
   get inFlight(): number {
@@ -49,8 +47,10 @@
     this.#carryOut(this.#admission.setSlots(slots, this.#clock.now()));
   }
 
-  enter({callId, deadlineAt}: AdmissionRequest): AdmissionDecision {
-    const call = {id: callId, deadline: new Deadline(deadlineAt)};
+  enter(req: AdmissionRequest): AdmissionDecision {
+    const {callId, deadlineAt, ...rest} = req;
+    const deadline = new Deadline(deadlineAt);
+    const call = {id: callId, deadline, ...rest};
     const decision = this.#admission.tryEnter(call, this.#clock.now());
     if (decision.kind === 'admitted') {
       return {kind: 'admitted', ticket: this.#ticket(callId)};
@@ -114,6 +114,8 @@
   }
 }
 
-function refusal({code}: Extract<Decision, {kind: 'refused'}>): MeshError {
-  return new MeshError(code, code.text);
+function refusal(decision: Extract<Decision, {kind: 'refused'}>): MeshError {
+  const {code, retryAfterMs} = decision;
+  const details = retryAfterMs === undefined ? {} : {retryAfterMs};
+  return new MeshError(code, code.text, details);
 }
--- a/packages/routing/src/admission-types.ts
+++ b/packages/routing/src/admission-types.ts
@@ -1,12 +1,19 @@
 import type {ResultCode} from '@verbenabeam/core';
 import type {Deadline} from './deadline.js';
 import type {GradientOptions} from './gradient-limit.js';
+import type {LoadReport} from './load-report.js';
 
 /** A call that asks for a slot. @public */
 export interface AdmissionCall {
   /** Unique among the calls that are queued or running here. */
   readonly id: string;
   readonly deadline: Deadline;
+  /** Name of the route; times in the upstream are kept for each. */
+  readonly route?: string;
+  /** Rank of the route; 0, the default, is the most urgent. */
+  readonly priority?: number;
+  /** Time after which an answer is of less use; default: the deadline. */
+  readonly targetAt?: number;
 }
 
 /** Answer to a call that asks for a slot. @public */
@@ -17,8 +24,34 @@
       readonly kind: 'refused';
       readonly callId: string;
       readonly code: ResultCode;
+      /** Time in which the backlog clears, in milliseconds. */
+      readonly retryAfterMs?: number;
     };
 
+/**
+ * Decides which calls run on the own upstream. A refusal means that the call
+ * was not run. Methods return the decisions on queued calls that they caused;
+ * the driver must carry out all of them.
+ *
+ * @public
+ */
+export interface AdmissionPolicy {
+  readonly inFlight: number;
+  /** Time at which `expire` is due; null with no queue. */
+  readonly nextExpiry: number | null;
+  tryEnter(call: AdmissionCall, now: number): AdmissionDecision;
+  finish(
+    callId: string,
+    now: number,
+    serviceMs?: number | null,
+  ): AdmissionDecision[];
+  answered(callId: string, now: number, serviceMs: number): AdmissionDecision[];
+  cancel(callId: string): boolean;
+  expire(now: number): AdmissionDecision[];
+  setSlots(slots: number, now: number): AdmissionDecision[];
+  report(): LoadReport;
+}
+
 /** Settings of `Admission`. @public */
 export interface AdmissionOptions {
   /** Calls that the upstream announced to run at once. */
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -4,6 +4,7 @@
   AdmissionCall,
   AdmissionDecision,
   AdmissionOptions,
+  AdmissionPolicy,
 } from './admission-types.js';
 import {GradientLimit} from './gradient-limit.js';
 import type {LoadReport} from './load-report.js';
@@ -24,7 +25,7 @@
  *
  * @public
  */
-export class Admission {
+export class Admission implements AdmissionPolicy {
   readonly #limit: GradientLimit;
   readonly #maxWaitMs: number;
   /** Start of each running call; null once its answer has begun. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
   AdmissionCall,
   AdmissionDecision,
   AdmissionOptions,
+  AdmissionPolicy,
 } from './admission-types.js';
 export {crashNoticeSchema} from './crash-notice.js';
 export type {CrashNotice} from './crash-notice.js';
@@ -43,5 +44,7 @@
   RetryDecision,
   RetryRequest,
 } from './retry-budget.js';
+export {SlotQueue} from './slot-queue.js';
+export type {SlotQueueOptions} from './slot-queue.js';
 export {retriesAfter, RetryLedger} from './retry-ledger.js';
 export type {RetryLedgerOptions} from './retry-ledger.js';
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -5,7 +5,7 @@
   /** Retries per call in the long run; default 0.1. */
   readonly share?: number;
   /** Retries that may be saved up for one service; default 10. */
-  readonly burst?: number;
+  readonly burst?: number | (() => number);
 }
 
 /** What decides whether one call may be sent again. @public */
@@ -49,23 +49,24 @@
  */
 export class RetryBudget {
   readonly #share: number;
-  readonly #burst: number;
+  readonly #burst: () => number;
   readonly #tokens = new Map<string, number>();
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#share = options.share ?? defaultShare;
-    this.#burst = options.burst ?? defaultBurst;
+    const burst = options.burst ?? defaultBurst;
+    this.#burst = typeof burst === 'number' ? () => burst : burst;
   }
 
   /** Counts a first attempt, which earns a share of a retry. */
   recordCall(service: string): void {
     const tokens = this.tokens(service) + this.#share;
-    this.#tokens.set(service, Math.min(this.#burst, tokens));
+    this.#tokens.set(service, Math.min(this.#burst(), tokens));
   }
 
   /** Tokens of a service; a new service starts with a full bucket. */
   tokens(service: string): number {
-    return this.#tokens.get(service) ?? this.#burst;
+    return this.#tokens.get(service) ?? this.#burst();
   }
 
   /** Decides on one retry and takes a token when it is granted. */
--- /dev/null
+++ b/packages/routing/src/slot-queue.ts
@@ -0,0 +1,239 @@
+import {CALL_CODES} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
+import type {
+  AdmissionCall,
+  AdmissionDecision,
+  AdmissionPolicy,
+} from './admission-types.js';
+import type {LoadReport} from './load-report.js';
+import {Smoothed} from './smoothed.js';
+
+/** Settings of {@link SlotQueue}. @public */
+export interface SlotQueueOptions {
+  /** Calls that the upstream announced to run at once. */
+  readonly slots: number;
+  /** Time of a call before any was measured, in ms; default 50. */
+  readonly initialServiceMs?: number;
+}
+
+interface Waiting {
+  readonly call: AdmissionCall;
+  readonly since: number;
+}
+
+interface Running {
+  readonly route: string;
+  readonly since: number;
+}
+
+const defaultServiceMs = 50;
+const serviceSmoothing = 0.1;
+/**
+ * Share of the mean time in the upstream that a call must have left. Times
+ * scatter by about half of their mean, so the mean itself would refuse calls
+ * that would have been answered.
+ */
+const neededShare = 0.7;
+/** A returning caller finds part of the backlog cleared after this time. */
+const minRetryAfterMs = 20;
+const otherRoute = '';
+
+/**
+ * Admission for an upstream with a fixed number of slots, where calls of
+ * several ranks meet. Load pattern: more calls than slots for seconds, of which
+ * an urgent part must stay on time.
+ *
+ * Never more calls run than there are slots, because a full upstream resets
+ * connections, and a reset call may have run. The most urgent rank goes first,
+ * within a rank first come, first served; calls that can no longer be answered
+ * by their target go after those that can. What cannot be answered by its
+ * deadline is refused at once.
+ *
+ * @public
+ */
+export class SlotQueue implements AdmissionPolicy {
+  #slots: number;
+  readonly #initialMs: number;
+  readonly #running = new Map<string, Running>();
+  readonly #queue: Waiting[] = [];
+  readonly #serviceMs = new Map<string, Smoothed>();
+  readonly #meanMs: Smoothed;
+  #draining = false;
+
+  constructor({slots, initialServiceMs}: SlotQueueOptions) {
+    this.#slots = slots;
+    this.#initialMs = initialServiceMs ?? defaultServiceMs;
+    this.#meanMs = new Smoothed(this.#initialMs, serviceSmoothing);
+  }
+
+  get inFlight(): number {
+    return this.#running.size;
+  }
+
+  get queued(): number {
+    return this.#queue.length;
+  }
+
+  get nextExpiry(): number | null {
+    let next: number | null = null;
+    for (const {call} of this.#queue) {
+      const at = this.#lastStart(call);
+      if (next === null || at < next) next = at;
+    }
+    return next;
+  }
+
+  /** Refusals: 1605 while draining, 1606 if the deadline cannot be met. */
+  tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
+    if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
+    const isFree = this.#running.size < this.#slots;
+    if (isFree && this.#queue.length === 0) return this.#admit(call, now);
+    const waitMs = this.#expectedWait(call, now);
+    if (now + waitMs > this.#lastStart(call)) {
+      return this.#refused(call, CALL_CODES.deadlineTooClose, waitMs);
+    }
+    this.#queue.push({call, since: now});
+    return {kind: 'queued', callId: call.id};
+  }
+
+  /**
+   * Ends a running call and fills the free slots. An unknown id is ignored.
+   *
+   * @param serviceMs - Time that the upstream took, in milliseconds; null for
+   * calls whose time says nothing about the upstream.
+   */
+  finish(
+    callId: string,
+    now: number,
+    serviceMs?: number | null,
+  ): AdmissionDecision[] {
+    const running = this.#running.get(callId);
+    if (!running) return [];
+    this.#running.delete(callId);
+    if (serviceMs !== null) {
+      this.#record(running.route, serviceMs ?? now - running.since);
+    }
+    return this.#fill(now);
+  }
+
+  /** A slot is held until the end of the answer. */
+  answered(): AdmissionDecision[] {
+    return [];
+  }
+
+  cancel(callId: string): boolean {
+    const index = this.#queue.findIndex(w => w.call.id === callId);
+    if (index < 0) return false;
+    this.#queue.splice(index, 1);
+    return true;
+  }
+
+  /** Refuses the waiting calls that can no longer be answered in time. */
+  expire(now: number): AdmissionDecision[] {
+    const decisions: AdmissionDecision[] = [];
+    for (let i = this.#queue.length - 1; i >= 0; i--) {
+      const waiting = this.#queue[i];
+      if (!waiting || this.#lastStart(waiting.call) > now) continue;
+      this.#queue.splice(i, 1);
+      const {call} = waiting;
+      const waitMs = this.#expectedWait(call, now);
+      decisions.push(this.#refused(call, CALL_CODES.deadlineTooClose, waitMs));
+    }
+    return decisions;
+  }
+
+  /** Refuses new and waiting calls from now on; running calls continue. */
+  drain(): AdmissionDecision[] {
+    this.#draining = true;
+    const waiting = this.#queue.splice(0);
+    const code = CALL_CODES.draining;
+    return waiting.map(({call}) => this.#refused(call, code, 0));
+  }
+
+  setSlots(slots: number, now: number): AdmissionDecision[] {
+    this.#slots = slots;
+    return this.#fill(now);
+  }
+
+  report(): LoadReport {
+    return {
+      inFlight: this.#running.size,
+      queued: this.#queue.length,
+      slots: this.#slots,
+      serviceMs: this.#meanMs.value,
+    };
+  }
+
+  #fill(now: number): AdmissionDecision[] {
+    const decisions = this.expire(now);
+    while (this.#queue.length > 0 && this.#running.size < this.#slots) {
+      const [next] = this.#queue.splice(this.#nextIndex(now), 1);
+      if (next) decisions.push(this.#admit(next.call, now));
+    }
+    return decisions;
+  }
+
+  #nextIndex(now: number): number {
+    let best = 0;
+    for (let i = 1; i < this.#queue.length; i++) {
+      const [a, b] = [this.#queue[i], this.#queue[best]];
+      if (a && b && this.#goesBefore(a.call, b.call, now)) best = i;
+    }
+    return best;
+  }
+
+  /** Whether `a`, which arrived later, goes before `b`. */
+  #goesBefore(a: AdmissionCall, b: AdmissionCall, now: number): boolean {
+    const isLateA = this.#isLate(a, now);
+    const isLateB = this.#isLate(b, now);
+    if (isLateA !== isLateB) return isLateB;
+    return (a.priority ?? 0) < (b.priority ?? 0);
+  }
+
+  #isLate(call: AdmissionCall, now: number): boolean {
+    if (call.targetAt === undefined) return false;
+    return now + neededShare * this.#estimate(call) > call.targetAt;
+  }
+
+  #admit(call: AdmissionCall, now: number): AdmissionDecision {
+    this.#running.set(call.id, {route: call.route ?? otherRoute, since: now});
+    return {kind: 'admitted', callId: call.id};
+  }
+
+  /** Time until a call of its rank gets a slot, in milliseconds. */
+  #expectedWait(call: AdmissionCall, now: number): number {
+    let aheadMs = this.#meanMs.value;
+    for (const waiting of this.#queue) {
+      if (this.#goesBefore(call, waiting.call, now)) continue;
+      aheadMs += this.#estimate(waiting.call);
+    }
+    return aheadMs / Math.max(1, this.#slots);
+  }
+
+  #lastStart(call: AdmissionCall): number {
+    return call.deadline.at - neededShare * this.#estimate(call);
+  }
+
+  #estimate({route}: AdmissionCall): number {
+    return this.#serviceMs.get(route ?? otherRoute)?.value ?? this.#initialMs;
+  }
+
+  #record(route: string, serviceMs: number): void {
+    this.#meanMs.add(serviceMs);
+    const known = this.#serviceMs.get(route);
+    if (known) {
+      known.add(serviceMs);
+      return;
+    }
+    this.#serviceMs.set(route, new Smoothed(serviceMs, serviceSmoothing));
+  }
+
+  #refused(
+    {id}: AdmissionCall,
+    code: ResultCode,
+    waitMs: number,
+  ): AdmissionDecision {
+    const retryAfterMs = Math.max(minRetryAfterMs, waitMs);
+    return {kind: 'refused', callId: id, code, retryAfterMs};
+  }
+}
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -192,6 +192,7 @@
     const res = await this.#call(call, rangeResponse, options);
     return res.map(({header, kvs}) => {
       this.#revisions.observe(sent, header.revision);
+      options.onRevision?.(header.revision);
       return kvs.map(decodeEntry);
     });
   }
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -42,6 +42,8 @@
   /** Time limit in milliseconds. Default 1,000. */
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Gets the store's revision at which a read was answered. */
+  readonly onRevision?: (revision: number) => void;
 }
 
 /** A transaction: all writes are applied if all conditions hold. @public */
