--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -62,3 +62,15 @@
 export {planShare} from './share-planner.js';
 export type {Plan} from './share-planner.js';
 export type {Verdict} from './verdict.js';
+export {RolloutEvidence} from './rollout-evidence.js';
+export type {
+  EvidenceReport,
+  EvidenceRow,
+  RolloutSample,
+  RouteCounts,
+  SideCounts,
+} from './rollout-evidence.js';
+export {judgeRollout, ROLLOUT_FAULTS} from './rollout-judge.js';
+export type {RolloutFault, RolloutFinding} from './rollout-judge.js';
+export {canaryShare, mayFinish, plannedShare} from './rollout-plan.js';
+export type {RolloutBounds, RolloutProgress} from './rollout-plan.js';
--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -53,7 +53,14 @@
     // call waited for its claim, its body or an instance.
     this.#choice = versions.choose(snapshot, service, callId, this.#tried);
     const {version} = this.#choice;
-    const target = instances.pick(service.name, version, this.#tried);
+    const target = instances.pick(
+      service.name,
+      version,
+      this.#tried,
+      this.#call.route.targetLatencyMs === undefined
+        ? 0
+        : this.#targetMs(remainingMs),
+    );
     if (!target) return null;
     this.#tried.add(target.nodeId);
     const head = this.#head(version, remainingMs, passRetries());
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -90,11 +90,17 @@
 
 /** Chooses instances and learns from outcomes. @public */
 export interface InstanceChooser {
-  /** Null if no instance outside `exclude` (node ids) can take the call. */
+  /**
+   * Null if no instance outside `exclude` (node ids) can take the call.
+   *
+   * @param targetMs - Time within which an answer is as useful as an earlier
+   * one; default 0.
+   */
   pick(
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
+    targetMs?: number,
   ): Target | null;
   /** Called when an attempt begins. */
   began(target: Target): void;
--- a/packages/node/src/entry/instance-adapter.ts
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -41,13 +41,14 @@
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
+    targetMs = 0,
   ): Target | null {
     const {membership} = this.#options;
     const {region} = membership.own;
     // Another region costs tens of milliseconds, so it is the last resort.
     const picked =
-      this.#pickFrom(service, version, exclude, region) ??
-      this.#pickFrom(service, version, exclude);
+      this.#pickFrom(service, version, exclude, targetMs, region) ??
+      this.#pickFrom(service, version, exclude, targetMs);
     if (!picked) return null;
     const {nodeId} = picked;
     const address = membership.addressOf(nodeId) ?? '';
@@ -58,13 +59,15 @@
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
+    targetMs: number,
     region?: string,
   ): Candidate | null {
     const {membership, clock, random} = this.#options;
     const candidates = membership.candidates(service, version, region);
     const now = clock.now();
-    const args = [service, version, candidates, now, random, exclude] as const;
-    return this.#picker.pick(...args).unwrapOr(null);
+    return this.#picker
+      .pick(service, version, candidates, now, random, exclude, targetMs)
+      .unwrapOr(null);
   }
 
   /** The picker counts an attempt when it picks. */
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -3,6 +3,7 @@
 import {
   Invariants,
   logger,
+  newId,
   seededRandom,
   systemClock,
 } from '@verbenabeam/core';
@@ -68,6 +69,7 @@
   private constructor(
     options: HostedNodeOptions,
     bus: TcpPeerBus,
+    memberId: string,
     wireAddress: string,
   ) {
     this.#options = options;
@@ -79,6 +81,7 @@
     });
     this.#parts = new HostedParts({
       ...options,
+      memberId,
       wireAddress,
       bus,
       clock: systemClock,
@@ -108,15 +111,17 @@
     options: HostedNodeOptions,
   ): Promise<Result<HostedNode, MeshError>> {
     const {settings} = options;
+    // A restarted process is another member: its clock may be behind.
+    const memberId = `${settings.nodeId}.${newId()}`;
     const bus = new TcpPeerBus({
-      nodeId: settings.nodeId,
+      nodeId: memberId,
       // The platform gives nodes no secret; the key keeps out other programs.
       nodeKey: Buffer.from(`verbenabeam ${settings.store.address}`),
       ...wire,
     });
     const started = await bus.start(settings.listen.wire);
     if (started.isErr) return Result.err(started.error);
-    const node = new HostedNode(options, bus, started.value);
+    const node = new HostedNode(options, bus, memberId, started.value);
     const failure = await node.#listen();
     if (failure) {
       await node.#close();
@@ -152,6 +157,16 @@
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
 
+  /** Ends at once and cuts what is in flight, as a crash does. @internal */
+  abort(): Promise<void> {
+    return this.#close();
+  }
+
+  /** Parts of the node, for tests. @internal */
+  get parts(): HostedParts {
+    return this.#parts;
+  }
+
   #createListeners(): readonly Server[] {
     const {upstreamFormat} = this.#options;
     const parts = this.#parts;
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,4 +1,3 @@
-import {newId} from '@verbenabeam/core';
 import type {Clock, Invariants, RandomSource} from '@verbenabeam/core';
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
@@ -65,6 +64,8 @@
   readonly settings: HostedSettings;
   readonly protocol: CallProtocol;
   readonly operatorFormat: OperatorFormat;
+  /** Name of this process among the members. */
+  readonly memberId: string;
   readonly wireAddress: string;
   readonly bus: PeerBus;
   readonly store: Store;
@@ -116,7 +117,13 @@
       silenceMs: settings.heartbeatMs * missedHeartbeats,
     });
     const shared = {membership: this.membership, bus, clock, random};
-    this.rollouts = new Rollouts(random);
+    this.rollouts = new Rollouts({
+      ...shared,
+      store: this.#store,
+      format: options.operatorFormat,
+      bounds: settings.bounds,
+      signal,
+    });
     this.records = new OperatorRecords(options.operatorFormat, invariants, {
       onConfig: snapshot => this.#onConfig(snapshot),
       onOrder: known => this.rollouts.onOrder(known),
@@ -194,6 +201,7 @@
       this.#admission.setSlots(slots),
     );
     this.#quarantine.start();
+    this.rollouts.start();
     this.#peerRecords.start();
     this.membership.start(settings.seeds);
     const feed = new OperatorFeed({
@@ -248,6 +256,7 @@
 
   #onCall(record: CallRecord): void {
     this.#calls.onCall(record);
+    this.rollouts.onCall(record);
   }
 
   #createRetries(): RetryBudget {
@@ -273,10 +282,9 @@
 }
 
 function ownRecord(options: HostedPartsOptions): InstanceRecord {
-  const {nodeId, dataCentre, region} = options.settings;
+  const {dataCentre, region} = options.settings;
   return {
-    // A restarted process is another member: its clock may be behind.
-    nodeId: `${nodeId}.${newId()}`,
+    nodeId: options.memberId,
     incarnation: options.clock.wallTime(),
     sequence: 1,
     address: options.wireAddress,
--- /dev/null
+++ b/packages/node/src/hosted/rollout-recorder.ts
@@ -0,0 +1,79 @@
+import {logger} from '@verbenabeam/core';
+import type {Store} from '@verbenabeam/store';
+import {ROLLOUT_STATES} from './operator-documents.js';
+import type {OperatorFormat, RolloutStatus} from './operator-documents.js';
+import type {RolloutRun} from './rollout-run.js';
+
+const timeoutMs = 800;
+const log = logger('rollout');
+
+interface ShownStatus {
+  /** 0 without a record. */
+  readonly revision: number;
+  /** Null if the record is of an earlier order. */
+  readonly status: RolloutStatus | null;
+}
+
+/**
+ * Keeps the state of rollouts in the store, where operators read it. Several
+ * judges may write: a compare-and-swap decides, and a final state stays.
+ *
+ * @internal
+ */
+export class RolloutRecorder {
+  readonly #store: Store;
+  readonly #format: OperatorFormat;
+
+  constructor(store: Store, format: OperatorFormat) {
+    this.#store = store;
+    this.#format = format;
+  }
+
+  /** Takes over what the store shows for the order of the run. */
+  async read(run: RolloutRun): Promise<ShownStatus | null> {
+    const {service} = run.known.order;
+    const got = await this.#store.get(this.#format.statusKey(service), {
+      timeoutMs,
+    });
+    if (got.isErr) return null;
+    const entry = got.value;
+    if (!entry) return {revision: 0, status: null};
+    const {revision} = entry;
+    const status = this.#format.parseStatus(entry.value);
+    const isOfOrder =
+      revision > run.known.revision && status?.targetVersion === run.target;
+    if (!isOfOrder) return {revision, status: null};
+    run.recorded = status.state;
+    const isFinal = status.state !== ROLLOUT_STATES.running;
+    if (isFinal && run.state !== status.state) {
+      log('Store shows the end of the rollout.', {service, ...status});
+      run.state = status.state;
+    }
+    return {revision, status};
+  }
+
+  /** Writes the state of the run unless the store shows a final one. */
+  async write(run: RolloutRun): Promise<void> {
+    if (run.isWriting) return;
+    run.isWriting = true;
+    await this.#write(run);
+    run.isWriting = false;
+  }
+
+  async #write(run: RolloutRun): Promise<void> {
+    const shown = await this.read(run);
+    if (!shown || run.recorded === run.state) return;
+    const {service} = run.known.order;
+    const key = this.#format.statusKey(service);
+    const {state, target} = run;
+    const value = this.#format.encodeStatus({state, targetVersion: target});
+    const written = await this.#store.txn(
+      {compares: [{key, revision: shown.revision}], puts: [{key, value}]},
+      {timeoutMs},
+    );
+    // After a lost answer or a conflict the next turn reads again.
+    if (written.isErr || !written.value.committed) return;
+    run.recorded = state;
+    log('State is recorded.', {service, target, state});
+  }
+}
--- /dev/null
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -0,0 +1,93 @@
+import {canaryShare, RolloutEvidence} from '@verbenabeam/moves';
+import type {EvidenceReport, RolloutBounds} from '@verbenabeam/moves';
+import {ROLLOUT_STATES} from './operator-documents.js';
+import type {RolloutState} from './operator-documents.js';
+import type {KnownOrder} from './operator-records.js';
+import type {StageMessage} from './rollout-messages.js';
+
+/** A stage or report that is older says nothing about now. */
+const freshMs = 1_000;
+
+interface GivenShare {
+  readonly share: number;
+  readonly at: number;
+}
+
+interface NodeReport {
+  readonly report: EvidenceReport;
+  readonly at: number;
+}
+
+/** What one node knows of one rollout. @internal */
+export class RolloutRun {
+  readonly known: KnownOrder;
+  /** Own evidence. */
+  readonly evidence = new RolloutEvidence();
+  state: RolloutState = ROLLOUT_STATES.running;
+  /** State that the store shows for this order; null if none. */
+  recorded: RolloutState | null = null;
+  isWriting = false;
+  readonly #bounds: RolloutBounds;
+  readonly #given = new Map<string, GivenShare>();
+  readonly #reports = new Map<string, NodeReport>();
+  #startAt: number;
+
+  constructor(known: KnownOrder, bounds: RolloutBounds, now: number) {
+    this.known = known;
+    this.#bounds = bounds;
+    this.#startAt = now;
+  }
+
+  get target(): string {
+    return this.known.order.targetVersion;
+  }
+
+  get isRunning(): boolean {
+    return this.state === ROLLOUT_STATES.running;
+  }
+
+  elapsedMs(now: number): number {
+    return now - this.#startAt;
+  }
+
+  /**
+   * Share of the new version on this node. More than the first share needs the
+   * word of every judge that speaks, so a node that hears none goes back to it.
+   */
+  share(now: number): number {
+    const shares = [...this.#given.values()]
+      .filter(({at}) => now - at <= freshMs)
+      .map(({share}) => share);
+    const first = canaryShare(this.#bounds, this.known.order.durationMs);
+    return shares.length === 0 ? first : Math.min(...shares);
+  }
+
+  /** Takes the stage of a judge; returns whether the state has changed. */
+  onStage(judge: string, stage: StageMessage, now: number): boolean {
+    this.#given.set(judge, {share: stage.share, at: now});
+    this.#startAt = Math.min(this.#startAt, now - stage.elapsedMs);
+    if (!this.isRunning || stage.state === this.state) return false;
+    this.state = stage.state;
+    return true;
+  }
+
+  onReport(nodeId: string, report: EvidenceReport, now: number): void {
+    this.#reports.set(nodeId, {report, at: now});
+  }
+
+  /** Evidence of all nodes; a node that has ended counts with its last. */
+  total(): RolloutEvidence {
+    const total = new RolloutEvidence();
+    for (const {report} of this.#reports.values()) total.merge(report);
+    return total;
+  }
+
+  /** Whether all given nodes have left the old version. */
+  isMoved(nodeIds: readonly string[], now: number): boolean {
+    return nodeIds.every(nodeId => {
+      const known = this.#reports.get(nodeId);
+      if (!known || now - known.at > freshMs) return false;
+      return known.report.share === 1 && known.report.oldInFlight === 0;
+    });
+  }
+}
--- a/packages/routing/src/instance-picker.ts
+++ b/packages/routing/src/instance-picker.ts
@@ -21,6 +21,11 @@
 /** A new instance gets some calls from the start, to warm up. */
 const lowestSlowStartWeight = 0.05;
 const initialLatencyMs = 10;
+/**
+ * Share of the target at which the expected time still meets it nearly always;
+ * single times are up to twice as long.
+ */
+const comfortShare = 0.5;
 const none: ReadonlySet<string> = new Set();
 
 /**
@@ -45,6 +50,8 @@
    *
    * @param candidates - Ready instances of the service and version.
    * @param exclude - Node ids that already failed this call.
+   * @param targetMs - Time within which an answer is as useful as an earlier
+   * one; an instance of the own data centre that meets it is preferred.
    * @returns 1602 when no candidate is left.
    */
   pick(
@@ -54,11 +61,12 @@
     now: number,
     rng: RandomSource,
     exclude: ReadonlySet<string> = none,
+    targetMs = 0,
   ): Result<Candidate, MeshError> {
     const usable = this.#withoutEjected(candidates, now).filter(
       c => !exclude.has(c.nodeId),
     );
-    const chosen = this.#choose(usable, now, rng);
+    const chosen = this.#choose(usable, now, rng, targetMs);
     if (!chosen) {
       const text = `no instance of ${service} ${version} can take the call`;
       const details = {candidates: candidates.length, excluded: exclude.size};
@@ -104,11 +112,13 @@
     usable: readonly Candidate[],
     now: number,
     rng: RandomSource,
+    targetMs: number,
   ): Candidate | null {
     const {dataCentre, linkMs} = this.#options;
+    const comfortMs = Math.max(linkMs, targetMs * comfortShare);
     const local = usable.filter(c => c.dataCentre === dataCentre);
     const best = this.#betterOfTwo(local, now, rng);
-    if (best && this.#cost(best, now) <= linkMs) return best;
+    if (best && this.#cost(best, now) <= comfortMs) return best;
     const remote = usable.filter(c => c.dataCentre !== dataCentre);
     const other = this.#betterOfTwo(remote, now, rng);
     if (!best || !other) return best ?? other;
