--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -60,6 +60,8 @@
       this.#call.route.targetLatencyMs === undefined
         ? 0
         : this.#targetMs(remainingMs),
+      // A call that was turned away once is not sent where it must be again.
+      this.#tried.size > 0 ? remainingMs : Infinity,
     );
     if (!target) return null;
     this.#tried.add(target.nodeId);
--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -169,6 +169,7 @@
 /** Outcome of an attempt that failed with this error. @internal */
 export function outcomeOf({code}: MeshError): Outcome {
   if (isUnreachable(code)) return OUTCOMES.unreachable;
+  if (code === CALL_CODES.upstreamShed) return OUTCOMES.shed;
   return code.notRun ? OUTCOMES.refused : OUTCOMES.lost;
 }
 
--- a/packages/node/src/calls/crash-detector.ts
+++ b/packages/node/src/calls/crash-detector.ts
@@ -14,35 +14,25 @@
 export class CrashDetector {
   readonly #ports: Pick<ServingPorts, 'upstream' | 'quarantine'>;
   #lost: LostRequest[] = [];
-  #probing = false;
+  #probe: Promise<boolean> | null = null;
 
   constructor(ports: Pick<ServingPorts, 'upstream' | 'quarantine'>) {
     this.#ports = ports;
   }
 
-  /** Takes a request whose connection was lost. */
-  onLost(request: LostRequest, upstream: OwnUpstream): void {
+  /**
+   * Takes a request whose connection was lost.
+   *
+   * @returns Whether the upstream died.
+   */
+  onLost(request: LostRequest, upstream: OwnUpstream): Promise<boolean> {
     this.#lost.push(request);
-    if (this.#probing) return;
-    this.#probing = true;
-    const [host, port] = upstream.address.split(':');
-    const socket = net.connect({host, port: Number(port)});
-    socket.setTimeout(probeTimeoutMs);
-    const decide = (died: boolean) => {
-      if (!this.#probing) return;
-      this.#probing = false;
-      socket.destroy();
+    this.#probe ??= refusesConnections(upstream).then(died => {
+      this.#probe = null;
       this.#decide(died, upstream);
-    };
-    socket.once('connect', () => {
-      decide(false);
-    });
-    socket.once('error', () => {
-      decide(true);
-    });
-    socket.once('timeout', () => {
-      decide(true);
+      return died;
     });
+    return this.#probe;
   }
 
   #decide(died: boolean, {address}: OwnUpstream): void {
@@ -54,3 +44,19 @@
     this.#ports.quarantine.crashed(lost);
   }
 }
+
+/** Whether the upstream takes no connection. */
+function refusesConnections({address}: OwnUpstream): Promise<boolean> {
+  const [host, port] = address.split(':');
+  const socket = net.connect({host, port: Number(port)});
+  socket.setTimeout(probeTimeoutMs);
+  return new Promise(resolve => {
+    const decide = (refuses: boolean) => {
+      socket.destroy();
+      resolve(refuses);
+    };
+    socket.once('connect', () => decide(false));
+    socket.once('error', () => decide(true));
+    socket.once('timeout', () => decide(true));
+  });
+}
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -237,10 +237,19 @@
       !err.code.notRun || !wasOpen,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(err, this.#retries.toReport);
+    this.#response.refuse(this.#spread(err), this.#retries.toReport);
     this.#finish(err.code);
   }
 
+  /** Spreads the returns of refused callers over the time they are told. */
+  #spread(err: MeshError): MeshError {
+    const {retryAfterMs} = err.details;
+    if (typeof retryAfterMs !== 'number') return err;
+    const spreadMs = retryAfterMs * (1 + this.#ports.random.float());
+    const details = {...err.details, retryAfterMs: spreadMs};
+    return new MeshError(err.code, err.message, details);
+  }
+
   #record(outcome: Outcome, code: ResultCode): void {
     const attempt = this.#attempt;
     if (!attempt) return;
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -63,6 +63,8 @@
   failed: 'failed',
   /** Refused as not run by the instance. */
   refused: 'refused',
+  /** Refused as not run by the upstream itself, which had a free slot. */
+  shed: 'shed',
   /** Nothing could be sent to the node. */
   unreachable: 'unreachable',
   /** Lost after it was sent; it may have been run. */
@@ -95,12 +97,14 @@
    *
    * @param targetMs - Time within which an answer is as useful as an earlier
    * one; default 0.
+   * @param maxCostMs - Longest expected time of an instance; default: none.
    */
   pick(
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
     targetMs?: number,
+    maxCostMs?: number,
   ): Target | null;
   /** Called when an attempt begins. */
   began(target: Target): void;
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -110,8 +110,15 @@
       this.#refuse(CALL_CODES.upstreamDown);
       return;
     }
-    if (this.#upstream) crashes.onLost(this.#lostRequest(), this.#upstream);
-    this.#reset(new MeshError(CALL_CODES.outcomeUnknown, err.message), true);
+    const lost = new MeshError(CALL_CODES.outcomeUnknown, err.message);
+    if (!this.#upstream) {
+      this.#reset(lost, true);
+      return;
+    }
+    // Only a request that may have killed the upstream must not be repeated.
+    void crashes.onLost(this.#lostRequest(), this.#upstream).then(died => {
+      if (!this.#over) this.#reset(lost, died);
+    });
   }
 
   #enter(): void {
--- a/packages/node/src/entry/call-evidence.ts
+++ b/packages/node/src/entry/call-evidence.ts
@@ -13,6 +13,7 @@
   [OUTCOMES.ok]: CALL_OUTCOMES.ok,
   [OUTCOMES.failed]: CALL_OUTCOMES.failed,
   [OUTCOMES.refused]: CALL_OUTCOMES.ignored,
+  [OUTCOMES.shed]: CALL_OUTCOMES.ignored,
   [OUTCOMES.unreachable]: CALL_OUTCOMES.ignored,
   [OUTCOMES.lost]: CALL_OUTCOMES.crashed,
   [OUTCOMES.timeout]: CALL_OUTCOMES.failed,
--- a/packages/node/src/entry/instance-adapter.ts
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -1,6 +1,6 @@
 import type {Clock, RandomSource} from '@verbenabeam/core';
 import {CALL_OUTCOMES, InstancePicker} from '@verbenabeam/routing';
-import type {CallOutcome, Candidate} from '@verbenabeam/routing';
+import type {CallOutcome, Candidate, PickLimits} from '@verbenabeam/routing';
 import type {
   AttemptOutcome,
   InstanceChooser,
@@ -13,6 +13,7 @@
   ok: CALL_OUTCOMES.ok,
   failed: CALL_OUTCOMES.failed,
   refused: CALL_OUTCOMES.refused,
+  shed: CALL_OUTCOMES.shed,
   unreachable: CALL_OUTCOMES.unreachable,
   lost: CALL_OUTCOMES.failed,
   timeout: CALL_OUTCOMES.failed,
@@ -42,13 +43,14 @@
     version: string,
     exclude: ReadonlySet<string>,
     targetMs = 0,
+    maxCostMs = Infinity,
   ): Target | null {
     const {membership} = this.#options;
     const {region} = membership.own;
     // Another region costs tens of milliseconds, so it is the last resort.
     const picked =
-      this.#pickFrom(service, version, exclude, targetMs, region) ??
-      this.#pickFrom(service, version, exclude, targetMs);
+      this.#pickFrom(service, version, exclude, {targetMs, maxCostMs}, region) ??
+      this.#pickFrom(service, version, exclude, {targetMs, maxCostMs});
     if (!picked) return null;
     const {nodeId} = picked;
     const address = membership.addressOf(nodeId) ?? '';
@@ -59,14 +61,14 @@
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
-    targetMs: number,
+    limits: PickLimits,
     region?: string,
   ): Candidate | null {
     const {membership, clock, random} = this.#options;
     const candidates = membership.candidates(service, version, region);
     const now = clock.now();
     return this.#picker
-      .pick(service, version, candidates, now, random, exclude, targetMs)
+      .pick(service, version, candidates, now, random, exclude, limits)
       .unwrapOr(null);
   }
 
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -44,7 +44,7 @@
 /** A node without a known peer takes calls after this time. */
 const aloneReadyMs = 3_000;
 /** Share of the platform's retries that nodes use in the long run. */
-const retryShareUsed = 0.5;
+const retryShareUsed = 0.7;
 /** Share of the platform's minimum of retries that nodes use at once. */
 const retryMinimumUsed = 0.7;
 
--- /dev/null
+++ b/packages/routing/src/fakes/slot-model.ts
@@ -0,0 +1,127 @@
+import type {RandomSource} from '@verbenabeam/core';
+import type {AdmissionDecision, AdmissionPolicy} from '../admission-types.js';
+import {Deadline} from '../deadline.js';
+
+/** One kind of calls of a replay. */
+export interface CallKind {
+  readonly route: string;
+  readonly priority: number;
+  readonly perSecond: number;
+  readonly workMs: number;
+  readonly targetMs: number;
+  readonly deadlineMs: number;
+}
+
+/** What became of the calls of one kind. */
+export interface KindResult {
+  asked: number;
+  onTime: number;
+  late: number;
+  /** Refused at once. */
+  refused: number;
+  /** Refused after a wait of more than an eighth of the target. */
+  refusedLate: number;
+}
+
+/** A load that one upstream gets. */
+export interface SlotReplay {
+  readonly kinds: readonly CallKind[];
+  readonly slots: number;
+  readonly seconds: number;
+}
+
+interface Call {
+  readonly id: string;
+  readonly kind: CallKind;
+  readonly at: number;
+}
+
+const msPerSecond = 1_000;
+/** Times scatter by half of their mean. */
+const spread = 0.5;
+const heldShare = 1 / 8;
+
+/** Replays a load on one upstream in simulated time. */
+export function replaySlots(
+  policy: AdmissionPolicy,
+  {kinds, seconds}: SlotReplay,
+  rng: RandomSource,
+): ReadonlyMap<string, KindResult> {
+  const results = new Map(kinds.map(({route}) => [route, emptyResult()]));
+  const calls = new Map<string, Call>();
+  const ends: {at: number; id: string; startAt: number}[] = [];
+  const arrivals = kinds
+    .flatMap(kind => arrivalsOf(kind, seconds, rng))
+    .sort((a, b) => a.at - b.at);
+  const resultOf = (call: Call) => results.get(call.kind.route)!;
+  const carryOut = (decisions: readonly AdmissionDecision[], now: number) => {
+    for (const decision of decisions) {
+      const call = calls.get(decision.callId)!;
+      if (decision.kind === 'admitted') {
+        const factor = 1 + spread * (2 * rng.float() - 1);
+        const at = now + call.kind.workMs * factor;
+        ends.push({at, id: call.id, startAt: now});
+        ends.sort((a, b) => a.at - b.at);
+      } else if (decision.kind === 'refused') {
+        const held = now - call.at;
+        if (held > call.kind.targetMs * heldShare) resultOf(call).refusedLate++;
+        else resultOf(call).refused++;
+      }
+    }
+  };
+  const advance = (until: number) => {
+    for (;;) {
+      const end = ends[0];
+      const expiry = policy.nextExpiry ?? Infinity;
+      const at = Math.min(end?.at ?? Infinity, expiry);
+      if (at === Infinity || at > until) return;
+      if (end && end.at <= expiry) {
+        ends.shift();
+        const call = calls.get(end.id)!;
+        const tookMs = end.at - call.at;
+        if (tookMs <= call.kind.targetMs) resultOf(call).onTime++;
+        else if (tookMs <= call.kind.deadlineMs) resultOf(call).late++;
+        carryOut(policy.finish(end.id, end.at, end.at - end.startAt), end.at);
+      } else {
+        carryOut(policy.expire(expiry), expiry);
+      }
+    }
+  };
+  for (const call of arrivals) {
+    advance(call.at);
+    const {route, priority, targetMs, deadlineMs} = call.kind;
+    calls.set(call.id, call);
+    resultOf(call).asked++;
+    const decision = policy.tryEnter(
+      {
+        id: call.id,
+        route,
+        priority,
+        targetAt: call.at + targetMs,
+        deadline: new Deadline(call.at + deadlineMs),
+      },
+      call.at,
+    );
+    carryOut([decision], call.at);
+  }
+  advance(Infinity);
+  return results;
+}
+
+function arrivalsOf(
+  kind: CallKind,
+  seconds: number,
+  rng: RandomSource,
+): Call[] {
+  const calls: Call[] = [];
+  let at = 0;
+  for (;;) {
+    at += (-Math.log(1 - rng.float()) * msPerSecond) / kind.perSecond;
+    if (at > seconds * msPerSecond) return calls;
+    calls.push({id: `${kind.route}-${calls.length}`, kind, at});
+  }
+}
+
+function emptyResult(): KindResult {
+  return {asked: 0, onTime: 0, late: 0, refused: 0, refusedLate: 0};
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,6 +30,7 @@
   Candidate,
   InstanceView,
   OutcomeReport,
+  PickLimits,
   PickerOptions,
 } from './picker-types.js';
 export {
--- a/packages/routing/src/instance-picker.ts
+++ b/packages/routing/src/instance-picker.ts
@@ -7,6 +7,7 @@
   InstanceView,
   OutcomeReport,
   PickerOptions,
+  PickLimits,
 } from './picker-types.js';
 import {Smoothed} from './smoothed.js';
 
@@ -26,6 +27,11 @@
  * single times are up to twice as long.
  */
 const comfortShare = 0.5;
+/**
+ * Another data centre must answer in this share of the time. Under overload all
+ * of them are full, and calls that cross for small differences gain nothing.
+ */
+const crossingGain = 0.65;
 const none: ReadonlySet<string> = new Set();
 
 /**
@@ -50,8 +56,6 @@
    *
    * @param candidates - Ready instances of the service and version.
    * @param exclude - Node ids that already failed this call.
-   * @param targetMs - Time within which an answer is as useful as an earlier
-   * one; an instance of the own data centre that meets it is preferred.
    * @returns 1602 when no candidate is left.
    */
   pick(
@@ -61,12 +65,15 @@
     now: number,
     rng: RandomSource,
     exclude: ReadonlySet<string> = none,
-    targetMs = 0,
+    limits: PickLimits = {},
   ): Result<Candidate, MeshError> {
     const usable = this.#withoutEjected(candidates, now).filter(
       c => !exclude.has(c.nodeId),
     );
-    const chosen = this.#choose(usable, now, rng, targetMs);
+    const {targetMs = 0, maxCostMs = Infinity} = limits;
+    const best = this.#choose(usable, now, rng, targetMs);
+    const fits = best && this.#cost(best, now) <= maxCostMs;
+    const chosen = fits ? best : null;
     if (!chosen) {
       const text = `no instance of ${service} ${version} can take the call`;
       const details = {candidates: candidates.length, excluded: exclude.size};
@@ -123,7 +130,7 @@
     const other = this.#betterOfTwo(remote, now, rng);
     if (!best || !other) return best ?? other;
     const remoteCost = this.#cost(other, now) + linkMs;
-    return this.#cost(best, now) > remoteCost ? other : best;
+    return this.#cost(best, now) * crossingGain > remoteCost ? other : best;
   }
 
   #betterOfTwo(
--- a/packages/routing/src/instance-stats.ts
+++ b/packages/routing/src/instance-stats.ts
@@ -169,6 +169,9 @@
   [CALL_OUTCOMES.refused]: (stats, report, _options, now) => {
     stats.refused(report.load, now);
   },
+  [CALL_OUTCOMES.shed]: (stats, _report, options, now) => {
+    stats.failed(0, options, now);
+  },
   [CALL_OUTCOMES.unreachable]: (stats, _report, options, now) => {
     stats.eject(options, now);
   },
--- a/packages/routing/src/picker-types.ts
+++ b/packages/routing/src/picker-types.ts
@@ -18,6 +18,8 @@
   failed: 'failed',
   /** Refused as not run because of load. */
   refused: 'refused',
+  /** Refused as not run although it has room; counts as a failure. */
+  shed: 'shed',
   /** No connection; the instance is ejected at once. */
   unreachable: 'unreachable',
   /** Ended by the caller; says nothing about the instance. */
@@ -37,6 +39,17 @@
   readonly load?: LoadReport;
 }
 
+/** What a call asks of its instance. Times in milliseconds. @public */
+export interface PickLimits {
+  /**
+   * Time within which an answer is as useful as an earlier one; an instance of
+   * the own data centre that meets it is preferred. Default 0.
+   */
+  readonly targetMs?: number;
+  /** Longest expected time of the instance. Default: none. */
+  readonly maxCostMs?: number;
+}
+
 /** Settings of `InstancePicker`. @public */
 export interface PickerOptions {
   /** Data centre of this node. */
--- /dev/null
+++ b/packages/routing/src/slot-queue.feature
@@ -0,0 +1,27 @@
+@routing
+Feature: Slots and queue of an upstream under overload
+  Guards against a queue in which all calls wait until they are late, calls that
+  are held and refused at the end, and urgent calls behind less urgent ones.
+
+  Scenario Outline: Answers on time stay near the capacity at <load> times the load
+    When a slot queue with 11 slots gets <load> times its capacity for 10 s
+    Then the slot queue answers at least 75 in 100 of its capacity on time
+    And the slot queue refuses at most 2 in 100 calls after a long wait
+
+    Examples:
+      | load |
+      | 1.2  |
+      | 2.5  |
+
+  Scenario: Urgent calls are served before less urgent ones
+    When a slot queue with 11 slots gets urgent and other calls at 2 times its capacity
+    Then the slot queue serves at least 97 in 100 urgent calls on time
+
+  Scenario: More calls than slots never run
+    When a slot queue with 3 slots gets 10 calls at once
+    Then 3 calls run in the slot queue
+
+  Scenario: A call that cannot be answered in time is refused at once
+    Given a slot queue with 1 slot whose calls take 100 ms and 3 calls in it
+    When a call with 150 ms left enters the slot queue
+    Then the slot queue refuses it and names a time to return
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -34,6 +34,10 @@
  * that would have been answered.
  */
 const neededShare = 0.7;
+/** Share of the mean time in which nearly all calls are answered. */
+const onTimeShare = 1.5;
+/** A call may wait this long in any case, so that short bursts pass. */
+const minQueueMs = 15;
 /** A returning caller finds part of the backlog cleared after this time. */
 const minRetryAfterMs = 20;
 const otherRoute = '';
@@ -83,14 +87,14 @@
     return next;
   }
 
-  /** Refusals: 1605 while draining, 1606 if the deadline cannot be met. */
+  /** Refusals: 1605 while draining, 1604 if the wait would be of no use. */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
     if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
     const isFree = this.#running.size < this.#slots;
     if (isFree && this.#queue.length === 0) return this.#admit(call, now);
     const waitMs = this.#expectedWait(call, now);
-    if (now + waitMs > this.#lastStart(call)) {
-      return this.#refused(call, CALL_CODES.deadlineTooClose, waitMs);
+    if (now + waitMs > this.#lastUsefulStart(call, now)) {
+      return this.#refused(call, CALL_CODES.queueFull, waitMs);
     }
     this.#queue.push({call, since: now});
     return {kind: 'queued', callId: call.id};
@@ -210,6 +214,21 @@
     return aheadMs / Math.max(1, this.#slots);
   }
 
+  /**
+   * Latest expected start of a call that may wait. A call that can meet its
+   * target waits only as long as it still meets it nearly always: a longer queue
+   * would serve no more calls, and all of them late. One that is late anyway
+   * waits for the rest of its time.
+   */
+  #lastUsefulStart(call: AdmissionCall, now: number): number {
+    const {targetAt} = call;
+    if (targetAt === undefined || this.#isLate(call, now)) {
+      return this.#lastStart(call);
+    }
+    const spareMs = targetAt - now - onTimeShare * this.#estimate(call);
+    return now + Math.max(minQueueMs, spareMs);
+  }
+
   #lastStart(call: AdmissionCall): number {
     return call.deadline.at - neededShare * this.#estimate(call);
   }
