--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -22,6 +22,7 @@
 
 const cli = cac('verbenabeam-hosted-node');
 cli.option('--config <file>', `Settings file; default $${settingsVariable}`);
+cli.option('--metrics-port <port>', 'Port for metrics; default none');
 cli.option('--check', 'Check the settings and exit');
 cli.option('--print-settings', 'Print the settings in use and exit');
 cli.help();
@@ -32,7 +33,8 @@
   const given: unknown = options['config'];
   const path = typeof given === 'string' ? given : process.env[settingsVariable];
   if (path === undefined) return fail(`--config or $${settingsVariable} is needed`);
-  const read = readBootSettings(path);
+  const port: unknown = options['metricsPort'];
+  const read = readBootSettings(path, typeof port === 'number' ? port : null);
   if (read.isErr) return fail(read.error);
   if (options['check'] === true) {
     process.stdout.write('settings are valid\n');
--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -92,6 +92,7 @@
       routeName: route.name,
       priority: route.priority ?? 0,
       targetMs: this.#targetMs(remainingMs),
+      callerClass: headers.callerClass,
       bodyBytes: headers.bodyBytes,
       headers: this.#passed,
     };
--- a/packages/node/src/calls/call-head.ts
+++ b/packages/node/src/calls/call-head.ts
@@ -21,6 +21,8 @@
   readonly priority: number;
   /** Time until an answer is of less use, in ms. */
   readonly targetMs: number;
+  /** Class of the caller at the entry node. */
+  readonly callerClass: string;
   /** 0: no body; null: not known in advance. */
   readonly bodyBytes: number | null;
   /** Flat list of names and values, without hop-by-hop headers. */
@@ -56,6 +58,7 @@
     h.routeName,
     h.priority,
     h.targetMs,
+    h.callerClass,
     h.bodyBytes,
     h.headers,
   ];
@@ -67,9 +70,10 @@
   const [callId, service, version, method, path, ...rest] =
     value as readonly unknown[];
   const [remainingMs, depth, retriesLeft, routeName, ...last] = rest;
-  const [priority, targetMs, bodyBytes, headers] = last;
+  const [priority, targetMs, callerClass, bodyBytes, headers] = last;
   const valid =
-    [callId, service, version, method, path, routeName].every(isString) &&
+    [callId, service, version, method, path].every(isString) &&
+    [routeName, callerClass].every(isString) &&
     [remainingMs, depth, retriesLeft, priority, targetMs].every(isNumber) &&
     (bodyBytes === null || isNumber(bodyBytes)) &&
     isHeaderList(headers);
@@ -86,6 +90,7 @@
     routeName,
     priority,
     targetMs,
+    callerClass,
     bodyBytes,
     headers,
   } as CallHead;
--- a/packages/node/src/calls/call-protocol.ts
+++ b/packages/node/src/calls/call-protocol.ts
@@ -47,6 +47,8 @@
   readonly heldAnswerBytes: number;
   /** Request bodies up to this many bytes are kept for retries. */
   readonly replayBytes: number;
+  /** Time before the caller's deadline at which it must have an answer, in ms. */
+  readonly answerLeadMs: number;
   /** Whether upstreams account for the retries of their own calls. */
   readonly passesRetries: boolean;
   /** Id of a call that was received. */
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -52,7 +52,9 @@
     this.#log = new AttemptLog(callId, startAt);
     const service = chooseService(route, ports.random);
     this.#service = service;
-    const limitMs = Math.min(headers.deadlineMs, route.timeoutMs);
+    const {answerLeadMs} = ports.protocol;
+    const callerMs = Math.max(1, headers.deadlineMs - answerLeadMs);
+    const limitMs = Math.min(callerMs, route.timeoutMs);
     this.#deadlineAt = startAt + limitMs;
     this.#retries = new CallRetries(ports, {
       service: service.name,
--- a/packages/node/src/calls/native-protocol.ts
+++ b/packages/node/src/calls/native-protocol.ts
@@ -21,6 +21,7 @@
 export const nativeProtocol: CallProtocol = {
   heldAnswerBytes: 0,
   replayBytes: REPLAY_LIMIT_BYTES,
+  answerLeadMs: 0,
   passesRetries: true,
   callId: newId,
   readCaller: readCallerHeaders,
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -136,13 +136,14 @@
       this.#refuse(blocked.code);
       return;
     }
-    const {routeName, priority, targetMs} = this.#head;
+    const {routeName, priority, targetMs, callerClass} = this.#head;
     const decision = admission.enter({
       callId,
       deadlineAt: this.#deadlineAt,
       route: routeName,
       priority,
       targetAt: this.#startAt + targetMs,
+      callerClass,
     });
     if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
     else if (decision.kind === 'refused') this.#refuseWith(decision.err);
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -34,6 +34,8 @@
   readonly priority: number;
   /** Time after which an answer is of less use, on the same clock. */
   readonly targetAt: number;
+  /** Class of the caller at the entry node. */
+  readonly callerClass: string;
 }
 
 /** A slot that a call holds. @public */
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -1,6 +1,6 @@
 import {MeshError} from '@verbenabeam/core';
 import type {Clock} from '@verbenabeam/core';
-import {Deadline} from '@verbenabeam/routing';
+import {Deadline, SubCallRoutes} from '@verbenabeam/routing';
 import type {
   AdmissionDecision as Decision,
   AdmissionPolicy,
@@ -26,6 +26,7 @@
 export class AdmissionAdapter implements AdmissionPort {
   readonly #clock: Clock;
   readonly #admission: AdmissionPolicy;
+  readonly #subCalls = new SubCallRoutes();
   readonly #waiting = new Map<string, Settle>();
   #timer: NodeJS.Timeout | null = null;
 
@@ -48,9 +49,11 @@
   }
 
   enter(req: AdmissionRequest): AdmissionDecision {
-    const {callId, deadlineAt, ...rest} = req;
+    const {callId, deadlineAt, callerClass, ...rest} = req;
+    this.#subCalls.record(req.route, callerClass);
+    const isSubCall = this.#subCalls.isSubCall(req.route);
     const deadline = new Deadline(deadlineAt);
-    const call = {id: callId, deadline, ...rest};
+    const call = {id: callId, deadline, isSubCall, ...rest};
     const decision = this.#admission.tryEnter(call, this.#clock.now());
     if (decision.kind === 'admitted') {
       return {kind: 'admitted', ticket: this.#ticket(callId)};
--- a/packages/routing/src/admission-types.ts
+++ b/packages/routing/src/admission-types.ts
@@ -14,6 +14,8 @@
   readonly priority?: number;
   /** Time after which an answer is of less use; default: the deadline. */
   readonly targetAt?: number;
+  /** Whether an upstream makes the call for one that it runs. */
+  readonly isSubCall?: boolean;
 }
 
 /** Answer to a call that asks for a slot. @public */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -45,6 +45,7 @@
   RetryDecision,
   RetryRequest,
 } from './retry-budget.js';
+export {SubCallRoutes} from './sub-call-routes.js';
 export {SlotQueue} from './slot-queue.js';
 export type {SlotQueueOptions} from './slot-queue.js';
 export {retriesAfter, RetryLedger} from './retry-ledger.js';
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -49,9 +49,10 @@
  *
  * Never more calls run than there are slots, because a full upstream resets
  * connections, and a reset call may have run. The most urgent rank goes first,
- * within a rank first come, first served; calls that can no longer be answered
- * by their target go after those that can. What cannot be answered by its
- * deadline is refused at once.
+ * within a rank the earliest target; calls that can no longer be answered by
+ * their target go after those that can. What would wait too long is refused at
+ * once. Calls that upstreams make for running calls are never late: without
+ * their answer the work on the running call is lost.
  *
  * @public
  */
@@ -188,14 +189,17 @@
 
   /** Whether `a`, which arrived later, goes before `b`. */
   #goesBefore(a: AdmissionCall, b: AdmissionCall, now: number): boolean {
+    const rankA = a.priority ?? 0;
+    const rankB = b.priority ?? 0;
+    if (rankA !== rankB) return rankA < rankB;
     const isLateA = this.#isLate(a, now);
     const isLateB = this.#isLate(b, now);
     if (isLateA !== isLateB) return isLateB;
-    return (a.priority ?? 0) < (b.priority ?? 0);
+    return targetOf(a) < targetOf(b);
   }
 
   #isLate(call: AdmissionCall, now: number): boolean {
-    if (call.targetAt === undefined) return false;
+    if (call.targetAt === undefined || call.isSubCall) return false;
     return now + neededShare * this.#estimate(call) > call.targetAt;
   }
 
@@ -222,7 +226,8 @@
    */
   #lastUsefulStart(call: AdmissionCall, now: number): number {
     const {targetAt} = call;
-    if (targetAt === undefined || this.#isLate(call, now)) {
+    const isBound = targetAt === undefined || call.isSubCall === true;
+    if (isBound || this.#isLate(call, now)) {
       return this.#lastStart(call);
     }
     const spareMs = targetAt - now - onTimeShare * this.#estimate(call);
@@ -256,3 +261,7 @@
     return {kind: 'refused', callId: id, code, retryAfterMs};
   }
 }
+
+function targetOf({targetAt, deadline}: AdmissionCall): number {
+  return targetAt ?? deadline.at;
+}
