Compare instances by their speed on each route

Cause: an instance that serves routes of unlike length was judged by the mean of all of them, so short sub-calls left the data centre although the local instance met their target.

--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -1,4 +1,5 @@
 import type {Service} from '@verbenabeam/document';
+import type {PickLimits} from '@verbenabeam/routing';
 import {Attempt} from './attempt.js';
 import type {AttemptListener} from './attempt.js';
 import type {CallHead} from './call-head.js';
@@ -57,11 +58,7 @@
       service.name,
       version,
       this.#tried,
-      this.#call.route.targetLatencyMs === undefined
-        ? 0
-        : this.#targetMs(remainingMs),
-      // A call that was turned away once is not sent where it must be again.
-      this.#tried.size > 0 ? remainingMs : Infinity,
+      this.#limits(remainingMs),
     );
     if (!target) return null;
     this.#tried.add(target.nodeId);
@@ -70,6 +67,18 @@
     return new Attempt(this.#ports, target, head, this.#body, listener);
   }
 
+  #limits(remainingMs: number): PickLimits {
+    const {name, targetLatencyMs} = this.#call.route;
+    return {
+      route: name,
+      ...(targetLatencyMs === undefined
+        ? {}
+        : {targetMs: this.#targetMs(remainingMs)}),
+      // A call that was turned away once is not sent where it must be again.
+      ...(this.#tried.size > 0 ? {maxCostMs: remainingMs} : {}),
+    };
+  }
+
   /** Time until an answer is of less use; at most what remains. */
   #targetMs(remainingMs: number): number {
     const {route, startAt} = this.#call;
--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -156,6 +156,7 @@
       target: this.target,
       service: this.#head.service,
       version: this.#head.version,
+      route: this.#head.routeName,
       outcome,
       latencyMs: this.latencyMs,
       load,
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -1,7 +1,12 @@
 import type {Result} from 'true-myth';
 import type {Invariants, MeshError, RandomSource} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
-import type {LoadReport, RetryBudget, RetryLedger} from '@verbenabeam/routing';
+import type {
+  LoadReport,
+  PickLimits,
+  RetryBudget,
+  RetryLedger,
+} from '@verbenabeam/routing';
 import type {ByteStream, PeerAddress, PeerBus} from '@verbenabeam/wire';
 import type {CallHead} from './call-head.js';
 import type {CallProtocol} from './call-protocol.js';
@@ -83,6 +88,7 @@
   readonly target: Target;
   readonly service: string;
   readonly version: string;
+  readonly route: string;
   readonly outcome: Outcome;
   /** Time until the answer's head or the failure, in ms. */
   readonly latencyMs: number;
@@ -92,19 +98,12 @@
 
 /** Chooses instances and learns from outcomes. @public */
 export interface InstanceChooser {
-  /**
-   * Null if no instance outside `exclude` (node ids) can take the call.
-   *
-   * @param targetMs - Time within which an answer is as useful as an earlier
-   * one; default 0.
-   * @param maxCostMs - Longest expected time of an instance; default: none.
-   */
+  /** Null if no instance outside `exclude` (node ids) can take the call. */
   pick(
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
-    targetMs?: number,
-    maxCostMs?: number,
+    limits?: PickLimits,
   ): Target | null;
   /** Called when an attempt begins. */
   began(target: Target): void;
--- a/packages/node/src/entry/instance-adapter.ts
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -42,15 +42,14 @@
     service: string,
     version: string,
     exclude: ReadonlySet<string>,
-    targetMs = 0,
-    maxCostMs = Infinity,
+    limits: PickLimits = {},
   ): Target | null {
     const {membership} = this.#options;
     const {region} = membership.own;
     // Another region costs tens of milliseconds, so it is the last resort.
     const picked =
-      this.#pickFrom(service, version, exclude, {targetMs, maxCostMs}, region) ??
-      this.#pickFrom(service, version, exclude, {targetMs, maxCostMs});
+      this.#pickFrom(service, version, exclude, limits, region) ??
+      this.#pickFrom(service, version, exclude, limits);
     if (!picked) return null;
     const {nodeId} = picked;
     const address = membership.addressOf(nodeId) ?? '';
@@ -78,11 +77,12 @@
   }
 
   ended(attempt: AttemptOutcome): void {
-    const {target, outcome, latencyMs, load} = attempt;
+    const {target, outcome, latencyMs, load, route} = attempt;
     const report = {
       nodeId: target.nodeId,
       outcome: outcomes[outcome],
       latencyMs,
+      route,
       ...(load ? {load} : {}),
     };
     this.#picker.report(report, this.#options.clock.now());
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,4 +1,5 @@
 import type {Clock, Invariants, RandomSource} from '@verbenabeam/core';
+import {logger} from '@verbenabeam/core';
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
 import {NODE_STATES} from '@verbenabeam/membership';
@@ -30,6 +31,7 @@
 import {PeerRecords} from './peer-records.js';
 import {Rollouts} from './rollouts.js';
 
+const log = logger('node');
 /** Environment of all nodes: the platform keeps one configuration. */
 const environment = 'platform';
 /** Slots of an upstream that has not announced itself yet. */
@@ -41,6 +43,7 @@
 /** Time between two looks for nodes that this one does not know. */
 const directoryMs = 15_000;
 const retainMs = 10_000;
+const trafficMs = 10_000;
 /** A node without a known peer takes calls after this time. */
 const aloneReadyMs = 3_000;
 /** Share of the platform's retries that nodes use in the long run. */
@@ -220,9 +223,20 @@
       if (this.membership.live().length <= 1) void this.#join();
     });
     every(directoryMs, signal, () => void this.#join());
+    every(trafficMs, signal, () => this.#logTraffic());
     every(retainMs, signal, () => this.#instances.retainMembers());
   }
 
+  #logTraffic(): void {
+    const {call, control} = this.#options.bus.bytes();
+    log('Traffic since the start, in bytes.', {
+      callSent: call.sent,
+      callReceived: call.received,
+      controlSent: control.sent,
+      byKind: this.#options.bus.sentByKind(),
+    });
+  }
+
   /** Says that the node leaves: peers send it nothing more. */
   beginDrain(): void {
     this.#draining = true;
--- a/packages/routing/src/instance-picker.ts
+++ b/packages/routing/src/instance-picker.ts
@@ -2,6 +2,7 @@
 import type {RandomSource} from '@verbenabeam/core';
 import {Result} from 'true-myth';
 import {InstanceStats} from './instance-stats.js';
+import type {PoolPriors} from './instance-stats.js';
 import type {
   Candidate,
   InstanceView,
@@ -26,7 +27,7 @@
  * Share of the target at which the expected time still meets it nearly always;
  * single times are up to twice as long.
  */
-const comfortShare = 0.5;
+const comfortShare = 0.6;
 /**
  * Another data centre must answer in this share of the time. Under overload all
  * of them are full, and calls that cross for small differences gain nothing.
@@ -44,7 +45,8 @@
   readonly #options: Required<PickerOptions>;
   readonly #stats = new Map<string, InstanceStats>();
   readonly #othersPerSlot = new Smoothed(0, 0.05);
-  readonly #latencyMs = new Smoothed(initialLatencyMs, 0.02);
+  /** Time of a call by route. */
+  readonly #latencyMs = new Map<string, Smoothed>();
 
   constructor(options: PickerOptions) {
     this.#options = {...defaults, ...options};
@@ -70,9 +72,9 @@
     const usable = this.#withoutEjected(candidates, now).filter(
       c => !exclude.has(c.nodeId),
     );
-    const {targetMs = 0, maxCostMs = Infinity} = limits;
-    const best = this.#choose(usable, now, rng, targetMs);
-    const fits = best && this.#cost(best, now) <= maxCostMs;
+    const {maxCostMs = Infinity, route = ''} = limits;
+    const best = this.#choose(usable, now, rng, limits);
+    const fits = best && this.#cost(best, route, now) <= maxCostMs;
     const chosen = fits ? best : null;
     if (!chosen) {
       const text = `no instance of ${service} ${version} can take the call`;
@@ -86,8 +88,9 @@
   /** Records how a picked call ended. */
   report(report: OutcomeReport, now: number): void {
     const stats = this.#statsOf(report.nodeId);
-    stats.record(report, this.#options, now);
-    if (report.outcome === 'ok') this.#latencyMs.add(report.latencyMs);
+    const times = this.#timesOf(report.route ?? '');
+    if (report.outcome === 'ok') times.add(report.latencyMs);
+    stats.record(report, this.#options, times.value, now);
     const others = stats.othersPerSlot;
     if (others !== null) this.#othersPerSlot.add(others);
   }
@@ -110,7 +113,7 @@
         inFlight: stats.inFlight,
         ejectedUntil: stats.ejectedUntil,
         failureShare: stats.failureShare,
-        costMs: this.#cost(candidate, now),
+        costMs: this.#cost(candidate, '', now),
       };
     });
   }
@@ -119,22 +122,24 @@
     usable: readonly Candidate[],
     now: number,
     rng: RandomSource,
-    targetMs: number,
+    {targetMs = 0, route = ''}: PickLimits,
   ): Candidate | null {
     const {dataCentre, linkMs} = this.#options;
     const comfortMs = Math.max(linkMs, targetMs * comfortShare);
     const local = usable.filter(c => c.dataCentre === dataCentre);
-    const best = this.#betterOfTwo(local, now, rng);
-    if (best && this.#cost(best, now) <= comfortMs) return best;
+    const best = this.#betterOfTwo(local, route, now, rng);
+    if (best && this.#usual(best, route, now) <= comfortMs) return best;
     const remote = usable.filter(c => c.dataCentre !== dataCentre);
-    const other = this.#betterOfTwo(remote, now, rng);
+    const other = this.#betterOfTwo(remote, route, now, rng);
     if (!best || !other) return best ?? other;
-    const remoteCost = this.#cost(other, now) + linkMs;
-    return this.#cost(best, now) * crossingGain > remoteCost ? other : best;
+    const remoteCost = this.#cost(other, route, now) + linkMs;
+    const isWorth = this.#cost(best, route, now) * crossingGain > remoteCost;
+    return isWorth ? other : best;
   }
 
   #betterOfTwo(
     candidates: readonly Candidate[],
+    route: string,
     now: number,
     rng: RandomSource,
   ): Candidate | null {
@@ -145,7 +150,9 @@
     if (pool.length === 1) return first;
     const rest = pool.filter(c => c !== first);
     const second = rng.pick(rest);
-    return this.#cost(second, now) < this.#cost(first, now) ? second : first;
+    const isBetter =
+      this.#cost(second, route, now) < this.#cost(first, route, now);
+    return isBetter ? second : first;
   }
 
   /** Share of its draws in which an instance takes part, by its age. */
@@ -172,12 +179,27 @@
     return candidates.filter(c => !removed.has(c));
   }
 
-  #cost(candidate: Candidate, now: number): number {
-    const pool = {
+  #cost({nodeId, slots}: Candidate, route: string, now: number): number {
+    return this.#statsOf(nodeId).cost(slots, this.#priors(route), now);
+  }
+
+  #usual({nodeId, slots}: Candidate, route: string, now: number): number {
+    return this.#statsOf(nodeId).usual(slots, this.#priors(route), now);
+  }
+
+  #priors(route: string): PoolPriors {
+    return {
       othersPerSlot: this.#othersPerSlot.value,
-      latencyMs: this.#latencyMs.value,
+      latencyMs: this.#timesOf(route).value,
     };
-    return this.#statsOf(candidate.nodeId).cost(candidate.slots, pool, now);
+  }
+
+  #timesOf(route: string): Smoothed {
+    const known = this.#latencyMs.get(route);
+    if (known) return known;
+    const created = new Smoothed(initialLatencyMs, 0.02);
+    this.#latencyMs.set(route, created);
+    return created;
   }
 
   #statsOf(nodeId: string): InstanceStats {
--- a/packages/routing/src/instance-stats.ts
+++ b/packages/routing/src/instance-stats.ts
@@ -7,7 +7,7 @@
 export interface PoolPriors {
   /** Smoothed calls of other entry nodes per slot. */
   readonly othersPerSlot: number;
-  /** Smoothed time of a call in milliseconds. */
+  /** Smoothed time of a call on the same route, in milliseconds. */
   readonly latencyMs: number;
 }
 
@@ -31,7 +31,14 @@
   #consecutiveFailures = 0;
   #successesSinceReturn = 0;
   readonly #failures = new Smoothed(0, 0.1);
-  readonly #latency = new Smoothed(0, 0.3, 0.1);
+  /**
+   * Times relative to those of the same route in the whole pool: an instance
+   * serves routes of unlike length. Rises fast, so that a slow instance is left
+   * soon.
+   */
+  readonly #slowness = new Smoothed(1, 0.3, 0.1);
+  /** The same without the bias. */
+  readonly #typical = new Smoothed(1, 0.1);
   #latencyAt = -Infinity;
   #report: LoadReport | null = null;
   #reportAt = -Infinity;
@@ -50,11 +57,12 @@
   record(
     report: OutcomeReport,
     options: Required<PickerOptions>,
+    usualMs: number,
     now: number,
   ): void {
     this.inFlight = Math.max(0, this.inFlight - 1);
     if (report.load) this.#takeReport(report.load, now);
-    recorders[report.outcome](this, report, options, now);
+    recorders[report.outcome](this, report, {options, usualMs, now});
   }
 
   /**
@@ -68,30 +76,47 @@
     const others = this.#others(slots, pool, now);
     const serviceMs = this.#serviceMs(pool);
     const waitMs = ((this.inFlight + others) * serviceMs) / slots;
-    if (!this.#report && this.#latency.count === 0) return waitMs;
+    if (!this.#report && this.#slowness.count === 0) return waitMs;
     const observedMs = this.#observed(pool, now);
     const success = Math.max(lowestSuccessShare, 1 - this.failureShare);
     return Math.max(waitMs + serviceMs, observedMs + waitMs) / success;
   }
 
-  succeeded(latencyMs: number, now: number): void {
+  /**
+   * Time to the answer that most calls see, in milliseconds, with the wait for a
+   * slot when all are in use.
+   */
+  usual(announcedSlots: number, pool: PoolPriors, now: number): number {
+    const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
+    const others = this.#others(slots, pool, now);
+    const waiting = Math.max(0, this.inFlight + others + 1 - slots);
+    const waitMs = (waiting * this.#serviceMs(pool)) / slots;
+    return this.#typical.value * pool.latencyMs + waitMs;
+  }
+
+  /** @param usualMs - Time of a call on the same route in the whole pool. */
+  succeeded(latencyMs: number, usualMs: number, now: number): void {
     this.#consecutiveFailures = 0;
     this.#successesSinceReturn++;
     if (this.#successesSinceReturn >= recoveredAfter) this.#ejections = 0;
     this.#failures.add(0);
-    this.#latency.add(latencyMs);
+    const ratio = latencyMs / Math.max(1, usualMs);
+    this.#slowness.add(ratio);
+    this.#typical.add(ratio);
     this.#latencyAt = now;
   }
 
   /** A failure never lowers the latency: fast errors must not attract calls. */
   failed(
     latencyMs: number,
+    usualMs: number,
     options: Required<PickerOptions>,
     now: number,
   ): void {
     this.#consecutiveFailures++;
     this.#failures.add(1);
-    if (latencyMs > this.#latency.value) this.#latency.add(latencyMs);
+    const ratio = latencyMs / Math.max(1, usualMs);
+    if (ratio > this.#slowness.value) this.#slowness.add(ratio);
     const onProbation =
       this.#ejections > 0 && this.#successesSinceReturn < recoveredAfter;
     const limit = onProbation ? 1 : options.maxFailures;
@@ -141,38 +166,45 @@
   /** A reported time far below what was observed is not believed. */
   #serviceMs(pool: PoolPriors): number {
     const reported = this.#report?.serviceMs ?? pool.latencyMs;
-    const observed = this.#latency.count > 0 ? this.#latency.value : 0;
+    const isKnown = this.#slowness.count > 0;
+    const observed = isKnown ? this.#slowness.value * pool.latencyMs : 0;
     return Math.max(reported, observed / 2);
   }
 
   #observed(pool: PoolPriors, now: number): number {
-    if (this.#latency.count === 0) return pool.latencyMs;
+    if (this.#slowness.count === 0) return pool.latencyMs;
     const fresh = halfLife(now - this.#latencyAt, latencyHalfLifeMs);
-    return fresh * this.#latency.value + (1 - fresh) * pool.latencyMs;
+    const ratio = fresh * this.#slowness.value + (1 - fresh);
+    return ratio * pool.latencyMs;
   }
 }
 
+interface RecordContext {
+  readonly options: Required<PickerOptions>;
+  readonly usualMs: number;
+  readonly now: number;
+}
+
 type Recorder = (
   stats: InstanceStats,
   report: OutcomeReport,
-  options: Required<PickerOptions>,
-  now: number,
+  context: RecordContext,
 ) => void;
 
 const recorders: Record<OutcomeReport['outcome'], Recorder> = {
-  [CALL_OUTCOMES.ok]: (stats, report, _options, now) => {
-    stats.succeeded(report.latencyMs, now);
+  [CALL_OUTCOMES.ok]: (stats, {latencyMs}, {usualMs, now}) => {
+    stats.succeeded(latencyMs, usualMs, now);
   },
-  [CALL_OUTCOMES.failed]: (stats, report, options, now) => {
-    stats.failed(report.latencyMs, options, now);
+  [CALL_OUTCOMES.failed]: (stats, {latencyMs}, {options, usualMs, now}) => {
+    stats.failed(latencyMs, usualMs, options, now);
   },
-  [CALL_OUTCOMES.refused]: (stats, report, _options, now) => {
-    stats.refused(report.load, now);
+  [CALL_OUTCOMES.refused]: (stats, {load}, {now}) => {
+    stats.refused(load, now);
   },
-  [CALL_OUTCOMES.shed]: (stats, _report, options, now) => {
-    stats.failed(0, options, now);
+  [CALL_OUTCOMES.shed]: (stats, _report, {options, usualMs, now}) => {
+    stats.failed(0, usualMs, options, now);
   },
-  [CALL_OUTCOMES.unreachable]: (stats, _report, options, now) => {
+  [CALL_OUTCOMES.unreachable]: (stats, _report, {options, now}) => {
     stats.eject(options, now);
   },
   [CALL_OUTCOMES.cancelled]: () => undefined,
--- a/packages/routing/src/picker-types.ts
+++ b/packages/routing/src/picker-types.ts
@@ -33,6 +33,8 @@
 export interface OutcomeReport {
   readonly nodeId: string;
   readonly outcome: CallOutcome;
+  /** Route of the call; default: one for all calls. */
+  readonly route?: string;
   /** Time from sending to the end of the answer, in milliseconds. */
   readonly latencyMs: number;
   /** Load report on the answer, if there was one. */
@@ -46,6 +48,8 @@
    * the own data centre that meets it is preferred. Default 0.
    */
   readonly targetMs?: number;
+  /** Route whose times are expected; default: one for all calls. */
+  readonly route?: string;
   /** Longest expected time of the instance. Default: none. */
   readonly maxCostMs?: number;
 }
