--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -41,7 +41,7 @@
   /** A call whose body is collected enters at the body's end. */
   start(): void {
     this.#stream.listen(this);
-    if (!this.#body.isCollected) this.#enter();
+    if (!this.#body.isCollected) this.#enterSoon();
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -51,7 +51,7 @@
   onEnd(): void {
     if (this.#over) return;
     this.#body.finish();
-    if (this.#body.isCollected) this.#enter();
+    if (this.#body.isCollected) this.#enterSoon();
   }
 
   /** The entry side ended the call. */
@@ -121,6 +121,16 @@
     });
   }
 
+  /**
+   * Enters after everything that has arrived was read: a node that was busy or
+   * paused finds the end of a call right behind its begin.
+   */
+  #enterSoon(): void {
+    setImmediate(() => {
+      if (!this.#over) this.#enter();
+    });
+  }
+
   #enter(): void {
     const refusal = this.#refusalNow();
     if (refusal) {
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -36,6 +36,13 @@
 const neededShare = 0.7;
 /** Share of the mean time in which nearly all calls are answered. */
 const onTimeShare = 1.5;
+/**
+ * Share of the time between target and deadline that a late call still waits.
+ * Under overload the slots go to calls that can be on time.
+ */
+const lateShare = 0.3;
+/** Share of their time that calls for running calls may wait. */
+const subCallShare = 0.5;
 /** A call may wait this long in any case, so that short bursts pass. */
 const minQueueMs = 15;
 /** A returning caller finds part of the backlog cleared after this time. */
@@ -49,10 +56,10 @@
  *
  * Never more calls run than there are slots, because a full upstream resets
  * connections, and a reset call may have run. The most urgent rank goes first,
- * within a rank the earliest target; calls that can no longer be answered by
- * their target go after those that can. What would wait too long is refused at
- * once. Calls that upstreams make for running calls are never late: without
- * their answer the work on the running call is lost.
+ * within a rank the calls that upstreams make for running calls, which hold a
+ * slot elsewhere and lose their work without the answer; then first come, first
+ * served, but calls that can no longer be answered by their target last. What
+ * would wait too long is refused at once.
  *
  * @public
  */
@@ -192,10 +199,10 @@
     const rankA = a.priority ?? 0;
     const rankB = b.priority ?? 0;
     if (rankA !== rankB) return rankA < rankB;
-    const isLateA = this.#isLate(a, now);
-    const isLateB = this.#isLate(b, now);
-    if (isLateA !== isLateB) return isLateB;
-    return targetOf(a) < targetOf(b);
+    const isSubA = a.isSubCall === true;
+    const isSubB = b.isSubCall === true;
+    if (isSubA !== isSubB) return isSubA;
+    return !this.#isLate(a, now) && this.#isLate(b, now);
   }
 
   #isLate(call: AdmissionCall, now: number): boolean {
@@ -226,16 +233,21 @@
    */
   #lastUsefulStart(call: AdmissionCall, now: number): number {
     const {targetAt} = call;
-    const isBound = targetAt === undefined || call.isSubCall === true;
-    if (isBound || this.#isLate(call, now)) {
+    if (call.isSubCall) return now + subCallShare * (call.deadline.at - now);
+    if (targetAt === undefined || this.#isLate(call, now)) {
       return this.#lastStart(call);
     }
     const spareMs = targetAt - now - onTimeShare * this.#estimate(call);
     return now + Math.max(minQueueMs, spareMs);
   }
 
+  /** Latest start of a waiting call; then it is refused. */
   #lastStart(call: AdmissionCall): number {
-    return call.deadline.at - neededShare * this.#estimate(call);
+    const {deadline, targetAt} = call;
+    const neededMs = neededShare * this.#estimate(call);
+    if (targetAt === undefined || call.isSubCall) return deadline.at - neededMs;
+    const lateMs = lateShare * Math.max(0, deadline.at - targetAt);
+    return Math.min(deadline.at, targetAt + lateMs) - neededMs;
   }
 
   #estimate({route}: AdmissionCall): number {
@@ -261,7 +273,3 @@
     return {kind: 'refused', callId: id, code, retryAfterMs};
   }
 }
-
-function targetOf({targetAt, deadline}: AdmissionCall): number {
-  return targetAt ?? deadline.at;
-}
