--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -31,8 +31,10 @@
 
 async function main(): Promise<number> {
   const given: unknown = options['config'];
-  const path = typeof given === 'string' ? given : process.env[settingsVariable];
-  if (path === undefined) return fail(`--config or $${settingsVariable} is needed`);
+  const path =
+    typeof given === 'string' ? given : process.env[settingsVariable];
+  if (path === undefined)
+    return fail(`--config or $${settingsVariable} is needed`);
   const port: unknown = options['metricsPort'];
   const read = readBootSettings(path, typeof port === 'number' ? port : null);
   if (read.isErr) return fail(read.error);
--- a/packages/moves/src/rollout-evidence.ts
+++ b/packages/moves/src/rollout-evidence.ts
@@ -77,17 +77,15 @@
   }
 
   report(share: number): EvidenceReport {
-    const rows = [...this.#routes].map(
-      ([route, {fresh, old}]): EvidenceRow => [
-        route,
-        fresh.answered,
-        fresh.bad,
-        Math.round(fresh.totalMs),
-        old.answered,
-        old.bad,
-        Math.round(old.totalMs),
-      ],
-    );
+    const rows = [...this.#routes].map(([route, {fresh, old}]): EvidenceRow => [
+      route,
+      fresh.answered,
+      fresh.bad,
+      Math.round(fresh.totalMs),
+      old.answered,
+      old.bad,
+      Math.round(old.totalMs),
+    ]);
     const {sentFresh, sent, oldInFlight} = this;
     return {rows, sentFresh, sent, oldInFlight, share};
   }
--- /dev/null
+++ b/packages/node/src/calls/calls-stale.feature
@@ -0,0 +1,9 @@
+@calls
+Feature: Calls that ended before a busy node read them
+  Guards against work at an upstream for callers that have long left, after a
+  node was paused or overloaded and reads a call together with its end.
+
+  Scenario: A call whose end arrives right behind it reaches no upstream
+    Given a stale data path node that has answered a call
+    When 5 stale data path calls arrive together with their ends
+    Then the stale data path upstream has run 1 call
--- a/packages/node/src/calls/calls-waits.test.ts
+++ b/packages/node/src/calls/calls-waits.test.ts
@@ -311,7 +311,12 @@
 
 function enter(callId: string) {
   const deadlineAt = systemClock.now() + 1000;
-  const rest = {route: 'files', priority: 0, targetAt: deadlineAt, callerClass: ''};
+  const rest = {
+    route: 'files',
+    priority: 0,
+    targetAt: deadlineAt,
+    callerClass: '',
+  };
   return admission.enter({callId, deadlineAt, ...rest});
 }
 
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -179,7 +179,8 @@
   /** A small body is read first: it then leaves with the head in one write. */
   #begin(): void {
     const {bodyBytes} = this.#call.headers;
-    if (bodyBytes === null || bodyBytes > this.#ports.protocol.replayBytes) this.#try();
+    if (bodyBytes === null || bodyBytes > this.#ports.protocol.replayBytes)
+      this.#try();
     else this.#body.whenWhole(() => this.#try());
   }
 
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -253,7 +253,12 @@
     const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
     const load = encodeLoad(admission.load());
-    const details = {...err.details, load, ...left, ...(suspect ? {suspect} : {})};
+    const details = {
+      ...err.details,
+      load,
+      ...left,
+      ...(suspect ? {suspect} : {}),
+    };
     this.#stream.reset(new MeshError(code, message, details));
   }
 
--- a/packages/node/src/hosted/listeners.ts
+++ b/packages/node/src/hosted/listeners.ts
@@ -75,7 +75,9 @@
       bytes += piece.length;
       if (bytes <= maxBytes) pieces.push(piece);
     });
-    req.on('end', () => resolve(bytes > maxBytes ? null : Buffer.concat(pieces)));
+    req.on('end', () =>
+      resolve(bytes > maxBytes ? null : Buffer.concat(pieces)),
+    );
     req.on('error', () => resolve(null));
   });
 }
@@ -88,4 +90,3 @@
   });
   res.end(text);
 }
-
--- a/packages/node/src/hosted/node-directory.ts
+++ b/packages/node/src/hosted/node-directory.ts
@@ -42,7 +42,8 @@
   async run(): Promise<void> {
     const {signal, random} = this.#options;
     while (!signal.aborted) {
-      const kept = this.#lease === null ? await this.#enter() : await this.#renew();
+      const kept =
+        this.#lease === null ? await this.#enter() : await this.#renew();
       const waitMs = kept ? renewMs : random.float() * retryMs;
       await systemSleep(waitMs, signal);
     }
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -166,7 +166,10 @@
     return best[0];
   }
 
-  #onEvidence(from: string, {service, revision, report}: EvidenceMessage): void {
+  #onEvidence(
+    from: string,
+    {service, revision, report}: EvidenceMessage,
+  ): void {
     const run = this.#runs.get(service);
     if (run?.known.revision !== revision) return;
     run.onReport(from, report, this.#options.clock.now());
--- a/packages/routing/src/slot-queue.test.ts
+++ b/packages/routing/src/slot-queue.test.ts
@@ -58,7 +58,10 @@
   'the slot queue refuses at most {int} in 100 calls after a long wait',
   (most: number) => {
     const read = results.get('read')!;
-    assert.ok(read.refusedLate <= (read.asked * most) / 100, JSON.stringify(read));
+    assert.ok(
+      read.refusedLate <= (read.asked * most) / 100,
+      JSON.stringify(read),
+    );
   },
 );
 
@@ -70,12 +73,15 @@
   },
 );
 
-When('a slot queue with {int} slots gets {int} calls at once', (slots, count) => {
-  queue = new SlotQueue({slots});
-  for (let i = 0; i < count; i++) {
-    queue.tryEnter({id: `${i}`, deadline: new Deadline(10_000)}, 0);
-  }
-});
+When(
+  'a slot queue with {int} slots gets {int} calls at once',
+  (slots, count) => {
+    queue = new SlotQueue({slots});
+    for (let i = 0; i < count; i++) {
+      queue.tryEnter({id: `${i}`, deadline: new Deadline(10_000)}, 0);
+    }
+  },
+);
 
 Then('{int} calls run in the slot queue', (running: number) => {
   assert.equal(queue.inFlight, running);
