--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -2,7 +2,6 @@
 import {setLogSink} from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
 import {HostedNode} from '@verbenabeam/node';
-import type {HostedSettings} from '@verbenabeam/node';
 import {
   KvStore,
   operatorFormat,
@@ -13,6 +12,7 @@
 import {StoreBudget} from '@verbenabeam/store';
 import {cac} from 'cac';
 import {createLogSink} from './log-sink.js';
+import {SettingsFile} from './settings-file.js';
 
 const usageExit = 10;
 /** Names the settings file if the command line does not. */
@@ -46,10 +46,12 @@
     process.stdout.write(`${JSON.stringify(read.value, null, 2)}\n`);
     return 0;
   }
-  return run(read.value);
+  const metricsPort = typeof port === 'number' ? port : null;
+  return run(new SettingsFile(path, metricsPort, read.value));
 }
 
-async function run(settings: HostedSettings): Promise<number> {
+async function run(file: SettingsFile): Promise<number> {
+  const settings = file.current;
   const sink = createLogSink(settings.nodeId);
   setLogSink(sink.write);
   const stopped = new Promise<void>(resolve => {
@@ -63,13 +65,16 @@
   });
   const node = await HostedNode.start({
     settings,
-    protocol: platformProtocol({service: settings.service}),
+    protocol: platformProtocol({service: () => file.current.service}),
     operatorFormat,
     upstreamFormat,
     store: new KvStore({address, budget}),
   });
   if (node.isErr) return fail(node.error);
+  const end = new AbortController();
+  file.follow(changed => node.value.reload(changed), end.signal);
   await stopped;
+  end.abort();
   await node.value.stop();
   sink.flush();
   process.exit(0);
--- a/packages/node/src/calls/calls-waits.test.ts
+++ b/packages/node/src/calls/calls-waits.test.ts
@@ -21,6 +21,7 @@
 import type {ClaimDecision} from './entry-ports.js';
 import {TestClient, until} from './test/test-client.js';
 import type {Answer} from './test/test-client.js';
+import {enterFor} from './test/enter-for.js';
 import {TestNode} from './test/test-node.js';
 
 /** State of one scenario. */
@@ -309,21 +310,10 @@
   admission = new AdmissionAdapter({clock: systemClock, admission: policy});
 });
 
-function enter(callId: string) {
-  const deadlineAt = systemClock.now() + 1000;
-  const rest = {
-    route: 'files',
-    priority: 0,
-    targetAt: deadlineAt,
-    callerClass: '',
-  };
-  return admission.enter({callId, deadlineAt, ...rest});
-}
-
 When('its queued wait call is cancelled before and after the grant', () => {
-  const running = enter('a');
-  const early = enter('b');
-  const late = enter('c');
+  const running = enterFor(admission, 'a');
+  const early = enterFor(admission, 'b');
+  const late = enterFor(admission, 'c');
   assert.equal(running.kind, 'admitted');
   assert.equal(early.kind, 'queued');
   assert.equal(late.kind, 'queued');
@@ -336,7 +326,7 @@
 Then('the wait admission is empty and admits the next call', () => {
   const {inFlight, queued} = admission.load();
   assert.deepEqual([inFlight, queued], [0, 0]);
-  const next = enter('d');
+  const next = enterFor(admission, 'd');
   assert.equal(next.kind, 'admitted');
   if (next.kind === 'admitted') next.ticket.leave(1);
 });
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -38,7 +38,7 @@
 /** Peers know within this time that the upstream takes nothing more. */
 const peersKnowMs = 500;
 /** Kept of the grace time for closing connections and leaving the store. */
-const exitReserveMs = 700;
+const exitReserveMs = 1_000;
 /** Dead connections between nodes are noticed within about 2 s. */
 const wire = {
   connectTimeoutMs: 1_000,
@@ -65,6 +65,7 @@
   readonly #callers: Server;
   readonly #others: readonly Server[];
   #closesConnections = false;
+  #settings: HostedSettings;
 
   private constructor(
     options: HostedNodeOptions,
@@ -73,6 +74,7 @@
     wireAddress: string,
   ) {
     this.#options = options;
+    this.#settings = options.settings;
     this.#bus = bus;
     this.#end = new AbortController();
     const invariants = new Invariants();
@@ -140,7 +142,7 @@
   async stop(): Promise<void> {
     const startAt = performance.now();
     const parts = this.#parts;
-    const {graceMs} = this.#options.settings.bounds;
+    const {graceMs} = this.#settings.bounds;
     const deadlineAt = startAt + graceMs - exitReserveMs;
     log('Node stops.', {graceMs, inFlight: parts.entry.inFlight});
     parts.beginDrain();
@@ -157,6 +159,15 @@
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
 
+  /**
+   * Takes over changed settings. Names and addresses stay until a restart.
+   */
+  reload(settings: HostedSettings): void {
+    this.#settings = settings;
+    this.#parts.reload(settings);
+    log('Settings are in use.', {bounds: settings.bounds});
+  }
+
   /** Ends at once and cuts what is in flight, as a crash does. @internal */
   abort(): Promise<void> {
     return this.#close();
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -2,8 +2,7 @@
 import {logger} from '@verbenabeam/core';
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
-import {NODE_STATES} from '@verbenabeam/membership';
-import type {GossipOptions, InstanceRecord} from '@verbenabeam/membership';
+import type {GossipOptions} from '@verbenabeam/membership';
 import {RetryBudget, RetryLedger, SlotQueue} from '@verbenabeam/routing';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
@@ -20,20 +19,19 @@
 import {QuarantineAdapter} from '../serving/quarantine-adapter.js';
 import {StoreHealth} from '../store/store-health.js';
 import {CallLogger} from './call-logger.js';
-import type {HostedSettings} from './hosted-settings.js';
+import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
 import type {OperatorFormat} from './operator-documents.js';
 import {OperatorFeed} from './operator-feed.js';
 import {OperatorRecords} from './operator-records.js';
+import {ownRecord} from './own-record.js';
 import {HostedUpstream} from './own-upstream.js';
 import {PeerRecords} from './peer-records.js';
 import {Rollouts} from './rollouts.js';
 
 const log = logger('node');
-/** Environment of all nodes: the platform keeps one configuration. */
-const environment = 'platform';
 /** Slots of an upstream that has not announced itself yet. */
 const initialSlots = 1;
 /** Heartbeats that may be missing before the upstream counts as down. */
@@ -98,11 +96,13 @@
   readonly #peerRecords: PeerRecords;
   readonly #retries: RetryBudget;
   readonly #calls: CallLogger;
+  #bounds: HostedBounds;
   #startedAt = Infinity;
   #draining = false;
 
   constructor(options: HostedPartsOptions) {
     this.#options = options;
+    this.#bounds = options.settings.bounds;
     const {bus, clock, random, invariants, signal, settings} = options;
     this.metrics = this.#createMetrics();
     invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
@@ -194,6 +194,12 @@
     return this.#options.clock.now() - this.#startedAt > aloneReadyMs;
   }
 
+  /** Takes over bounds that the platform has changed. */
+  reload({bounds}: HostedSettings): void {
+    this.#bounds = bounds;
+    this.rollouts.bounds = bounds;
+  }
+
   /** Starts the protocols. */
   start(): void {
     const {bus, signal, settings, clock, random, operatorFormat} =
@@ -274,12 +280,11 @@
   }
 
   #createRetries(): RetryBudget {
-    const {bounds} = this.#options.settings;
     return new RetryBudget({
-      share: bounds.retryShare * retryShareUsed,
+      share: this.#bounds.retryShare * retryShareUsed,
       burst: () => {
         const nodes = Math.max(1, this.membership.live().length);
-        return (bounds.retryMinimum * retryMinimumUsed) / nodes;
+        return (this.#bounds.retryMinimum * retryMinimumUsed) / nodes;
       },
     });
   }
@@ -294,20 +299,3 @@
     });
   }
 }
-
-function ownRecord(options: HostedPartsOptions): InstanceRecord {
-  const {dataCentre, region} = options.settings;
-  return {
-    nodeId: options.memberId,
-    incarnation: options.clock.wallTime(),
-    sequence: 1,
-    address: options.wireAddress,
-    dataCentre,
-    region,
-    environment,
-    state: NODE_STATES.alive,
-    upstream: null,
-    relay: false,
-    configVersion: 0,
-  };
-}
--- /dev/null
+++ b/packages/node/src/hosted/own-record.ts
@@ -0,0 +1,24 @@
+import {NODE_STATES} from '@verbenabeam/membership';
+import type {InstanceRecord} from '@verbenabeam/membership';
+import type {HostedPartsOptions} from './hosted-parts.js';
+
+/** Environment of all nodes: the platform keeps one configuration. */
+const environment = 'platform';
+
+/** The record with which a hosted node joins the members. @internal */
+export function ownRecord(options: HostedPartsOptions): InstanceRecord {
+  const {dataCentre, region} = options.settings;
+  return {
+    nodeId: options.memberId,
+    incarnation: options.clock.wallTime(),
+    sequence: 1,
+    address: options.wireAddress,
+    dataCentre,
+    region,
+    environment,
+    state: NODE_STATES.alive,
+    upstream: null,
+    relay: false,
+    configVersion: 0,
+  };
+}
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -53,6 +53,8 @@
  * @internal
  */
 export class Rollouts {
+  /** Bounds of the platform; a reload may change them. */
+  bounds: RolloutBounds;
   readonly #options: RolloutsOptions;
   readonly #recorder: RolloutRecorder;
   readonly #runs = new Map<string, RolloutRun>();
@@ -64,6 +66,7 @@
 
   constructor(options: RolloutsOptions) {
     this.#options = options;
+    this.bounds = options.bounds;
     this.#recorder = new RolloutRecorder(options.store, options.format);
   }
 
@@ -87,8 +90,7 @@
     const {order, revision} = known;
     const before = this.#runs.get(order.service);
     if (before && before.known.revision >= revision) return;
-    const {bounds, clock} = this.#options;
-    const run = new RolloutRun(known, bounds, clock.now());
+    const run = new RolloutRun(known, this.bounds, this.#options.clock.now());
     this.#runs.set(order.service, run);
     log('Order taken.', {...order, revision});
     void this.#recorder.read(run);
@@ -235,7 +237,8 @@
   ): void {
     const total = run.total();
     const finding = judgeRollout(total);
-    const {bounds, membership} = this.#options;
+    const {bounds} = this;
+    const {membership} = this.#options;
     const {service, durationMs} = run.known.order;
     const progress: RolloutProgress = {
       elapsedMs: run.elapsedMs(now),
--- a/packages/routing/src/fakes/slot-model.ts
+++ b/packages/routing/src/fakes/slot-model.ts
@@ -53,10 +53,11 @@
   const arrivals = kinds
     .flatMap(kind => arrivalsOf(kind, seconds, rng))
     .sort((a, b) => a.at - b.at);
-  const resultOf = (call: Call) => results.get(call.kind.route)!;
+  const resultOf = (call: Call) => results.get(call.kind.route) ?? emptyResult();
   const carryOut = (decisions: readonly AdmissionDecision[], now: number) => {
     for (const decision of decisions) {
-      const call = calls.get(decision.callId)!;
+      const call = calls.get(decision.callId);
+      if (!call) continue;
       if (decision.kind === 'admitted') {
         const factor = 1 + spread * (2 * rng.float() - 1);
         const at = now + call.kind.workMs * factor;
@@ -77,7 +78,8 @@
       if (at === Infinity || at > until) return;
       if (end && end.at <= expiry) {
         ends.shift();
-        const call = calls.get(end.id)!;
+        const call = calls.get(end.id);
+        if (!call) continue;
         const tookMs = end.at - call.at;
         if (tookMs <= call.kind.targetMs) resultOf(call).onTime++;
         else if (tookMs <= call.kind.deadlineMs) resultOf(call).late++;
