--- a/packages/routing/src/fakes/slot-model.ts
+++ b/packages/routing/src/fakes/slot-model.ts
@@ -53,7 +53,8 @@
   const arrivals = kinds
     .flatMap(kind => arrivalsOf(kind, seconds, rng))
     .sort((a, b) => a.at - b.at);
-  const resultOf = (call: Call) => results.get(call.kind.route) ?? emptyResult();
+  const resultOf = (call: Call) =>
+    results.get(call.kind.route) ?? emptyResult();
   const carryOut = (decisions: readonly AdmissionDecision[], now: number) => {
     for (const decision of decisions) {
       const call = calls.get(decision.callId);
