Send nothing to a peer whose connection opens after the caller has left

Ruled out: the queue of the serving node, which drops ended calls. The test fails without the abort.

--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -35,6 +35,7 @@
   readonly #body: ReplayBody;
   readonly #listener: AttemptListener;
   #stream: ByteStream | null = null;
+  #opening: AbortController | null = null;
   #status = 0;
   #bytes = 0;
   #over = false;
@@ -64,6 +65,8 @@
   abort(err: MeshError, outcome: Outcome): void {
     if (this.#over) return;
     this.#finish(outcome, null);
+    // Nothing must be sent to a peer that is still being connected to.
+    this.#opening?.abort();
     this.#stream?.reset(err);
   }
 
@@ -125,12 +128,15 @@
 
   async #startRemote(): Promise<void> {
     const {address} = this.target;
+    const opening = new AbortController();
+    this.#opening = opening;
     const opened = await this.#ports.bus.openStream(
       address,
       CALL_STREAM,
       encodeHead(this.#head),
-      {timeoutMs: this.#head.remainingMs},
+      {timeoutMs: this.#head.remainingMs, signal: opening.signal},
     );
+    this.#opening = null;
     if (opened.isErr) this.#fail(opened.error);
     else if (this.#over) opened.value.reset(lost('The call is over'));
     else this.#begin(opened.value);
--- a/packages/node/src/calls/calls-stale.feature
+++ b/packages/node/src/calls/calls-stale.feature
@@ -7,3 +7,7 @@
     Given a stale data path node that has answered a call
     When 5 stale data path calls arrive together with their ends
     Then 1 stale data path call has asked for a slot
+
+  Scenario: A call whose caller leaves while its peer is connected to is not sent
+    When a stale data path attempt is aborted while its stream opens
+    Then the stale data path stream was not opened
--- a/packages/node/src/calls/calls-stale.test.ts
+++ b/packages/node/src/calls/calls-stale.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import {CALL_CODES, MeshError} from '@verbenabeam/core';
+import {CALL_CODES, MeshError, WIRE_CODES} from '@verbenabeam/core';
+import type {RequestOptions} from '@verbenabeam/wire';
+import {Result} from 'true-myth';
+import {Attempt} from './attempt.js';
 import type {CallHead} from './call-head.js';
+import type {EntryPorts} from './entry-ports.js';
 import {localStreamPair} from './local-stream.js';
+import type {ReplayBody} from './replay-body.js';
 import {TestNode} from './test/test-node.js';
 
 const settleMs = 150;
@@ -86,3 +91,44 @@
   assert.equal(entered, count);
   assert.equal(node!.upstream!.runs.total, count);
 });
+
+let openOptions: RequestOptions | null = null;
+
+When('a stale data path attempt is aborted while its stream opens', () => {
+  openOptions = null;
+  const ports = {
+    instances: {began: () => undefined, ended: () => undefined},
+    bus: {
+      openStream: (
+        _peer: string,
+        _kind: string,
+        _head: unknown,
+        options: RequestOptions,
+      ) => {
+        openOptions = options;
+        return new Promise(resolve => {
+          options.signal?.addEventListener('abort', () => {
+            const err = new MeshError(WIRE_CODES.unreachable, 'aborted');
+            resolve(Result.err(err));
+          });
+        });
+      },
+    },
+  } as unknown as EntryPorts;
+  const body = {detach: () => undefined} as unknown as ReplayBody;
+  const target = {nodeId: 'far', address: '127.0.0.1:1', local: false};
+  const listener = {
+    onHead: () => undefined,
+    onChunk: () => undefined,
+    onEnd: () => undefined,
+    onFailure: () => undefined,
+  };
+  const attempt = new Attempt(ports, target, head('far'), body, listener);
+  attempt.start();
+  const left = new MeshError(CALL_CODES.cancelled, 'The caller left');
+  attempt.abort(left, 'cancelled');
+});
+
+Then('the stale data path stream was not opened', () => {
+  assert.equal(openOptions?.signal?.aborted, true);
+});
