Take an answer without a length that was reset for a failure

Connections of the upstream are watched for errors now. Ruled out: answers with a length or in chunks, which undici checks.

--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -223,7 +223,12 @@
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#dispatchAt = performance.now();
     const remainingMs = this.#deadlineAt - this.#dispatchAt;
-    this.#request = new UpstreamRequest(this.#head, ports.protocol, this);
+    this.#request = new UpstreamRequest(
+      this.#head,
+      ports.protocol,
+      this,
+      pool.resets,
+    );
     const upstreamPool = pool.get(upstream.address);
     const {content} = this.#body;
     this.#request.dispatch(upstreamPool, upstream, content, remainingMs);
--- a/packages/node/src/calls/upstream-pool.ts
+++ b/packages/node/src/calls/upstream-pool.ts
@@ -1,10 +1,13 @@
 import {Pool} from 'undici';
+import {ResetWatch} from './reset-watch.js';
 
 /** Most connections to the own upstream; its limit is about 120. */
 const maxConnections = 100;
 
 /** Connections to the own upstream; replaced when its address changes. */
 export class UpstreamPool {
+  /** Shared by the connections of all addresses. */
+  readonly resets = new ResetWatch();
   #pool: Pool | null = null;
   #address = '';
 
@@ -14,6 +17,7 @@
     void this.#pool?.close();
     this.#address = address;
     this.#pool = new Pool(`http://${address}`, {
+      connect: this.resets.connector(),
       connections: maxConnections,
       pipelining: 1,
       // The entry side's deadline ends a call; undici's timers would be
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -2,6 +2,7 @@
 import type {CallHead} from './call-head.js';
 import {ANSWER_KINDS} from './call-protocol.js';
 import type {AnswerKind, CallProtocol} from './call-protocol.js';
+import type {ResetWatch} from './reset-watch.js';
 import type {OwnUpstream} from './serving-ports.js';
 import type {UpstreamBody} from './upstream-body.js';
 
@@ -32,6 +33,7 @@
   readonly #head: CallHead;
   readonly #protocol: CallProtocol;
   readonly #listener: UpstreamListener;
+  readonly #resets: Pick<ResetWatch, 'isFailing'>;
   #abort: ((err?: Error) => void) | null = null;
   #resume: (() => void) | null = null;
   #aborted = false;
@@ -41,7 +43,9 @@
     head: CallHead,
     protocol: CallProtocol,
     listener: UpstreamListener,
+    resets: Pick<ResetWatch, 'isFailing'>,
   ) {
+    this.#resets = resets;
     this.#head = head;
     this.#protocol = protocol;
     this.#listener = listener;
@@ -100,7 +104,10 @@
   onComplete(): void {
     if (this.#aborted) return;
     if (this.#isNotRun) this.#reportNotRun();
-    else this.#listener.onUpstreamEnd();
+    else if (this.#resets.isFailing) {
+      const err = new Error('The answer was reset on the way');
+      this.#listener.onUpstreamError(err, true);
+    } else this.#listener.onUpstreamEnd();
   }
 
   onError(err: Error): void {
