--- /dev/null
+++ b/apps/hosted-node/src/hosted-process.feature
@@ -0,0 +1,20 @@
+@hosted
+Feature: The hosted node as a process
+  Guards against a signal that ends the process, a settings file that stops it
+  while it runs, and errors that name no code.
+
+  Scenario: The settings are checked and printed
+    When the hosted node runs with "--check"
+    Then the hosted node ends with 0 and prints "settings are valid"
+
+  Scenario: Settings with a fault end the hosted node with their code
+    When the hosted node runs with "--check" and a broken settings file
+    Then the hosted node ends with 10 and reports "1001"
+
+  Scenario: A hosted node survives SIGHUP and a broken file, and ends by SIGTERM
+    Given a running hosted node process
+    When its settings file breaks and it gets SIGHUP
+    And its settings file is mended without a signal
+    Then its log says "Settings file refused." and "Settings were read again."
+    And it still answers that it is not ready
+    And the hosted node process ends by itself after SIGTERM
--- a/scripts/lib/environment.d.mts
+++ b/scripts/lib/environment.d.mts
@@ -35,6 +35,10 @@
 
 export const operatorToken: string;
 export const nodeKey: string;
+export function startProcess(
+  args: readonly string[],
+  options?: {readonly env?: Record<string, string>},
+): Promise<Started>;
 export function runProcess(
   args: readonly string[],
   env?: Record<string, string>,
