--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,15 @@
 
 /** Google TypeScript Style Guide, as far as lint rules can check it. */
 export default tseslint.config(
-  {ignores: ['**/dist/**', 'node_modules/**', 'tmp/**', 'target/**', 'journal/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      'node_modules/**',
+      'tmp/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   js.configs.recommended,
   {
     files: ['**/*.mjs', '**/*.js'],
