Pass on an answer without a length as one without a length

It went to the caller in chunks with a last one, which says that it is whole. It now ends with the caller's connection, a cut one by a reset; an answer in chunks whose connection ends before its last chunk is a failure.

--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -63,10 +63,20 @@
     if (limit > 0 && lengthOf(answer.headers) <= limit) {
       this.#held = {...passed, pieces: []};
     } else {
+      if (!isFramed(answer)) this.#endWithConnection();
       this.#res.writeHead(passed.status, [...passed.headers]);
     }
   }
 
+  /**
+   * Passes an answer without a length on as it came. A last chunk would tell the
+   * caller that it is whole, which nobody knows.
+   */
+  #endWithConnection(): void {
+    this.#res.useChunkedEncodingByDefault = false;
+    this.#res.shouldKeepAlive = false;
+  }
+
   /** False asks to wait for `drain`. */
   write(chunk: Uint8Array): boolean {
     this.bytes += chunk.length;
@@ -109,8 +119,12 @@
     this.end();
   }
 
-  /** Cuts the connection, so that a part is not taken for the whole. */
+  /**
+   * Resets the connection, so that a part is not taken for the whole: the end of
+   * a connection also ends an answer without a length.
+   */
   cut(): void {
+    this.#res.socket?.resetAndDestroy();
     this.#res.destroy();
   }
 
@@ -134,6 +148,19 @@
   return status;
 }
 
+/** Statuses of answers that have no body. */
+const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether the end of the answer shows in the answer itself. */
+function isFramed({status, headers}: AnswerHead): boolean {
+  if (bodylessStatuses.has(status)) return true;
+  return headers.some((item, i) => {
+    if (i % 2 !== 0) return false;
+    const name = item.toLowerCase();
+    return name === 'content-length' || name === 'transfer-encoding';
+  });
+}
+
 /** Announced length of a body; infinite if there is none. */
 function lengthOf(headers: readonly string[]): number {
   for (let i = 0; i + 1 < headers.length; i += 2) {
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -33,17 +33,18 @@
   readonly #head: CallHead;
   readonly #protocol: CallProtocol;
   readonly #listener: UpstreamListener;
-  readonly #resets: Pick<ResetWatch, 'isFailing'>;
+  readonly #resets: Pick<ResetWatch, 'isFailing' | 'isEnding'>;
   #abort: ((err?: Error) => void) | null = null;
   #resume: (() => void) | null = null;
   #aborted = false;
+  #isChunked = false;
   #kind: AnswerKind = ANSWER_KINDS.answer;
 
   constructor(
     head: CallHead,
     protocol: CallProtocol,
     listener: UpstreamListener,
-    resets: Pick<ResetWatch, 'isFailing'>,
+    resets: Pick<ResetWatch, 'isFailing' | 'isEnding'>,
   ) {
     this.#resets = resets;
     this.#head = head;
@@ -87,6 +88,7 @@
     if (status < firstFinalStatus) return true;
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
+    this.#isChunked = hasHeader(headers, 'transfer-encoding');
     this.#kind = this.#protocol.classify(this.#head, status, headers);
     if (this.#kind === ANSWER_KINDS.answer) {
       this.#listener.onUpstreamHead(status, headers);
@@ -104,8 +106,8 @@
   onComplete(): void {
     if (this.#aborted) return;
     if (this.#isNotRun) this.#reportNotRun();
-    else if (this.#resets.isFailing) {
-      const err = new Error('The answer was reset on the way');
+    else if (this.#isCut) {
+      const err = new Error('The answer was cut on the way');
       this.#listener.onUpstreamError(err, true);
     } else this.#listener.onUpstreamEnd();
   }
@@ -116,6 +118,12 @@
     else this.#listener.onUpstreamError(err, this.sent);
   }
 
+  /** A whole answer in chunks ends with its last chunk, not with the channel. */
+  get #isCut(): boolean {
+    const {isFailing, isEnding} = this.#resets;
+    return isFailing || (isEnding && this.#isChunked);
+  }
+
   get #isNotRun(): boolean {
     const {notRun, otherUpstream} = ANSWER_KINDS;
     return this.#kind === notRun || this.#kind === otherUpstream;
@@ -127,6 +135,10 @@
   }
 }
 
+function hasHeader(headers: readonly string[], name: string): boolean {
+  return headers.some((item, i) => i % 2 === 0 && item.toLowerCase() === name);
+}
+
 /** Whether undici rejects the request itself, whatever the upstream does. */
 export function isInvalidRequest(err: Error): boolean {
   const code = 'code' in err ? err.code : '';
