--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -1,4 +1,9 @@
-import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
+import {
+  CALL_CODES,
+  INVARIANT_CODES,
+  logger,
+  MeshError,
+} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
 import {fingerprintOf} from '@verbenabeam/routing';
@@ -11,6 +16,8 @@
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
+const log = logger('serving');
+
 /** One call on the serving side. @internal */
 export class ServingCall implements StreamListener, UpstreamListener {
   readonly #head: CallHead;
@@ -257,6 +264,18 @@
     const {callId} = this.#head;
     const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
+    const {inFlight, queued, slots} = admission.load();
+    log('Call did not run to its end here.', {
+      requestId: callId,
+      route: this.#head.routeName,
+      code: code.code,
+      reason: message,
+      ms: Math.round(performance.now() - this.#startAt),
+      leftMs: Math.round(this.#deadlineAt - performance.now()),
+      inFlight,
+      queued,
+      slots,
+    });
     const load = encodeLoad(admission.load());
     const details = {
       ...err.details,
--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -108,14 +108,6 @@
       before: active,
       revision,
       routes: next.document.routes.length,
-      ranks: [
-        ...new Set(
-          next.document.routes.map(
-            r =>
-              `${r.service.name} ${r.idempotent} p${r.priority} t${r.targetLatencyMs} l${r.timeoutMs} a${r.maxAttempts}`,
-          ),
-        ),
-      ],
     });
     this.#listener.onConfig(next);
   }
