--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -7,6 +7,7 @@
   operatorFormat,
   platformProtocol,
   readBootSettings,
+  SETTINGS_VARIABLE,
   upstreamFormat,
 } from '@verbenabeam/platform';
 import {StoreBudget} from '@verbenabeam/store';
@@ -15,13 +16,11 @@
 import {SettingsFile} from './settings-file.js';
 
 const usageExit = 10;
-/** Names the settings file if the command line does not. */
-const settingsVariable = 'VERBENABEAM_BOOT';
 /** Share of the store's rates that one node may use at once. */
 const storeShare = 0.1;
 
 const cli = cac('verbenabeam-hosted-node');
-cli.option('--config <file>', `Settings file; default $${settingsVariable}`);
+cli.option('--config <file>', `Settings file; default $${SETTINGS_VARIABLE}`);
 cli.option('--metrics-port <port>', 'Port for metrics; default none');
 cli.option('--check', 'Check the settings and exit');
 cli.option('--print-settings', 'Print the settings in use and exit');
@@ -32,9 +31,9 @@
 async function main(): Promise<number> {
   const given: unknown = options['config'];
   const path =
-    typeof given === 'string' ? given : process.env[settingsVariable];
+    typeof given === 'string' ? given : process.env[SETTINGS_VARIABLE];
   if (path === undefined)
-    return fail(`--config or $${settingsVariable} is needed`);
+    return fail(`--config or $${SETTINGS_VARIABLE} is needed`);
   const port: unknown = options['metricsPort'];
   const read = readBootSettings(path, typeof port === 'number' ? port : null);
   if (read.isErr) return fail(read.error);
