--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -19,6 +19,7 @@
 import type {EvidenceMessage, StageMessage} from './rollout-messages.js';
 import {RolloutRecorder} from './rollout-recorder.js';
 import {RolloutRun} from './rollout-run.js';
+import {VersionsInFlight} from './versions-in-flight.js';
 
 /** Version names of the ready instances of a service, with their number. */
 export type ReadyVersions = ReadonlyMap<string, number>;
@@ -60,8 +61,7 @@
   readonly #runs = new Map<string, RolloutRun>();
   /** The version that a service uses outside a rollout. */
   readonly #usual = new Map<string, string>();
-  /** Attempts in flight by service and version. */
-  readonly #inFlight = new Map<string, number>();
+  readonly #inFlight = new VersionsInFlight();
   #ticks = 0;
 
   constructor(options: RolloutsOptions) {
@@ -114,8 +114,7 @@
   }
 
   onSent(service: string, version: string): void {
-    const key = keyOf(service, version);
-    this.#inFlight.set(key, (this.#inFlight.get(key) ?? 0) + 1);
+    this.#inFlight.began(service, version);
     const run = this.#runs.get(service);
     if (!run?.isRunning) return;
     run.evidence.sent++;
@@ -127,10 +126,7 @@
     if (service === null) return;
     const run = this.#runs.get(service);
     for (const {version, outcome, latencyMs} of attempts) {
-      const key = keyOf(service, version);
-      const left = (this.#inFlight.get(key) ?? 1) - 1;
-      if (left > 0) this.#inFlight.set(key, left);
-      else this.#inFlight.delete(key);
+      this.#inFlight.ended(service, version);
       if (!run?.isRunning || !countedOutcomes.has(outcome)) continue;
       run.evidence.add({
         route: route ?? '',
@@ -204,7 +200,7 @@
     run.evidence.oldInFlight =
       usual === undefined || usual === run.target
         ? 0
-        : (this.#inFlight.get(keyOf(service, usual)) ?? 0);
+        : this.#inFlight.count(service, usual);
     const report = run.evidence.report(run.share(now));
     const {bus, membership} = this.#options;
     const message: EvidenceMessage = {
@@ -289,10 +285,6 @@
   readonly address: string;
 }
 
-function keyOf(service: string, version: string): string {
-  return `${service}\n${version}`;
-}
-
 function sumAnswered(
   routes: Iterable<{readonly fresh: {readonly answered: number}}>,
 ): number {
