--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -112,4 +112,18 @@
     notRun: true,
     text: 'The move to the version was stopped while the call waited.',
   },
+  bodyTooLarge: {
+    code: 1617,
+    exit: 16,
+    http: 413,
+    notRun: true,
+    text: 'The body of the request exceeds the limit of the configuration.',
+  },
+  headersTooLarge: {
+    code: 1618,
+    exit: 16,
+    http: 431,
+    notRun: true,
+    text: 'The headers of the request exceed the limit of the configuration.',
+  },
 });
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -3,6 +3,7 @@
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
 import type {CallRecord} from './call-record.js';
+import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
 import {EntryCall} from './entry-call.js';
 import type {EntryPorts} from './entry-ports.js';
@@ -82,6 +83,9 @@
   #refusalCode(call: ReceivedCall): ResultCode | null {
     if (this.#draining && !this.#isSubCall(call)) return CALL_CODES.draining;
     if (!call.snapshot) return CALL_CODES.noConfiguration;
+    const {callerLimits} = call.snapshot.document;
+    const exceeded = callerLimits && limitExceeded(call.req, callerLimits);
+    if (exceeded) return exceeded;
     if ((call.headers?.depth ?? 0) > maxDepth) return CALL_CODES.tooDeep;
     if (!call.route) return CALL_CODES.noRoute;
     if (call.headers?.deadlineMs === 0) return CALL_CODES.deadlineTooClose;
