--- a/packages/moves/src/rollout-judge.ts
+++ b/packages/moves/src/rollout-judge.ts
@@ -23,6 +23,13 @@
 const badShare = 0.1;
 /** Failures that a version may have per failure of the old one. */
 const badRatio = 3;
+/**
+ * Failures beyond the share of the old version that count even where the old one
+ * fails often, for example in an overload.
+ */
+const badExcess = 0.25;
+/** Failures from which such an excess is no chance. */
+const manyBad = 8;
 /** Fewer times say little about the mean. */
 const minTimes = 8;
 /** Times of cold upstreams are about twice those of warm ones. */
@@ -54,7 +61,9 @@
   if (fresh.bad < minBad) return false;
   const share = fresh.bad / fresh.answered;
   const usual = (old.bad + 1) / (old.answered + 1);
-  return share > badShare && share > badRatio * usual;
+  if (share <= badShare) return false;
+  if (share > badRatio * usual) return true;
+  return fresh.bad >= manyBad && share > usual + badExcess;
 }
 
 function isSlow(fresh: SideCounts, old: SideCounts): boolean {
--- a/packages/moves/src/rollouts.feature
+++ b/packages/moves/src/rollouts.feature
@@ -11,6 +11,7 @@
       | what               | fresh | bad | ms  | old  | oldBad | finding |
       | half errors        | 12    | 6   | 60  | 400  | 2      | errors  |
       | every second slow  | 20    | 0   | 270 | 400  | 2      | slow    |
+      | timeouts, overload | 24    | 12  | 60  | 400  | 80     | errors  |
 
   Scenario Outline: A rollout with <what> goes on
     When a rollout sees <fresh> new answers with <bad> bad in <ms> ms and <old> old answers with <oldBad> bad in 60 ms
--- a/packages/node/src/calls/calls-stale.test.ts
+++ b/packages/node/src/calls/calls-stale.test.ts
@@ -8,6 +8,7 @@
 import type {CallHead} from './call-head.js';
 import type {EntryPorts} from './entry-ports.js';
 import {localStreamPair} from './local-stream.js';
+import {LoopWatch} from './loop-watch.js';
 import type {ReplayBody} from './replay-body.js';
 import {TestNode} from './test/test-node.js';
 
@@ -132,3 +133,56 @@
 Then('the stale data path stream was not opened', () => {
   assert.equal(openOptions?.signal?.aborted, true);
 });
+
+When(
+  'its loop was late by {int} ms and {int} calls end {int} ms after they arrive',
+  async (lateMs: number, count: number, endMs: number) => {
+    node!.loop.lateMs = lateMs;
+    const streams = [];
+    for (let i = 0; i < count; i++) streams.push(serveStale(`late-${i}`));
+    await sleep(endMs);
+    for (const own of streams) {
+      own.reset(new MeshError(CALL_CODES.cancelled, 'The caller left'));
+    }
+    await sleep(settleMs);
+  },
+);
+
+When(
+  'its loop was late by {int} ms and a call with {int} ms arrives',
+  async (lateMs: number, leftMs: number) => {
+    assert.equal(leftMs, remainingMs);
+    node!.loop.lateMs = lateMs;
+    serveStale('expired').end();
+    await sleep(settleMs);
+  },
+);
+
+function serveStale(callId: string) {
+  const [own, serving] = localStreamPair();
+  const ignore = () => undefined;
+  own.listen({onChunk: ignore, onEnd: ignore, onReset: ignore});
+  node!.serving.serve(head(callId), serving);
+  return own;
+}
+
+let loopNow = 0;
+let watch = new LoopWatch(() => loopNow);
+
+When('a watched loop stands still for {int} ms', (ms: number) => {
+  loopNow = 0;
+  watch = new LoopWatch(() => loopNow);
+  loopNow += ms;
+  watch.tick();
+});
+
+Then(
+  'the watched loop is late by {int} ms for {int} ms',
+  (lateMs: number, forMs: number) => {
+    assert.equal(watch.lateMs, lateMs);
+    loopNow += forMs;
+    assert.equal(watch.lateMs, lateMs);
+    loopNow += 1;
+    assert.equal(watch.lateMs, 0);
+  },
+);
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -64,9 +64,12 @@
       retriesLeft: Math.min(headers.retriesLeft, maxRetriesOf(route)),
       passes: ports.protocol.passesRetries,
     });
-    this.#timer = setTimeout(() => {
-      this.#expire();
-    }, limitMs);
+    this.#timer = setTimeout(
+      () => {
+        this.#expire();
+      },
+      Math.max(0, this.#deadlineAt - performance.now()),
+    );
     const {protocol} = ports;
     const hasBody = headers.bodyBytes !== 0;
     this.#body = new ReplayBody(req, hasBody, protocol.replayBytes);
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -9,6 +9,7 @@
 import type {EntryPorts} from './entry-ports.js';
 import {recordOf} from './entry-record.js';
 import {InFlight} from './in-flight.js';
+import {lostMs, whenCaughtUp} from './loop-watch.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
 
 /** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
@@ -36,7 +37,7 @@
 
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
-    const startAt = performance.now();
+    const startAt = performance.now() - lostMs(this.#ports.loop);
     const {protocol} = this.#ports;
     const callId = protocol.callId(req);
     const headers = protocol.readCaller(req);
@@ -104,7 +105,10 @@
       this.#inFlight.leave();
       this.#ports.observer.onCall(record);
     };
-    new EntryCall(call, this.#ports, done).start();
+    whenCaughtUp(this.#ports.loop, () => {
+      if (call.res.closed) this.#inFlight.leave();
+      else new EntryCall(call, this.#ports, done).start();
+    });
   }
 
   #refuse(call: ReceivedCall, err: MeshError): void {
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -11,6 +11,7 @@
 import type {CallHead} from './call-head.js';
 import type {CallProtocol} from './call-protocol.js';
 import type {CallRecord} from './call-record.js';
+import type {LoopDelay} from './loop-watch.js';
 
 /** What a route is looked up by. @public */
 export interface RouteQuery {
@@ -177,6 +178,8 @@
   readonly serving: LocalServing;
   readonly observer: CallObserver;
   readonly protocol: CallProtocol;
+  /** Default: the event loop is taken to keep up. */
+  readonly loop?: LoopDelay;
   /** Divides the calls of a route over its services. */
   readonly random: RandomSource;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -37,6 +37,8 @@
   VersionChoice,
   VersionChooser,
 } from './entry-ports.js';
+export {LoopWatch} from './loop-watch.js';
+export type {LoopDelay} from './loop-watch.js';
 export {nativeProtocol} from './native-protocol.js';
 export type {ResponseMark} from './response-mark.js';
 export {ServingHandler} from './serving-handler.js';
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -10,6 +10,7 @@
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
+import {lostMs, whenCaughtUp} from './loop-watch.js';
 import {ServingBody} from './serving-body.js';
 import type {ServingContext} from './serving-context.js';
 import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
@@ -41,7 +42,7 @@
     this.#context = context;
     const {replayBytes} = context.ports.protocol;
     this.#body = new ServingBody(head.bodyBytes, stream, replayBytes);
-    this.#startAt = performance.now();
+    this.#startAt = performance.now() - lostMs(context.ports.loop);
     this.#deadlineAt = this.#startAt + head.remainingMs;
   }
 
@@ -134,7 +135,9 @@
    */
   #enterSoon(): void {
     setImmediate(() => {
-      if (!this.#over) this.#enter();
+      whenCaughtUp(this.#context.ports.loop, () => {
+        if (!this.#over) this.#enter();
+      });
     });
   }
 
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,5 +1,6 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {CallProtocol} from './call-protocol.js';
+import type {LoopDelay} from './loop-watch.js';
 import type {UpstreamState} from '@verbenabeam/membership';
 import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
 import type {Result} from 'true-myth';
@@ -107,5 +108,7 @@
   /** Shared with the entry side of this node. */
   readonly ledger: RetryLedger;
   readonly protocol: CallProtocol;
+  /** Default: the event loop is taken to keep up. */
+  readonly loop?: LoopDelay;
   readonly invariants: Invariants;
 }
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -33,6 +33,8 @@
   readonly quarantine = new FakeQuarantine();
   readonly versions = new FakeVersions();
   readonly ownUpstream = new FakeUpstream();
+  /** Time that what is read now may have waited. */
+  readonly loop = {lateMs: 0};
   /** Nodes may share them. */
   claims = new FakeClaims();
   readonly log = new CallLog();
@@ -59,6 +61,7 @@
       stopped: this.versions,
       ledger,
       protocol: nativeProtocol,
+      loop: this.loop,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -76,6 +79,7 @@
       serving: this.serving,
       observer: this.log,
       protocol: nativeProtocol,
+      loop: this.loop,
       random: seededRandom(1),
       invariants,
     });
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -6,7 +6,12 @@
 import {RetryBudget, RetryLedger, SlotQueue} from '@verbenabeam/routing';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
-import {CALL_STREAM, EntryHandler, ServingHandler} from '../calls/index.js';
+import {
+  CALL_STREAM,
+  EntryHandler,
+  LoopWatch,
+  ServingHandler,
+} from '../calls/index.js';
 import type {CallProtocol, CallRecord} from '../calls/index.js';
 import {InstanceAdapter} from '../entry/instance-adapter.js';
 import {every} from '../every.js';
@@ -96,6 +101,7 @@
   readonly #peerRecords: PeerRecords;
   readonly #retries: RetryBudget;
   readonly #calls: CallLogger;
+  readonly #loop: LoopWatch;
   #bounds: HostedBounds;
   #startedAt = Infinity;
   #draining = false;
@@ -156,6 +162,7 @@
     this.#instances = new InstanceAdapter(shared);
     this.#retries = this.#createRetries();
     this.#calls = new CallLogger(this.metrics);
+    this.#loop = new LoopWatch(() => clock.now());
     const versions = new HostedVersions(this.membership, this.rollouts);
     const ledger = new RetryLedger();
     const {protocol} = options;
@@ -166,6 +173,7 @@
       stopped: versions,
       ledger,
       protocol,
+      loop: this.#loop,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -182,6 +190,7 @@
       serving: this.serving,
       observer: {onCall: record => this.#onCall(record)},
       protocol,
+      loop: this.#loop,
       random,
       invariants,
     });
@@ -205,6 +214,7 @@
     const {bus, signal, settings, clock, random, operatorFormat} =
       this.#options;
     this.#startedAt = clock.now();
+    this.#loop.start(signal);
     bus.onStream(CALL_STREAM, this.serving.onStream);
     this.membership.monitor.onChange(({slots}) =>
       this.#admission.setSlots(slots),
