--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -29,6 +29,11 @@
 const maxSeed = 2 ** 31;
 /** Above the header limits of all configurations; those refuse with 431. */
 const maxHeaderBytes = 131_072;
+/**
+ * Answers that may wait behind a slow one on a connection. Above this Node.js
+ * stops reading the connection, and requests would wait there unseen.
+ */
+const pipelineBytes = 524_288;
 /** Time beyond the callers' idle limit, so that no request meets the close. */
 const idleSlackMs = 2_000;
 /** Idle limit before the first configuration. */
@@ -96,6 +101,7 @@
         maxHeaderSize: maxHeaderBytes,
         keepAliveTimeout: defaultIdleMs + idleSlackMs,
         requestTimeout: 0,
+        highWaterMark: pipelineBytes,
       },
       (req, res) => {
         if (this.#closesConnections) res.shouldKeepAlive = false;
