--- a/packages/node/src/calls/call-headers.ts
+++ b/packages/node/src/calls/call-headers.ts
@@ -95,6 +95,24 @@
   return passed;
 }
 
+/**
+ * Value of a header in a flat list; null if it is absent.
+ *
+ * @param name - In lower case.
+ */
+export function headerValue(
+  headers: readonly string[],
+  name: string,
+): string | null {
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const own = headers[i] as string;
+    if (own.length === name.length && own.toLowerCase() === name) {
+      return headers[i + 1] as string;
+    }
+  }
+  return null;
+}
+
 /** Names that the `connection` header adds to the hop-by-hop ones. */
 function connectionNames(raw: readonly string[]): string[] | null {
   for (let i = 0; i + 1 < raw.length; i += 2) {
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -1,7 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import type {MeshError} from '@verbenabeam/core';
 import type {AnswerHead} from './call-head.js';
-import {passedHeaders} from './call-headers.js';
+import {headerValue, passedHeaders} from './call-headers.js';
 import type {CallProtocol} from './call-protocol.js';
 import type {StoredAnswer} from './entry-ports.js';
 import type {ResponseMark} from './response-mark.js';
@@ -154,19 +154,14 @@
 /** Whether the end of the answer shows in the answer itself. */
 function isFramed({status, headers}: AnswerHead): boolean {
   if (bodylessStatuses.has(status)) return true;
-  return headers.some((item, i) => {
-    if (i % 2 !== 0) return false;
-    const name = item.toLowerCase();
-    return name === 'content-length' || name === 'transfer-encoding';
-  });
+  return (
+    headerValue(headers, 'content-length') !== null ||
+    headerValue(headers, 'transfer-encoding') !== null
+  );
 }
 
 /** Announced length of a body; infinite if there is none. */
 function lengthOf(headers: readonly string[]): number {
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    if (headers[i]?.toLowerCase() === 'content-length') {
-      return Number(headers[i + 1]);
-    }
-  }
-  return Infinity;
+  const length = headerValue(headers, 'content-length');
+  return length === null ? Infinity : Number(length);
 }
--- a/packages/node/src/calls/native-protocol.ts
+++ b/packages/node/src/calls/native-protocol.ts
@@ -4,6 +4,7 @@
 import type {CallHead} from './call-head.js';
 import {
   CALL_HEADERS,
+  headerValue,
   passedHeaders,
   readCallerHeaders,
 } from './call-headers.js';
@@ -48,13 +49,9 @@
 }
 
 function classify(headers: readonly string[]): AnswerKind {
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    if (headers[i]?.toLowerCase() !== CALL_HEADERS.notRun) continue;
-    return headers[i + 1] === 'true'
-      ? ANSWER_KINDS.notRun
-      : ANSWER_KINDS.answer;
-  }
-  return ANSWER_KINDS.answer;
+  return headerValue(headers, CALL_HEADERS.notRun) === 'true'
+    ? ANSWER_KINDS.notRun
+    : ANSWER_KINDS.answer;
 }
 
 function toCaller(
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -267,7 +267,8 @@
     const {callId} = this.#head;
     const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
-    const {inFlight, queued, slots} = admission.load();
+    const report = admission.load();
+    const {inFlight, queued, slots} = report;
     log('Call did not run to its end here.', {
       requestId: callId,
       route: this.#head.routeName,
@@ -279,7 +280,7 @@
       queued,
       slots,
     });
-    const load = encodeLoad(admission.load());
+    const load = encodeLoad(report);
     const details = {
       ...err.details,
       load,
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -1,5 +1,6 @@
 import type {Dispatcher, Pool} from 'undici';
 import type {CallHead} from './call-head.js';
+import {headerValue} from './call-headers.js';
 import {ANSWER_KINDS} from './call-protocol.js';
 import type {AnswerKind, CallProtocol} from './call-protocol.js';
 import type {ResetWatch} from './reset-watch.js';
@@ -88,7 +89,7 @@
     if (status < firstFinalStatus) return true;
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
-    this.#isChunked = hasHeader(headers, 'transfer-encoding');
+    this.#isChunked = headerValue(headers, 'transfer-encoding') !== null;
     this.#kind = this.#protocol.classify(this.#head, status, headers);
     if (this.#kind === ANSWER_KINDS.answer) {
       this.#listener.onUpstreamHead(status, headers);
@@ -135,10 +136,6 @@
   }
 }
 
-function hasHeader(headers: readonly string[], name: string): boolean {
-  return headers.some((item, i) => i % 2 === 0 && item.toLowerCase() === name);
-}
-
 /** Whether undici rejects the request itself, whatever the upstream does. */
 export function isInvalidRequest(err: Error): boolean {
   const code = 'code' in err ? err.code : '';
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,7 +16,7 @@
   RefusalResponse,
   ResponseMark,
 } from './calls/index.js';
-export {passedHeaders} from './calls/index.js';
+export {headerValue, passedHeaders} from './calls/index.js';
 export {HostedNode} from './hosted/hosted-node.js';
 export type {HostedNodeOptions} from './hosted/hosted-node.js';
 export type {HostedBounds, HostedSettings} from './hosted/hosted-settings.js';
