Use an instance again that was slow; wait for a fresh node in set-ups

Cause: the picker keeps how slow an instance was relative to the pool. The cost let that age, the expected wait and the "usual" time did not, and one new answer made the old value fresh again. Now a measured ratio, and the share of failures, nears its neutral value with a half-life of 3 s, and a new sample is added to what is left.

A read that failed at a crashed upstream without having begun there must now be shown by `explain` to have had its open attempt at that upstream, and every failed read is asked for so.

--- a/apps/node/src/processes-crash.test.ts
+++ b/apps/node/src/processes-crash.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {fleet} from './test/current-fleet.js';
+import type {SeenCall} from './test/steady-load.js';
 
 /** Slots of an upstream, which bound what is in flight at its death. */
 const upstreamSlots = 12;
@@ -9,21 +10,35 @@
 /** State of one scenario. */
 let lastCode = 0;
 let deaths = 0;
+/** Nodes whose upstreams crashed. */
+const crashedNodes = new Set<string>();
 
 async function restartUpstreams(): Promise<void> {
   for (const [index, instance] of fleet().members.entries()) {
     const {upstream, node} = instance;
     if (!upstream || upstream.child.exitCode === null) continue;
     deaths++;
+    crashedNodes.add(node.info['nodeId'] ?? '');
     const spec = fleet().spec(index);
     instance.upstream = await fleet().env.startUpstream({...spec, node});
   }
 }
 
+/**
+ * Whether the attempt with the unknown outcome was one at an upstream that
+ * crashed: it had been written to the connection, which the upstream never read.
+ */
+async function wasWrittenToCrashed({callId}: SeenCall): Promise<boolean> {
+  const {attempts} = await fleet().explain(callId);
+  const open = attempts.filter(attempt => attempt.code === outcomeUnknown);
+  return open.length > 0 && open.every(({nodeId}) => crashedNodes.has(nodeId));
+}
+
 When(
   'a process fleet caller sends a crashing request {int} times and upstreams are restarted',
   async (count: number) => {
     deaths = 0;
+    crashedNodes.clear();
     const targets = fleet().callers();
     for (let i = 0; i < count; i++) {
       const target = targets[i % targets.length] ?? '';
@@ -68,7 +83,8 @@
     for (const call of failed) {
       assert.equal(call.code, outcomeUnknown, call.detail);
       const own = runs.filter(line => line.path === call.path);
-      const atCrash = own.length === 1 && pids.has(own[0]?.pid ?? 0);
+      const ranThere = own.every(line => pids.has(line.pid)) && own.length < 2;
+      const atCrash = ranThere && (await wasWrittenToCrashed(call));
       assert.ok(atCrash, `${call.path} ran at ${JSON.stringify(own)}`);
       const {target, path} = call;
       const again = await load.send(target, {method: 'GET', path});
--- a/apps/node/src/test/fleet.ts
+++ b/apps/node/src/test/fleet.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {existsSync, readFileSync} from 'node:fs';
 import path from 'node:path';
-import type {StatusResponse} from '@verbenabeam/admin-api';
+import type {CallRecord, StatusResponse} from '@verbenabeam/admin-api';
+import {VERSION_CODES} from '@verbenabeam/core';
 import {
   Environment,
   operatorToken,
@@ -87,8 +88,7 @@
       async () => (await this.status(1)).nodes.length === this.members.length,
       'every node knows the others',
     );
-    const {status, err} = await this.submit(fleetDocument());
-    assert.equal(status, 0, err);
+    await this.#submitFirst();
     await this.untilAllHold(1);
     await this.env.untilReady();
     await waitUntil(async () => {
@@ -99,6 +99,17 @@
     await this.load.untilAnswered(callsPerSecond);
   }
 
+  /** Repeats the first submit while its node has not learned the fleet's version. */
+  async #submitFirst(): Promise<void> {
+    const accepted = async () => {
+      const {status, err} = await this.submit(fleetDocument());
+      if (err.includes(`error ${VERSION_CODES.notReady.code} `)) return false;
+      assert.equal(status, 0, err);
+      return true;
+    };
+    await waitUntil(accepted, 'node 1 accepts the first document');
+  }
+
   /** Instances of the environment itself, without the trial environment. */
   get members(): Instance[] {
     return this.env.instances.filter(i => i.environment === undefined);
@@ -120,6 +131,17 @@
     return (await res.json()) as StatusResponse;
   }
 
+  /** What the fleet knows of a call. */
+  async explain(callId: string): Promise<CallRecord> {
+    const {status, out, err} = await this.env.cliAt(this.instance(1), [
+      'explain',
+      callId,
+      '--json',
+    ]);
+    assert.equal(status, 0, err);
+    return JSON.parse(out) as CallRecord;
+  }
+
   /** Versions that the nodes themselves report. */
   async versions(): Promise<number[]> {
     const all = await Promise.all(this.members.map(i => this.statusOf(i)));
--- a/apps/node/src/test/steady-load.ts
+++ b/apps/node/src/test/steady-load.ts
@@ -15,6 +15,8 @@
   /** Result code; 0 when there is none. */
   readonly code: number;
   readonly notRun: boolean;
+  /** Id of the call, which `explain` takes; empty when there is none. */
+  readonly callId: string;
   readonly configVersion: number;
   /** True for HTTP 200 with the complete body of this request. */
   readonly ok: boolean;
@@ -137,6 +139,7 @@
         status: res.statusCode,
         code: Number(header('vb-result')),
         notRun: res.statusCode !== 200 && body.includes('"notRun":true'),
+        callId: header('vb-call-id'),
         configVersion: Number(header('vb-config-version')),
         ok,
         detail: ok ? '' : body.slice(0, 200),
@@ -148,6 +151,7 @@
         status: 0,
         code: 0,
         notRun: false,
+        callId: '',
         configVersion: 0,
         ok: false,
         detail: String(err),
--- a/packages/routing/src/instance-stats.ts
+++ b/packages/routing/src/instance-stats.ts
@@ -14,7 +14,7 @@
 /** Load changes within some calls' time, so a report loses its value. */
 const reportHalfLifeMs = 250;
 /** An instance that looked slow is tried again after some seconds. */
-const latencyHalfLifeMs = 5000;
+const latencyHalfLifeMs = 3000;
 /** Failure samples before the share of failures counts. */
 const minSamples = 10;
 /** Queue assumed after a refusal, as a share of the slots. */
@@ -74,11 +74,12 @@
   cost(announcedSlots: number, pool: PoolPriors, now: number): number {
     const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
     const others = this.#others(slots, pool, now);
-    const serviceMs = this.#serviceMs(pool);
+    const serviceMs = this.#serviceMs(pool, now);
     const waitMs = ((this.inFlight + others) * serviceMs) / slots;
     if (!this.#report && this.#slowness.count === 0) return waitMs;
     const observedMs = this.#observed(pool, now);
-    const success = Math.max(lowestSuccessShare, 1 - this.failureShare);
+    const failed = this.failureShare * this.#fresh(now);
+    const success = Math.max(lowestSuccessShare, 1 - failed);
     return Math.max(waitMs + serviceMs, observedMs + waitMs) / success;
   }
 
@@ -90,8 +91,8 @@
     const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
     const others = this.#others(slots, pool, now);
     const waiting = Math.max(0, this.inFlight + others + 1 - slots);
-    const waitMs = (waiting * this.#serviceMs(pool)) / slots;
-    return this.#typical.value * pool.latencyMs + waitMs;
+    const waitMs = (waiting * this.#serviceMs(pool, now)) / slots;
+    return this.#aged(this.#typical, now) * pool.latencyMs + waitMs;
   }
 
   /** @param usualMs - Time of a call on the same route in the whole pool. */
@@ -99,11 +100,11 @@
     this.#consecutiveFailures = 0;
     this.#successesSinceReturn++;
     if (this.#successesSinceReturn >= recoveredAfter) this.#ejections = 0;
+    this.#age(now);
     this.#failures.add(0);
     const ratio = latencyMs / Math.max(1, usualMs);
     this.#slowness.add(ratio);
     this.#typical.add(ratio);
-    this.#latencyAt = now;
   }
 
   /** A failure never lowers the latency: fast errors must not attract calls. */
@@ -114,6 +115,7 @@
     now: number,
   ): void {
     this.#consecutiveFailures++;
+    this.#age(now);
     this.#failures.add(1);
     const ratio = latencyMs / Math.max(1, usualMs);
     if (ratio > this.#slowness.value) this.#slowness.add(ratio);
@@ -164,18 +166,38 @@
   }
 
   /** A reported time far below what was observed is not believed. */
-  #serviceMs(pool: PoolPriors): number {
-    const reported = this.#report?.serviceMs ?? pool.latencyMs;
+  #serviceMs(pool: PoolPriors, now: number): number {
+    const {latencyMs} = pool;
+    const reported = this.#report?.serviceMs ?? latencyMs;
     const isKnown = this.#slowness.count > 0;
-    const observed = isKnown ? this.#slowness.value * pool.latencyMs : 0;
-    return Math.max(reported, observed / 2);
+    const ratio = isKnown ? this.#aged(this.#slowness, now) : 0;
+    return Math.max(reported, (ratio * latencyMs) / 2);
   }
 
   #observed(pool: PoolPriors, now: number): number {
-    if (this.#slowness.count === 0) return pool.latencyMs;
-    const fresh = halfLife(now - this.#latencyAt, latencyHalfLifeMs);
-    const ratio = fresh * this.#slowness.value + (1 - fresh);
-    return ratio * pool.latencyMs;
+    return this.#aged(this.#slowness, now) * pool.latencyMs;
+  }
+
+  /** Starts from what is still known before a new sample is added. */
+  #age(now: number): void {
+    this.#slowness.reset(this.#aged(this.#slowness, now));
+    this.#typical.reset(this.#aged(this.#typical, now));
+    this.#failures.reset(this.#failures.value * this.#fresh(now));
+    this.#latencyAt = now;
+  }
+
+  /**
+   * A measured ratio as far as it is still known. It nears 1 by factors: what is
+   * not called is not measured, and ten times too slow is forgotten as soon as
+   * twice.
+   */
+  #aged({value}: Smoothed, now: number): number {
+    return Math.max(value, 0) ** this.#fresh(now);
+  }
+
+  /** 1 right after an answer; half after each half-life without one. */
+  #fresh(now: number): number {
+    return halfLife(now - this.#latencyAt, latencyHalfLifeMs);
   }
 }
 
--- a/packages/routing/src/smoothed.ts
+++ b/packages/routing/src/smoothed.ts
@@ -24,6 +24,11 @@
     return this.#count;
   }
 
+  /** Replaces the mean, for one that has lost its value with time. */
+  reset(value: number): void {
+    this.#value = value;
+  }
+
   add(sample: number): void {
     const weight = sample > this.#value ? this.#rise : this.#fall;
     const first = this.#count === 0;
