Start calls at a busy node only after the ends were read

Ruled out: stalls of 300 ms or more, which the loop watch knows; slow servers (the calls ended within some ms). Now a gate shared by both sides starts calls for 10 ms a turn of the event loop; while a node is behind, only after one more poll, and not those that have ended. Test: start-gate.feature; with no bound of the time all 2,000 calls of callers that have left are started, with it at most 1%.

--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -9,8 +9,9 @@
 import type {EntryPorts} from './entry-ports.js';
 import {recordOf} from './entry-record.js';
 import {InFlight} from './in-flight.js';
-import {lostMs, whenCaughtUp} from './loop-watch.js';
+import {lostMs} from './loop-watch.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
+import {StartGate} from './start-gate.js';
 
 /** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
 const maxDepth = 32;
@@ -24,10 +25,12 @@
 export class EntryHandler {
   readonly #ports: EntryPorts;
   readonly #inFlight = new InFlight();
+  readonly #gate: StartGate;
   #draining = false;
 
   constructor(ports: EntryPorts) {
     this.#ports = ports;
+    this.#gate = ports.gate ?? new StartGate({loop: ports.loop});
   }
 
   /** Calls that have not ended. */
@@ -38,6 +41,21 @@
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
     const startAt = performance.now() - lostMs(this.#ports.loop);
+    this.#inFlight.enter();
+    const isDraining = this.#draining;
+    this.#gate.run({
+      isOver: () => req.destroyed || res.closed,
+      start: () => this.#begin(req, res, startAt, isDraining),
+      drop: () => this.#inFlight.leave(),
+    });
+  };
+
+  #begin(
+    req: IncomingMessage,
+    res: ServerResponse,
+    startAt: number,
+    isDraining: boolean,
+  ): void {
     const {protocol} = this.#ports;
     const callId = protocol.callId(req);
     const headers = protocol.readCaller(req);
@@ -47,11 +65,11 @@
     const call = {callId, req, res, startAt, headers: known, snapshot, route};
     if (headers.isErr) this.#refuse(call, headers.error);
     else {
-      const code = this.#refusalCode(call);
+      const code = this.#refusalCode(call, isDraining);
       if (code) this.#refuse(call, new MeshError(code, code.text));
       else this.#start(call as RoutedCall);
     }
-  };
+  }
 
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
@@ -81,8 +99,8 @@
     });
   }
 
-  #refusalCode(call: ReceivedCall): ResultCode | null {
-    if (this.#draining && !this.#isSubCall(call)) return CALL_CODES.draining;
+  #refusalCode(call: ReceivedCall, isDraining: boolean): ResultCode | null {
+    if (isDraining && !this.#isSubCall(call)) return CALL_CODES.draining;
     if (!call.snapshot) return CALL_CODES.noConfiguration;
     const {callerLimits} = call.snapshot.document;
     const exceeded = callerLimits && limitExceeded(call.req, callerLimits);
@@ -100,18 +118,15 @@
   }
 
   #start(call: RoutedCall): void {
-    this.#inFlight.enter();
     const done = (record: CallRecord) => {
       this.#inFlight.leave();
       this.#ports.observer.onCall(record);
     };
-    whenCaughtUp(this.#ports.loop, () => {
-      if (call.res.closed) this.#inFlight.leave();
-      else new EntryCall(call, this.#ports, done).start();
-    });
+    new EntryCall(call, this.#ports, done).start();
   }
 
   #refuse(call: ReceivedCall, err: MeshError): void {
+    this.#inFlight.leave();
     const configVersion = call.snapshot?.version ?? 0;
     const mark = {callId: call.callId, configVersion, retriesLeft: null};
     const status = sendRefusal(call.res, this.#ports.protocol, err, mark);
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -12,6 +12,7 @@
 import type {CallProtocol} from './call-protocol.js';
 import type {CallRecord} from './call-record.js';
 import type {LoopDelay} from './loop-watch.js';
+import type {StartGate} from './start-gate.js';
 
 /** What a route is looked up by. @public */
 export interface RouteQuery {
@@ -180,6 +181,8 @@
   readonly protocol: CallProtocol;
   /** Default: the event loop is taken to keep up. */
   readonly loop?: LoopDelay;
+  /** Starts the calls; shared by both sides. Default: one for each. */
+  readonly gate?: StartGate;
   /** Divides the calls of a route over its services. */
   readonly random: RandomSource;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -38,6 +38,8 @@
   VersionChooser,
 } from './entry-ports.js';
 export {LoopWatch} from './loop-watch.js';
+export {StartGate} from './start-gate.js';
+export type {GateCall, StartGateOptions} from './start-gate.js';
 export type {LoopDelay} from './loop-watch.js';
 export {nativeProtocol} from './native-protocol.js';
 export type {ResponseMark} from './response-mark.js';
--- a/packages/node/src/calls/loop-watch.ts
+++ b/packages/node/src/calls/loop-watch.ts
@@ -54,21 +54,6 @@
   }
 }
 
-/** Time in which the end of a call that is read late is read too. */
-const settleMs = 30;
-
-/**
- * Runs a step of a call that was read now. After a stall it runs a moment later,
- * when the ends of calls that waited with it have been read.
- */
-export function whenCaughtUp(
-  delay: LoopDelay | undefined,
-  run: () => void,
-): void {
-  if (delay && delay.lateMs > 0) setTimeout(run, settleMs);
-  else run();
-}
-
 /** Part of a stall that counts against the time that a call has left. */
 export function lostMs(delay: LoopDelay | undefined): number {
   return Math.max(0, (delay?.lateMs ?? 0) - minStallMs);
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -10,7 +10,7 @@
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
-import {lostMs, whenCaughtUp} from './loop-watch.js';
+import {lostMs} from './loop-watch.js';
 import {ServingBody} from './serving-body.js';
 import type {ServingContext} from './serving-context.js';
 import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
@@ -135,8 +135,10 @@
    */
   #enterSoon(): void {
     setImmediate(() => {
-      whenCaughtUp(this.#context.ports.loop, () => {
-        if (!this.#over) this.#enter();
+      this.#context.gate.run({
+        isOver: () => this.#over,
+        start: () => this.#enter(),
+        drop: () => undefined,
       });
     });
   }
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,6 +1,7 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {CallProtocol} from './call-protocol.js';
 import type {LoopDelay} from './loop-watch.js';
+import type {StartGate} from './start-gate.js';
 import type {UpstreamState} from '@verbenabeam/membership';
 import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
 import type {Result} from 'true-myth';
@@ -110,5 +111,7 @@
   readonly protocol: CallProtocol;
   /** Default: the event loop is taken to keep up. */
   readonly loop?: LoopDelay;
+  /** Starts the calls; shared by both sides. Default: one for each. */
+  readonly gate?: StartGate;
   readonly invariants: Invariants;
 }
--- /dev/null
+++ b/packages/node/src/calls/start-gate.feature
@@ -0,0 +1,21 @@
+@calls
+Feature: Start of calls at a busy node
+
+  Scenario: A node that keeps up starts calls at once
+    Given a start gate whose calls take 1 ms to start
+    When the start gate reads 3 calls in each of 20 polls
+    Then each start gate call was started in the poll that read it
+
+  Scenario: A node that is behind starts few calls whose callers have left
+    Guards against a node that stays behind after a restart: it read requests of
+    the last seconds, and the end of each only after it had been sent on.
+    Given a start gate whose calls take 2 ms to start
+    When the start gate reads 200 calls a poll for 10 polls and their ends one poll later
+    Then at most 1% of the start gate calls were started
+    And with no bound of the time in a turn all of them are started
+
+  Scenario: A busy node starts every call that goes on
+    Given a start gate whose calls take 2 ms to start
+    When the start gate reads 200 calls in one poll that do not end
+    Then all start gate calls were started in their order
+    And no turn spent more than 12 ms with start gate calls
--- /dev/null
+++ b/packages/node/src/calls/start-gate.ts
@@ -0,0 +1,114 @@
+import type {LoopDelay} from './loop-watch.js';
+
+/** Settings of {@link StartGate}. @public */
+export interface StartGateOptions {
+  /** Default: the event loop is taken to keep up. */
+  readonly loop?: LoopDelay | undefined;
+  /** Time for starts in a turn of the event loop, in ms; default 10. */
+  readonly budgetMs?: number;
+  /** Clock in ms; default `performance.now`. */
+  readonly now?: () => number;
+  /** Runs a step after the next poll; default `setImmediate`. */
+  readonly afterPoll?: (step: () => void) => void;
+}
+
+const defaultBudgetMs = 10;
+/** Starts wait for a poll for this time after a turn used its budget, in ms. */
+const busyMs = 500;
+/** Time in which the end of a call that is read late is read too, in ms. */
+const settleMs = 30;
+
+/** A call that was read. @public */
+export interface GateCall {
+  /** Whether its end has been read. */
+  isOver(): boolean;
+  start(): void;
+  /** Called in place of `start` when the call is over. */
+  drop(): void;
+}
+
+/**
+ * Starts the calls that were read. Load pattern: a node behind its callers, after
+ * a restart or a stall, reads calls whose callers have left. To start one costs
+ * many times what reading it costs, so that a node which starts all of them stays
+ * behind. Here a busy node starts calls for a bounded time in each turn of the
+ * event loop and only after one more poll, which reads the ends; a call that has
+ * ended costs nothing more. A node that keeps up starts them at once.
+ *
+ * @public
+ */
+export class StartGate {
+  readonly #loop: LoopDelay | undefined;
+  readonly #budgetMs: number;
+  readonly #now: () => number;
+  readonly #afterPoll: (step: () => void) => void;
+  readonly #queue: GateCall[] = [];
+  /** Calls at the head of the queue that were read before the last poll. */
+  #polled = 0;
+  #spentMs = 0;
+  #busyUntil = -Infinity;
+  #isArmed = false;
+
+  constructor(options: StartGateOptions = {}) {
+    this.#loop = options.loop;
+    this.#budgetMs = options.budgetMs ?? defaultBudgetMs;
+    this.#now = options.now ?? (() => performance.now());
+    this.#afterPoll = options.afterPoll ?? (step => void setImmediate(step));
+  }
+
+  /** Calls that wait to be started. */
+  get waiting(): number {
+    return this.#queue.length;
+  }
+
+  /** Starts a call, now or later, unless it is over by then. */
+  run(call: GateCall): void {
+    if (this.#loop && this.#loop.lateMs > 0) {
+      setTimeout(() => this.#take(call), settleMs);
+    } else {
+      this.#take(call);
+    }
+  }
+
+  #take(call: GateCall): void {
+    const isBusy =
+      this.#queue.length > 0 ||
+      this.#spentMs >= this.#budgetMs ||
+      this.#now() < this.#busyUntil;
+    if (isBusy) this.#queue.push(call);
+    else this.#start(call);
+    this.#arm();
+  }
+
+  #start(call: GateCall): void {
+    if (call.isOver()) {
+      call.drop();
+      return;
+    }
+    const startAt = this.#now();
+    call.start();
+    this.#spentMs += this.#now() - startAt;
+  }
+
+  #arm(): void {
+    if (this.#isArmed) return;
+    this.#isArmed = true;
+    this.#afterPoll(() => this.#turn());
+  }
+
+  #turn(): void {
+    this.#isArmed = false;
+    if (this.#spentMs >= this.#budgetMs) {
+      this.#busyUntil = this.#now() + busyMs;
+    }
+    this.#spentMs = 0;
+    let started = 0;
+    while (started < this.#polled && this.#spentMs < this.#budgetMs) {
+      const call = this.#queue[started++];
+      if (call) this.#start(call);
+    }
+    this.#queue.splice(0, started);
+    this.#polled = this.#queue.length;
+    if (this.#polled > 0 || this.#spentMs > 0) this.#arm();
+  }
+}
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -10,6 +10,7 @@
   CALL_STREAM,
   EntryHandler,
   LoopWatch,
+  StartGate,
   ServingHandler,
 } from '../calls/index.js';
 import type {CallProtocol, CallRecord} from '../calls/index.js';
@@ -166,6 +167,7 @@
     const versions = new HostedVersions(this.membership, this.rollouts);
     const ledger = new RetryLedger();
     const {protocol} = options;
+    const gate = new StartGate({loop: this.#loop});
     this.serving = new ServingHandler({
       upstream: this.upstream,
       admission: this.#admission,
@@ -174,6 +176,7 @@
       ledger,
       protocol,
       loop: this.#loop,
+      gate,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -191,6 +194,7 @@
       observer: {onCall: record => this.#onCall(record)},
       protocol,
       loop: this.#loop,
+      gate,
       random,
       invariants,
     });
