Accept the waiting connections of callers before calls are started

Cause of the GONE that the start gate did not mend: Node.js 20 (libuv 1.46) accepts one connection in each turn of the event loop. Callers retry on new channels, so connections came faster than turns, and each request was read a second after it was sent. Ruled out: stalls of the loop (none above 50 ms), calls that wait in the node. Now, while each turn accepts a connection, starts wait up to 25 ms, so that turns are short; the calls of callers that left meanwhile are dropped when read. Test: a loop with 300 waiting connections and 200 more a second: at most 5 in 100 started calls are stale, above 50 if the gate does not know of connections. The routes that the configuration no longer names are forgotten.

--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -73,6 +73,9 @@
     }
   }
 
+  /** Listener for the `connection` event of the server. */
+  readonly onConnection = (): void => this.#gate.onConnection();
+
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
    * when those in flight have ended.
@@ -82,6 +85,11 @@
     await this.#inFlight.empty();
   }
 
+  /** Forgets what was learned of routes that the configuration no longer names. */
+  retainRoutes(names: ReadonlySet<string>): void {
+    this.#deadlines.retain(names);
+  }
+
   /** Checks before connections are closed that none is cut. */
   checkDrained(): void {
     const {count} = this.#inFlight;
--- a/packages/node/src/calls/start-gate.feature
+++ b/packages/node/src/calls/start-gate.feature
@@ -14,6 +14,14 @@
     Then at most 1% of the start gate calls were started
     And with no bound of the time in a turn all of them are started
 
+  Scenario: Connections that wait are accepted before calls are started
+    Guards against a node that is a second behind its callers for seconds after a
+    restart, because each turn accepts one connection and starts calls meanwhile.
+    Given a start gate whose calls take 2 ms to start
+    When callers open 200 connections a second for 3 s after 300 wait, and leave after 170 ms
+    Then at most 5% of the calls that the start gate started had callers that left
+    And if it does not know of connections more than 50% had
+
   Scenario: A busy node starts every call that goes on
     Given a start gate whose calls take 2 ms to start
     When the start gate reads 200 calls in one poll that do not end
--- a/packages/node/src/calls/start-gate.test.ts
+++ b/packages/node/src/calls/start-gate.test.ts
@@ -68,6 +68,104 @@
 
 let model = new GateModel(0);
 
+interface Caller {
+  readonly at: number;
+  readonly leavesAt: number;
+  isOver: boolean;
+}
+
+const turnMs = 0.4;
+/** Work of a turn beside the starts: answers and frames. */
+const otherMs = 2.4;
+
+/**
+ * A loop that accepts one connection a turn. The call of a connection is read in
+ * the turn after, the end of a caller that left in the turn after that.
+ *
+ * @returns Share of the started calls whose callers had left.
+ */
+function staleStarts(
+  load: {perSecond: number; seconds: number; waiting: number; staysMs: number},
+  startMs: number,
+  knowsConnections: boolean,
+): number {
+  let now = 0;
+  let steps: (() => void)[] = [];
+  const gate = new StartGate({
+    now: () => now,
+    afterPoll: step => steps.push(step),
+  });
+  const callers: Caller[] = [];
+  const add = (at: number) =>
+    callers.push({at, leavesAt: at + load.staysMs, isOver: false});
+  for (let i = 0; i < load.waiting; i++) add(0);
+  for (let at = 0; at < load.seconds * 1_000; at += 1_000 / load.perSecond) {
+    add(at);
+  }
+  let accepted: Caller[] = [];
+  let read: Caller[] = [];
+  let next = 0;
+  let started = 0;
+  let stale = 0;
+  while (next < callers.length || gate.waiting > 0) {
+    now += turnMs + (accepted.length > 0 ? otherMs / 4 : otherMs);
+    for (const caller of read) caller.isOver = caller.leavesAt < now;
+    for (const caller of accepted) {
+      read.push(caller);
+      gate.run({
+        isOver: () => caller.isOver,
+        start: () => {
+          now += startMs;
+          started++;
+          if (caller.leavesAt < now) stale++;
+        },
+        drop: () => undefined,
+      });
+    }
+    accepted = [];
+    const waiting = callers[next];
+    if (waiting && waiting.at <= now) {
+      accepted = [waiting];
+      next++;
+      if (knowsConnections) gate.onConnection();
+    }
+    read = read.slice(-200);
+    const due = steps;
+    steps = [];
+    for (const step of due) step();
+  }
+  return stale / started;
+}
+
+let staleShares = {known: 0, unknown: 0};
+
+When(
+  'callers open {int} connections a second for {int} s after {int} wait, and leave after {int} ms',
+  (perSecond: number, seconds: number, waiting: number, staysMs: number) => {
+    const load = {perSecond, seconds, waiting, staysMs};
+    staleShares = {
+      known: staleStarts(load, 2, true),
+      unknown: staleStarts(load, 2, false),
+    };
+  },
+);
+
+Then(
+  'at most {int}% of the calls that the start gate started had callers that left',
+  (percent: number) => {
+    const seen = JSON.stringify(staleShares);
+    assert.ok(staleShares.known * 100 <= percent, seen);
+  },
+);
+
+Then(
+  'if it does not know of connections more than {int}% had',
+  (percent: number) => {
+    const seen = JSON.stringify(staleShares);
+    assert.ok(staleShares.unknown * 100 > percent, seen);
+  },
+);
+
 Given(
   'a start gate whose calls take {int} ms to start',
   (startMs: number) => (model = new GateModel(startMs)),
--- a/packages/node/src/calls/start-gate.ts
+++ b/packages/node/src/calls/start-gate.ts
@@ -15,6 +15,10 @@
 const defaultBudgetMs = 10;
 /** Starts wait for a poll for this time after a turn used its budget, in ms. */
 const busyMs = 500;
+/** Polls in a row that accept a connection when more wait to be accepted. */
+const backlogPolls = 2;
+/** Starts wait at most this long for waiting connections, in ms. */
+const maxAcceptMs = 25;
 /** Time in which the end of a call that is read late is read too, in ms. */
 const settleMs = 30;
 
@@ -35,6 +39,10 @@
  * event loop and only after one more poll, which reads the ends; a call that has
  * ended costs nothing more. A node that keeps up starts them at once.
  *
+ * Node.js accepts one connection in each turn. While every turn accepts one, more
+ * are waiting, and turns that start calls would accept them later than they come:
+ * starts wait until they have been accepted.
+ *
  * @public
  */
 export class StartGate {
@@ -47,6 +55,9 @@
   #polled = 0;
   #spentMs = 0;
   #busyUntil = -Infinity;
+  #accepted = false;
+  /** Turns in a row that accepted a connection, and the time of the first. */
+  #accepting = {turns: 0, since: 0};
   #isArmed = false;
 
   constructor(options: StartGateOptions = {}) {
@@ -70,8 +81,15 @@
     }
   }
 
+  /** A connection of a caller was accepted. */
+  onConnection(): void {
+    this.#accepted = true;
+    this.#arm();
+  }
+
   #take(call: GateCall): void {
     const isBusy =
+      this.#accepting.turns >= backlogPolls ||
       this.#queue.length > 0 ||
       this.#spentMs >= this.#budgetMs ||
       this.#now() < this.#busyUntil;
@@ -102,13 +120,31 @@
       this.#busyUntil = this.#now() + busyMs;
     }
     this.#spentMs = 0;
+    if (!this.#isAccepting()) this.#startPolled();
+    this.#polled = this.#queue.length;
+    if (this.#polled > 0 || this.#spentMs > 0) this.#arm();
+  }
+
+  /** Whether connections wait to be accepted, and starts wait for them. */
+  #isAccepting(): boolean {
+    const now = this.#now();
+    const {turns, since} = this.#accepting;
+    const isFirst = turns === 0;
+    const isLong = turns > 0 && now - since > maxAcceptMs;
+    const accepted = this.#accepted;
+    this.#accepted = false;
+    this.#accepting = accepted
+      ? {turns: turns + 1, since: isFirst || isLong ? now : since}
+      : {turns: 0, since: now};
+    return this.#accepting.turns >= backlogPolls && !isLong;
+  }
+
+  #startPolled(): void {
     let started = 0;
     while (started < this.#polled && this.#spentMs < this.#budgetMs) {
       const call = this.#queue[started++];
       if (call) this.#start(call);
     }
     this.#queue.splice(0, started);
-    this.#polled = this.#queue.length;
-    if (this.#polled > 0 || this.#spentMs > 0) this.#arm();
   }
 }
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -108,6 +108,7 @@
         this.#parts.entry.handle(req, res);
       },
     );
+    this.#callers.on('connection', this.#parts.entry.onConnection);
     this.#parts.onConfig = ({document}) => {
       if (document.callerLimits) this.#applyLimits(document.callerLimits);
     };
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,5 +1,4 @@
 import type {Clock, Invariants, RandomSource} from '@verbenabeam/core';
-import {logger} from '@verbenabeam/core';
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
 import type {GossipOptions} from '@verbenabeam/membership';
@@ -27,6 +26,7 @@
 import {CallLogger} from './call-logger.js';
 import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
+import {logTraffic} from './log-traffic.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
 import type {OperatorFormat} from './operator-documents.js';
@@ -37,7 +37,6 @@
 import {PeerRecords} from './peer-records.js';
 import {Rollouts} from './rollouts.js';
 
-const log = logger('node');
 /** Slots of an upstream that has not announced itself yet. */
 const initialSlots = 1;
 /** Heartbeats that may be missing before the upstream counts as down. */
@@ -243,20 +242,10 @@
       if (this.membership.live().length <= 1) void this.#join();
     });
     every(directoryMs, signal, () => void this.#join());
-    every(trafficMs, signal, () => this.#logTraffic());
+    every(trafficMs, signal, () => logTraffic(bus));
     every(retainMs, signal, () => this.#instances.retainMembers());
   }
 
-  #logTraffic(): void {
-    const {call, control} = this.#options.bus.bytes();
-    log('Traffic since the start, in bytes.', {
-      callSent: call.sent,
-      callReceived: call.received,
-      controlSent: control.sent,
-      byKind: this.#options.bus.sentByKind(),
-    });
-  }
-
   /** Says that the node leaves: peers send it nothing more. */
   beginDrain(): void {
     this.#draining = true;
@@ -285,6 +274,9 @@
 
   #onConfig(snapshot: Snapshot): void {
     this.#retries.retain(new Set(snapshot.document.services.keys()));
+    const routes = new Set(snapshot.document.routes.map(({name}) => name));
+    this.entry.retainRoutes(routes);
+    this.#admission.retainRoutes(routes);
     this.onConfig(snapshot);
   }
 
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -95,6 +95,7 @@
       signal: end.signal,
     });
     const callers = createServer(callerServerOptions, parts.entry.handle);
+    callers.on('connection', parts.entry.onConnection);
     const admin = new AdminServer({
       routes: parts.adminRoutes,
       operatorToken: settings.operatorToken,
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -233,6 +233,9 @@
   #onApplied(snapshot: Snapshot): void {
     this.moves.onApplied(snapshot);
     this.#retries.retain(new Set(snapshot.document.services.keys()));
+    const routes = new Set(snapshot.document.routes.map(({name}) => name));
+    this.entry.retainRoutes(routes);
+    this.#admission.retainRoutes(routes);
     const delayMs = this.#options.clock.wallTime() - snapshot.acceptedAt;
     this.metrics.recordConvergence(Math.max(0, delayMs));
   }
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -48,6 +48,11 @@
     this.#carryOut(this.#admission.setSlots(slots, this.#clock.now()));
   }
 
+  /** Forgets what was learned of routes that the configuration no longer names. */
+  retainRoutes(names: ReadonlySet<string>): void {
+    this.#subCalls.retain(names);
+  }
+
   enter(req: AdmissionRequest): AdmissionDecision {
     const {callId, deadlineAt, callerClass, ...rest} = req;
     this.#subCalls.record(req.route, callerClass);
