Know a returning caller by its path and the end of its time

Now the entry node remembers the calls that failed: a call with the same host and path whose time ends at the same moment, within 50 ms, is the same caller's, and the time since its first attempt is known.

--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -2,7 +2,8 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
-import {UsualDeadlines} from '@verbenabeam/routing';
+import {ReturningCallers} from '@verbenabeam/routing';
+import {failedFrom} from './attempt.js';
 import type {CallRecord} from './call-record.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
@@ -27,7 +28,7 @@
   readonly #ports: EntryPorts;
   readonly #inFlight = new InFlight();
   readonly #gate: StartGate;
-  readonly #deadlines = new UsualDeadlines();
+  readonly #returning = new ReturningCallers();
   #draining = false;
 
   constructor(ports: EntryPorts) {
@@ -85,11 +86,6 @@
     await this.#inFlight.empty();
   }
 
-  /** Forgets what was learned of routes that the configuration no longer names. */
-  retainRoutes(names: ReadonlySet<string>): void {
-    this.#deadlines.retain(names);
-  }
-
   /** Checks before connections are closed that none is cut. */
   checkDrained(): void {
     const {count} = this.#inFlight;
@@ -128,11 +124,19 @@
   }
 
   #start(routed: Omit<RoutedCall, 'waitedMs'>): void {
-    const {route, headers} = routed;
-    const waitedMs = this.#deadlines.waitedMs(route.name, headers.deadlineMs);
+    const {req, startAt, headers} = routed;
+    const attempt = {
+      key: `${req.headers.host ?? ''}${req.url ?? ''}`,
+      endsAt: startAt + headers.deadlineMs,
+    };
+    const waitedMs = this.#returning.waitedMs(attempt, startAt);
     const call = {...routed, waitedMs};
     const done = (record: CallRecord) => {
       this.#inFlight.leave();
+      if (record.status >= failedFrom || record.status === 0) {
+        const firstAt = startAt - waitedMs;
+        this.#returning.failed(attempt, firstAt, performance.now());
+      }
       this.#ports.observer.onCall(record);
     };
     new EntryCall(call, this.#ports, done).start();
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -275,7 +275,6 @@
   #onConfig(snapshot: Snapshot): void {
     this.#retries.retain(new Set(snapshot.document.services.keys()));
     const routes = new Set(snapshot.document.routes.map(({name}) => name));
-    this.entry.retainRoutes(routes);
     this.#admission.retainRoutes(routes);
     this.onConfig(snapshot);
   }
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -234,7 +234,6 @@
     this.moves.onApplied(snapshot);
     this.#retries.retain(new Set(snapshot.document.services.keys()));
     const routes = new Set(snapshot.document.routes.map(({name}) => name));
-    this.entry.retainRoutes(routes);
     this.#admission.retainRoutes(routes);
     const delayMs = this.#options.clock.wallTime() - snapshot.acceptedAt;
     this.metrics.recordConvergence(Math.max(0, delayMs));
--- a/packages/routing/src/fakes/slot-model.ts
+++ b/packages/routing/src/fakes/slot-model.ts
@@ -1,6 +1,7 @@
 import type {RandomSource} from '@verbenabeam/core';
 import type {AdmissionDecision, AdmissionPolicy} from '../admission-types.js';
 import {Deadline} from '../deadline.js';
+import type {CallerAttempt, ReturningCallers} from '../returning-callers.js';
 
 /** One kind of calls of a replay. */
 export interface CallKind {
@@ -30,8 +31,8 @@
   readonly kinds: readonly CallKind[];
   readonly slots: number;
   readonly seconds: number;
-  /** Tells how long a caller has waited; default: a caller that returns is new. */
-  readonly waitedMs?: (route: string, deadlineMs: number) => number;
+  /** Knows callers that return; without it they are taken for new ones. */
+  readonly callers?: ReturningCallers;
 }
 
 interface Call {
@@ -50,11 +51,12 @@
 const longestReturnShare = 1 / 3;
 /** Time on the way of a caller that returns, in ms. */
 const returnLinkMs = 8;
+const againSuffix = '-again';
 
 /** Replays a load on one upstream in simulated time. */
 export function replaySlots(
   policy: AdmissionPolicy,
-  {kinds, seconds, waitedMs = () => 0}: SlotReplay,
+  {kinds, seconds, callers}: SlotReplay,
   rng: RandomSource,
 ): ReadonlyMap<string, KindResult> {
   const results = new Map(kinds.map(({route}) => [route, emptyResult()]));
@@ -67,12 +69,13 @@
     results.get(call.kind.route) ?? emptyResult();
   const comeBack = (call: Call, now: number, retryAfterMs: number) => {
     if (!call.kind.returns || call.at > call.firstAt) return;
+    callers?.failed(attemptOf(call), call.firstAt, now);
     const leftMs = call.firstAt + call.kind.deadlineMs - now;
     const told = retryAfterMs * (1 + rng.float());
     const pauseMs = Math.min(told, leftMs * longestReturnShare);
     const at = now + pauseMs + returnLinkMs;
     const next = arrivals.findIndex(other => other.at > at);
-    const again = {...call, id: `${call.id}-again`, at};
+    const again = {...call, id: `${call.id}${againSuffix}`, at};
     arrivals.splice(next < 0 ? arrivals.length : next, 0, again);
   };
   const carryOut = (decisions: readonly AdmissionDecision[], now: number) => {
@@ -117,7 +120,7 @@
     calls.set(call.id, call);
     if (call.at === call.firstAt) resultOf(call).asked++;
     const leftMs = call.firstAt + deadlineMs - call.at;
-    const waited = waitedMs(route, Math.round(leftMs));
+    const waited = callers?.waitedMs(attemptOf(call), call.at) ?? 0;
     const decision = policy.tryEnter(
       {
         id: call.id,
@@ -148,6 +151,11 @@
   }
 }
 
+function attemptOf({id, kind, firstAt}: Call): CallerAttempt {
+  const key = id.replace(againSuffix, '');
+  return {key, endsAt: firstAt + kind.deadlineMs};
+}
+
 function emptyResult(): KindResult {
   return {asked: 0, onTime: 0, late: 0, refused: 0, refusedLate: 0};
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -46,7 +46,8 @@
   RetryRequest,
 } from './retry-budget.js';
 export {SubCallRoutes} from './sub-call-routes.js';
-export {UsualDeadlines} from './usual-deadlines.js';
+export {ReturningCallers} from './returning-callers.js';
+export type {CallerAttempt} from './returning-callers.js';
 export {SlotQueue} from './slot-queue.js';
 export type {SlotQueueOptions} from './slot-queue.js';
 export {retriesAfter, RetryLedger} from './retry-ledger.js';
--- a/packages/routing/src/slot-queue.feature
+++ b/packages/routing/src/slot-queue.feature
@@ -23,10 +23,11 @@
       | 1.2  |
       | 2    |
 
-  Scenario: The time that a caller has waited is known from its time limit
-    When 200 callers of a route start with 500 ms and 100 of them return
-    Then a usual deadline tells 0 ms for 500 ms and 120 ms for 380 ms
-    And a usual deadline tells 0 ms for callers that start with 380 ms too
+  Scenario: A returning caller is known by its path and the end of its time
+    Guards against a new call that is taken for one that has waited.
+    When a call that began at 1000 ms with 480 ms failed at 1020 ms
+    Then a call to the same path at 1100 ms with 377 ms left has waited 100 ms
+    And a call to the same path at 1100 ms with 460 ms left has waited 0 ms
 
   Scenario: Urgent calls are served before less urgent ones
     When a slot queue with 11 slots gets urgent and other calls at 2 times its capacity
--- a/packages/routing/src/slot-queue.test.ts
+++ b/packages/routing/src/slot-queue.test.ts
@@ -6,8 +6,8 @@
 import {Deadline} from './deadline.js';
 import {replaySlots} from './fakes/slot-model.js';
 import type {CallKind, KindResult} from './fakes/slot-model.js';
+import {ReturningCallers} from './returning-callers.js';
 import {SlotQueue} from './slot-queue.js';
-import {UsualDeadlines} from './usual-deadlines.js';
 
 const workMs = 80;
 const seconds = 10;
@@ -35,12 +35,11 @@
 
 let returning: CallKind;
 
-function replayReturning(deadlines: UsualDeadlines | null): KindResult {
-  const waitedMs = (route: string, ms: number) =>
-    deadlines?.waitedMs(route, ms) ?? 0;
-  const setup = {kinds: [returning], slots: 11, seconds, waitedMs};
+function replayReturning(callers?: ReturningCallers): KindResult {
+  const setup = {kinds: [returning], slots: 11, seconds};
   const rng = seededRandom(testSeed());
-  return replaySlots(new SlotQueue({slots: 11}), setup, rng).get('read')!;
+  const replay = callers ? {...setup, callers} : setup;
+  return replaySlots(new SlotQueue({slots: 11}), replay, rng).get('read')!;
 }
 
 When(
@@ -49,43 +48,33 @@
     capacity = ((slots * 1_000) / workMs) * seconds;
     const perSecond = (load * capacity) / seconds;
     returning = {...base, route: 'read', priority: 1, perSecond, returns: true};
-    results = new Map([['read', replayReturning(new UsualDeadlines())]]);
+    results = new Map([['read', replayReturning(new ReturningCallers())]]);
   },
 );
 
 Then('without the time that callers waited it answers fewer of them', () => {
   const known = results.get('read')!;
-  const unknown = replayReturning(null);
+  const unknown = replayReturning();
   const seen = JSON.stringify({known, unknown});
   assert.ok(unknown.onTime < known.onTime, seen);
 });
 
-let usual: UsualDeadlines;
+let callers: ReturningCallers;
 
 When(
-  '{int} callers of a route start with {int} ms and {int} of them return',
-  (count: number, limitMs: number, returned: number) => {
-    usual = new UsualDeadlines();
-    for (let i = 0; i < count; i++) {
-      usual.waitedMs('read', limitMs);
-      if (i < returned) usual.waitedMs('read', limitMs - 20 - i);
-    }
-  },
-);
-
-Then(
-  'a usual deadline tells {int} ms for {int} ms and {int} ms for {int} ms',
-  (waitedA: number, limitA: number, waitedB: number, limitB: number) => {
-    assert.equal(usual.waitedMs('read', limitA), waitedA);
-    assert.equal(usual.waitedMs('read', limitB), waitedB);
+  'a call that began at {int} ms with {int} ms failed at {int} ms',
+  (firstAt: number, limitMs: number, now: number) => {
+    callers = new ReturningCallers();
+    const attempt = {key: 'files/read/7', endsAt: firstAt + limitMs};
+    callers.failed(attempt, firstAt, now);
   },
 );
 
 Then(
-  'a usual deadline tells {int} ms for callers that start with {int} ms too',
-  (waited: number, limitMs: number) => {
-    for (let i = 0; i < 40; i++) usual.waitedMs('read', limitMs);
-    assert.equal(usual.waitedMs('read', limitMs), waited);
+  'a call to the same path at {int} ms with {int} ms left has waited {int} ms',
+  (now: number, leftMs: number, waitedMs: number) => {
+    const attempt = {key: 'files/read/7', endsAt: now + leftMs};
+    assert.equal(callers.waitedMs(attempt, now), waitedMs);
   },
 );
 
