--- a/packages/node/src/hosted/rollout-run.ts
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -13,6 +13,15 @@
   readonly at: number;
 }
 
+/** A node that may still use the old version. @internal */
+export interface NotMoved {
+  readonly nodeId: string;
+  /** Age of its last report in ms; null if there is none. */
+  readonly ageMs: number | null;
+  readonly share: number;
+  readonly oldInFlight: number;
+}
+
 interface NodeReport {
   readonly report: EvidenceReport;
   readonly at: number;
@@ -82,12 +91,17 @@
     return total;
   }
 
-  /** Whether all given nodes have left the old version. */
-  isMoved(nodeIds: readonly string[], now: number): boolean {
-    return nodeIds.every(nodeId => {
+  /** The given nodes that have not left the old version, with what is known. */
+  notMoved(nodeIds: readonly string[], now: number): NotMoved[] {
+    const found: NotMoved[] = [];
+    for (const nodeId of nodeIds) {
       const known = this.#reports.get(nodeId);
-      if (!known || now - known.at > freshMs) return false;
-      return known.report.share === 1 && known.report.oldInFlight === 0;
-    });
+      const ageMs = known ? Math.round(now - known.at) : null;
+      const {share = 0, oldInFlight = 0} = known?.report ?? {};
+      const isFresh = ageMs !== null && ageMs <= freshMs;
+      if (isFresh && share === 1 && oldInFlight === 0) continue;
+      found.push({nodeId, ageMs, share, oldInFlight});
+    }
+    return found;
   }
 }
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -250,9 +250,12 @@
       run.state = ROLLOUT_STATES.rolledBack;
     } else if (rank === 0 && share === 1 && mayFinish(bounds, progress)) {
       const nodeIds = live.map(({nodeId}) => nodeId);
-      if (run.isMoved(nodeIds, now)) {
+      const waitsFor = run.notMoved(nodeIds, now);
+      if (waitsFor.length === 0) {
         log('Version has all traffic.', {service, ...progress});
         run.state = ROLLOUT_STATES.done;
+      } else {
+        log('Rollout waits for nodes.', {service, waitsFor});
       }
     }
     this.#spread(run, live, share, now);
