--- a/packages/node/src/hosted/rollout-run.ts
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -36,6 +36,8 @@
   /** State that the store shows for this order; null if none. */
   recorded: RolloutState | null = null;
   isWriting = false;
+  /** Share in the last report of this node. */
+  reportedShare = 0;
   readonly #bounds: RolloutBounds;
   readonly #given = new Map<string, GivenShare>();
   readonly #reports = new Map<string, NodeReport>();
@@ -64,13 +66,17 @@
    * word of every judge that speaks, so a node that hears none goes back to it.
    */
   share(now: number): number {
-    const shares = [...this.#given.values()]
-      .filter(({at}) => now - at <= freshMs)
-      .map(({share}) => share);
+    const shares = Object.values(this.given(now));
     const first = canaryShare(this.#bounds, this.known.order.durationMs);
     return shares.length === 0 ? first : Math.min(...shares);
   }
 
+  /** Shares that the judges which speak give, by node id. */
+  given(now: number): Readonly<Record<string, number>> {
+    const fresh = [...this.#given].filter(([, {at}]) => now - at <= freshMs);
+    return Object.fromEntries(fresh.map(([judge, {share}]) => [judge, share]));
+  }
+
   /** Takes the stage of a judge; returns whether the state has changed. */
   onStage(judge: string, stage: StageMessage, now: number): boolean {
     this.#given.set(judge, {share: stage.share, at: now});
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -201,7 +201,12 @@
       usual === undefined || usual === run.target
         ? 0
         : this.#inFlight.count(service, usual);
-    const report = run.evidence.report(run.share(now));
+    const share = run.share(now);
+    if (share !== run.reportedShare) {
+      log('Share has changed.', {service, share, judges: run.given(now)});
+      run.reportedShare = share;
+    }
+    const report = run.evidence.report(share);
     const {bus, membership} = this.#options;
     const message: EvidenceMessage = {
       service,
