Ping wire connections that only carry notices

The judges' connections to that address were never closed by the old host; notices have no answer, so the connection was not "busy", was not pinged, and its use by notices kept it from being idle: whatever was sent there was lost for good. Now a connection is pinged, and closed when silent, also when something was sent since the last read. Test: notices over a link that falls silent; before, the link was never replaced.

--- a/packages/wire/src/connection-pool.ts
+++ b/packages/wire/src/connection-pool.ts
@@ -66,10 +66,16 @@
     const now = performance.now();
     const {pingAfterMs, silenceLimitMs} = this.#options.settings;
     if (!connection.busy) {
-      connection.lastIdleAt = now;
-      if (now - connection.lastUseAt < idleMs && connection.usable) return;
-      connection.close(lost('The connection is idle'));
-      return;
+      const isIdle = now - connection.lastUseAt >= idleMs;
+      if (isIdle || !connection.usable) {
+        connection.close(lost('The connection is idle'));
+        return;
+      }
+      // Notices have no answer, so a ping must show that they arrive.
+      if (!connection.unheard) {
+        connection.lastIdleAt = now;
+        return;
+      }
     }
     const since = Math.max(connection.lastReadAt, connection.lastIdleAt);
     if (now - since > silenceLimitMs) {
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -54,6 +54,7 @@
   #nextId = 1;
   #goingAway = false;
   #lastUseAt = performance.now();
+  #lastSentAt = -Infinity;
   readonly #takers: Readonly<Record<number, (frame: Frame) => void>> = {
     [FRAME_TYPES.request]: f => this.#server.take(f),
     [FRAME_TYPES.response]: f => this.#settle(f, Result.ok(f[2])),
@@ -99,6 +100,11 @@
     return open > 0;
   }
 
+  /** Whether nothing was read since something was sent that began here. */
+  get unheard(): boolean {
+    return this.#lastSentAt > this.lastReadAt;
+  }
+
   /** Time of the last request, notice or stream, in milliseconds. */
   get lastUseAt(): number {
     return this.#lastUseAt;
@@ -215,6 +221,7 @@
       );
     }
     this.#lastUseAt = performance.now();
+    this.#lastSentAt = this.#lastUseAt;
     this.#count(kind, bytes.length);
     return Result.ok(this.#socket.sendEncoded(bytes));
   }
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -17,6 +17,16 @@
     When the wire link falls silent
     Then the waiting request on the wire link fails with "wire.connectionLost"
 
+  Scenario: A dead wire link that only carries notices is replaced
+    Guards against notices that are lost for good after a host was replaced at its
+    address without closing its connections.
+    Given a wire link between two buses that allow 1500 ms of silence
+    When notices are sent on the wire link for 3000 ms
+    Then the wire link was connected 1 time
+    When the wire link falls silent
+    And notices are sent on the wire link for 3000 ms
+    Then the wire link was connected more than once
+
   Scenario: A wire link peer that exceeds its credit is disconnected
     Given a wire link between two buses
     And a request on the wire link that waits for its response
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -12,6 +12,7 @@
 
 const nodeKey = Buffer.from('a node key for the tests');
 const timeoutMs = 15_000;
+const noticeGapMs = 50;
 
 /** State of one scenario. */
 let client: TcpPeerBus;
@@ -93,6 +94,25 @@
   },
 );
 
+When(
+  'notices are sent on the wire link for {int} ms',
+  async (forMs: number) => {
+    const endAt = performance.now() + forMs;
+    while (performance.now() < endAt) {
+      client.notify(link.address, 'tell', 'news');
+      await sleep(noticeGapMs);
+    }
+  },
+);
+
+Then('the wire link was connected 1 time', () => {
+  assert.equal(link.connections, 1);
+});
+
+Then('the wire link was connected more than once', () => {
+  assert.ok(link.connections > 1, 'the dead connection was kept');
+});
+
 When('the wire link falls silent', () => {
   link.silent = true;
 });
