--- a/apps/cli/src/cli-config.ts
+++ b/apps/cli/src/cli-config.ts
@@ -1,7 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {parse} from 'smol-toml';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 import {MeshError, SETTINGS_CODES} from '@verbenabeam/core';
 
 const fileSchema = z.strictObject({
--- a/apps/store-standin/src/faults.ts
+++ b/apps/store-standin/src/faults.ts
@@ -1,5 +1,5 @@
 import {StoreBudget} from '@verbenabeam/store';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Faults of the stand-in; absent fields keep their value. @public */
 export const faultSettings = z
--- a/apps/store-standin/src/gateway-schemas.ts
+++ b/apps/store-standin/src/gateway-schemas.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const text = z.string().transform(v => Buffer.from(v, 'base64').toString());
 const bytes = z
--- a/packages/admin-api/src/author.ts
+++ b/packages/admin-api/src/author.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The store keeps the name with each version, beside up to 1 MB of text. */
 const maxAuthorLength = 200;
--- a/packages/admin-api/src/check.ts
+++ b/packages/admin-api/src/check.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Answer to a check of a document. */
 export const checkResponseSchema = z.object({
--- a/packages/admin-api/src/confirm-restore.ts
+++ b/packages/admin-api/src/confirm-restore.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {authorSchema} from './author.js';
 
 /** Body of a request that confirms the state of a restored store. */
--- a/packages/admin-api/src/error-body.ts
+++ b/packages/admin-api/src/error-body.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Body of every refusal of the admin API. */
 export const errorBodySchema = z.object({
--- a/packages/admin-api/src/explain.ts
+++ b/packages/admin-api/src/explain.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One attempt of a call at an instance. */
 export const callAttemptSchema = z.object({
--- a/packages/admin-api/src/history.ts
+++ b/packages/admin-api/src/history.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {versionMetaSchema} from './version-meta.js';
 
 /** Answer to a history request, newest first. */
--- a/packages/admin-api/src/moves.ts
+++ b/packages/admin-api/src/moves.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {authorSchema} from './author.js';
 
 /** Evidence on one route of a move, old version against new. */
--- a/packages/admin-api/src/status.ts
+++ b/packages/admin-api/src/status.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One node as the asked node sees it. */
 export const nodeStatusSchema = z.object({
--- a/packages/admin-api/src/version-meta.ts
+++ b/packages/admin-api/src/version-meta.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Where a promoted version came from. */
 const promotedFromSchema = z.object({
--- a/packages/claims/src/messages.ts
+++ b/packages/claims/src/messages.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {hashToUint32} from '@verbenabeam/core';
 
 /** Number of partitions of an environment; fixed, because it selects keys. @public */
--- a/packages/distribution/src/messages/config-content.ts
+++ b/packages/distribution/src/messages/config-content.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const deltaSchema = z.object({
   base: z.string(),
--- a/packages/distribution/src/messages/config-digest.ts
+++ b/packages/distribution/src/messages/config-digest.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Validator of {@link ConfigDigest}. @public */
 export const configDigestSchema = z.object({
--- a/packages/distribution/src/messages/config-pull.ts
+++ b/packages/distribution/src/messages/config-pull.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {versionContentSchema} from './config-content.js';
 
 /** Kind of the request on the wire. @public */
--- a/packages/distribution/src/store-records.ts
+++ b/packages/distribution/src/store-records.ts
@@ -1,5 +1,5 @@
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 import {MeshError, VERSION_CODES} from '@verbenabeam/core';
 import type {Entry} from '@verbenabeam/store';
 
--- a/packages/document/src/document-schema.ts
+++ b/packages/document/src/document-schema.ts
@@ -1,5 +1,5 @@
 import {TomlDate} from 'smol-toml';
-import {z} from 'zod';
+import * as z from 'zod';
 import {STRICTNESS} from './snapshot.js';
 
 /** Names appear in metrics labels, paths and log lines. */
--- a/packages/membership/src/announcement.ts
+++ b/packages/membership/src/announcement.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxSlots = 10_000;
 const name = z.string().min(1).max(128);
--- a/packages/membership/src/messages.ts
+++ b/packages/membership/src/messages.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {DIGEST_BUCKETS} from './table-digest.js';
 import {recordKeySchema, updateSchema} from './update.js';
 
--- a/packages/membership/src/update-pack.ts
+++ b/packages/membership/src/update-pack.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {RecordTuple, Update} from './update.js';
 import {isClaim} from './update.js';
 
--- a/packages/membership/src/update.ts
+++ b/packages/membership/src/update.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {NODE_STATES, UPSTREAM_STATES} from './instance-record.js';
 import type {InstanceRecord, UpstreamRecord} from './instance-record.js';
 
--- a/packages/moves/src/evidence-codec.ts
+++ b/packages/moves/src/evidence-codec.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Counts, Evidence, EvidenceCell} from './evidence.js';
 import {latencyBinCount} from './latency-bins.js';
 
--- a/packages/moves/src/move-record.ts
+++ b/packages/moves/src/move-record.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** States of a move. `done` and `takenBack` are final. @public */
 export const MOVE_STATES = {
--- a/packages/moves/src/move-stop.ts
+++ b/packages/moves/src/move-stop.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Validator of `move.stop`. @public */
 export const moveStopSchema = z.object({
--- a/packages/node/src/admin/document-routes.ts
+++ b/packages/node/src/admin/document-routes.ts
@@ -14,7 +14,7 @@
 import type {Change} from '@verbenabeam/document';
 import type {Accepted} from '@verbenabeam/distribution';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AdminContext} from './admin-context.js';
 import {ADMISSION} from './admin-route.js';
 import type {AdminCall, AdminRoute} from './admin-route.js';
--- a/packages/node/src/claims/revision-exchange.ts
+++ b/packages/node/src/claims/revision-exchange.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoreRevisions} from '@verbenabeam/store';
 import type {RevisionView} from '@verbenabeam/store';
 import {every} from '../every.js';
--- a/packages/node/src/distribution/lag-report.ts
+++ b/packages/node/src/distribution/lag-report.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Kind of the request that asks a node why it lags. @internal */
 export const STATUS_LAG = 'status.lag';
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -2,7 +2,7 @@
 import type {RandomSource} from '@verbenabeam/core';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecords} from './operator-records.js';
 
--- a/packages/node/src/hosted/rollout-messages.ts
+++ b/packages/node/src/hosted/rollout-messages.ts
@@ -1,5 +1,5 @@
 import type {EvidenceReport} from '@verbenabeam/moves';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ROLLOUT_STATES} from './operator-documents.js';
 import type {RolloutState} from './operator-documents.js';
 
--- a/packages/node/src/moves/move-messages.ts
+++ b/packages/node/src/moves/move-messages.ts
@@ -1,6 +1,6 @@
 import {moveRecordSchema, moveStopSchema} from '@verbenabeam/moves';
 import type {MoveRecord, MoveStop} from '@verbenabeam/moves';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Kinds of the messages about moves. @internal */
 export const MOVE_KINDS = {
--- a/packages/node/src/settings/duration.ts
+++ b/packages/node/src/settings/duration.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const unitsMs: Readonly<Record<string, number>> = {
   ms: 1,
--- a/packages/node/src/settings/node-settings.ts
+++ b/packages/node/src/settings/node-settings.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {durationSchema} from './duration.js';
 import {socketAddressSchema} from './socket-address.js';
 
--- a/packages/node/src/settings/socket-address.ts
+++ b/packages/node/src/settings/socket-address.ts
@@ -1,5 +1,5 @@
 import {isIP} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxPort = 65_535;
 
--- a/packages/routing/src/crash-notice.ts
+++ b/packages/routing/src/crash-notice.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const maxFingerprints = 1024;
 const id = z.string().min(1).max(64);
--- a/packages/store/src/etcd-codec.ts
+++ b/packages/store/src/etcd-codec.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Entry, Txn, WatchEvent} from './store.js';
 
 /** 64-bit number; revisions stay far below 2^53. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,7 @@
  *
  * Usage: node scripts/bundle.mjs (after `npm run build`)
  */
+import path from 'node:path';
 import {build} from 'esbuild';
 
 const requireShim = [
@@ -11,10 +12,21 @@
   'const require = createRequireOfBundle(import.meta.url);',
 ].join('\n');
 
+/** Bundles the client of undici in place of its index. */
+const undiciClient = {
+  name: 'undici-client',
+  setup({onResolve}) {
+    onResolve({filter: /^undici$/}, () => ({
+      path: path.resolve('scripts/undici-client.cjs'),
+    }));
+  },
+};
+
 await build({
   entryPoints: ['apps/hosted-node/dist/main.js'],
   outfile: 'target/verbenabeam.mjs',
   bundle: true,
+  plugins: [undiciClient],
   platform: 'node',
   target: 'node20',
   format: 'esm',
