--- a/packages/node/src/entry/instance-adapter.ts
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -34,8 +34,8 @@
 
   constructor(options: InstanceAdapterOptions) {
     this.#options = options;
-    const {dataCentre, nodeId} = options.membership.own;
-    this.#picker = new InstancePicker({dataCentre, nodeId});
+    const {dataCentre} = options.membership.own;
+    this.#picker = new InstancePicker({dataCentre});
   }
 
   pick(
--- a/packages/routing/src/instance-picker.ts
+++ b/packages/routing/src/instance-picker.ts
@@ -13,7 +13,6 @@
 import {Smoothed} from './smoothed.js';
 
 const defaults = {
-  nodeId: '',
   linkMs: 3,
   slowStartMs: 10_000,
   maxFailures: 5,
@@ -34,8 +33,6 @@
  * of them are full, and calls that cross for small differences gain nothing.
  */
 const crossingGain = 0.65;
-/** Share of the slots of the own instance up to which it is preferred. */
-const freeShare = 0.75;
 const none: ReadonlySet<string> = new Set();
 
 /**
@@ -127,11 +124,9 @@
     rng: RandomSource,
     {targetMs = 0, route = ''}: PickLimits,
   ): Candidate | null {
-    const {dataCentre, nodeId, linkMs} = this.#options;
+    const {dataCentre, linkMs} = this.#options;
     const comfortMs = Math.max(linkMs, targetMs * comfortShare);
     const local = usable.filter(c => c.dataCentre === dataCentre);
-    const own = local.find(c => c.nodeId === nodeId);
-    if (own && this.#isFree(own, route, comfortMs, now, rng)) return own;
     const best = this.#betterOfTwo(local, route, now, rng);
     if (best && this.#usual(best, route, now) <= comfortMs) return best;
     const remote = usable.filter(c => c.dataCentre !== dataCentre);
@@ -142,23 +137,6 @@
     return isWorth ? other : best;
   }
 
-  /**
-   * Whether the instance of this node has a free slot and meets the target. A
-   * call to it saves the work of passing it to a peer.
-   */
-  #isFree(
-    own: Candidate,
-    route: string,
-    comfortMs: number,
-    now: number,
-    rng: RandomSource,
-  ): boolean {
-    const stats = this.#statsOf(own.nodeId);
-    if (stats.usedShare(own.slots, now) > freeShare) return false;
-    if (this.#usual(own, route, now) > comfortMs) return false;
-    return rng.float() < this.#weight(own, now);
-  }
-
   #betterOfTwo(
     candidates: readonly Candidate[],
     route: string,
--- a/packages/routing/src/instance-stats.ts
+++ b/packages/routing/src/instance-stats.ts
@@ -95,13 +95,6 @@
     return this.#aged(this.#typical, now) * pool.latencyMs + waitMs;
   }
 
-  /** Calls there, by what is known, as a share of the slots. */
-  usedShare(announcedSlots: number, now: number): number {
-    const slots = Math.max(1, this.#report?.slots ?? announcedSlots);
-    const idle = {othersPerSlot: 0, latencyMs: 0};
-    return (this.inFlight + this.#others(slots, idle, now)) / slots;
-  }
-
   /** @param usualMs - Time of a call on the same route in the whole pool. */
   succeeded(latencyMs: number, usualMs: number, now: number): void {
     this.#consecutiveFailures = 0;
--- a/packages/routing/src/picker-types.ts
+++ b/packages/routing/src/picker-types.ts
@@ -58,8 +58,6 @@
 export interface PickerOptions {
   /** Data centre of this node. */
   readonly dataCentre: string;
-  /** This node; its own instance is preferred. Default: none is. */
-  readonly nodeId?: string;
   /** Added time of a call to another data centre, in ms; default 3. */
   readonly linkMs?: number;
   /** Length of the slow start in milliseconds; default 10,000. */
--- a/packages/routing/src/routing-return.test.ts
+++ b/packages/routing/src/routing-return.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {Given, Then, When} from '@cucumber/cucumber';
+import {Then, When} from '@cucumber/cucumber';
 import {seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
 import {InstancePicker} from './instance-picker.js';
@@ -52,67 +52,3 @@
     assert.ok(stayed > 90, `${stayed} of 100 calls stayed`);
   },
 );
-
-const ownLimits = {targetMs: 60};
-const idle = {inFlight: 0, queued: 0, slots: 12, serviceMs: 20};
-
-function learn(picker: InstancePicker, ownMs: number, ownLoad = idle): void {
-  for (let now = 0; now < 1_000; now += 10) {
-    for (const {nodeId} of candidates) {
-      const isOwn = nodeId === '0';
-      picker.report(
-        {
-          nodeId,
-          outcome: 'ok',
-          latencyMs: isOwn ? ownMs : 20,
-          load: isOwn ? ownLoad : idle,
-        },
-        now,
-      );
-    }
-  }
-}
-
-/** Calls of 100 that stay on the own node. */
-function kept(picker: InstancePicker): number {
-  const now = 1_000;
-  let count = 0;
-  for (let i = 0; i < 100; i++) {
-    const picked = picker.pick('s', 'v', candidates, now, rng, none, ownLimits);
-    const {nodeId} = picked.unwrapOr(candidates[1]!);
-    if (nodeId === '0') count++;
-    picker.report({nodeId, outcome: 'cancelled', latencyMs: 0}, now);
-  }
-  return count;
-}
-
-Given(
-  'a routing picker on a node with an instance of its own',
-  function (this: World) {
-    this.picker = new InstancePicker({dataCentre: 'a', nodeId: '0'});
-  },
-);
-
-Then(
-  'routing keeps {int} of 100 calls there while it is idle',
-  function (this: World, count: number) {
-    learn(this.picker, 20);
-    assert.equal(kept(this.picker), count);
-  },
-);
-
-Then(
-  'routing keeps at most {int} of 100 calls there while all its slots are in use',
-  function (this: World, most: number) {
-    learn(this.picker, 20, full);
-    assert.ok(kept(this.picker) <= most);
-  },
-);
-
-Then(
-  'routing keeps at most {int} of 100 calls there while it is {int} times slower',
-  function (this: World, most: number, times: number) {
-    learn(this.picker, 20 * times);
-    assert.ok(kept(this.picker) <= most);
-  },
-);
