--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -41,6 +41,9 @@
     return this.#inFlight.count;
   }
 
+  /** Listener for the `connection` event of the server. */
+  readonly onConnection = (): void => this.#gate.onConnection();
+
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
     const startAt = performance.now() - lostMs(this.#ports.loop);
@@ -74,9 +77,6 @@
     }
   }
 
-  /** Listener for the `connection` event of the server. */
-  readonly onConnection = (): void => this.#gate.onConnection();
-
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
    * when those in flight have ended.
@@ -133,6 +133,7 @@
     const call = {...routed, waitedMs};
     const done = (record: CallRecord) => {
       this.#inFlight.leave();
+      // A caller that left an attempt has status 0; it may return as well.
       if (record.status >= failedFrom || record.status === 0) {
         const firstAt = startAt - waitedMs;
         this.#returning.failed(attempt, firstAt, performance.now());
