Bound the connections of callers by the descriptors of the process

Callers that repeat open a new channel for each attempt and keep the old ones; nothing bounded them. Beyond 0.4 of the descriptors an answer now ends its connection, beyond 0.8 new ones are refused, with a log line.

--- /dev/null
+++ b/packages/node/src/hosted/caller-connections.ts
@@ -0,0 +1,36 @@
+import type {Server} from 'node:http';
+import {logger} from '@verbenabeam/core';
+
+const log = logger('node');
+/** Share of the descriptors from which connections end with their answer. */
+const closeShare = 0.4;
+/** Share of the descriptors beyond which connections are refused. */
+const refuseShare = 0.8;
+
+/**
+ * Bounds the connections of callers by the descriptors that the process may use.
+ * Load pattern: callers that repeat on new channels and keep the old ones.
+ *
+ * @internal
+ */
+export class CallerConnections {
+  readonly #closeAbove: number;
+  #open = 0;
+
+  constructor(server: Server, maxDescriptors: number) {
+    this.#closeAbove = Math.floor(maxDescriptors * closeShare);
+    server.maxConnections = Math.floor(maxDescriptors * refuseShare);
+    server.on('connection', socket => {
+      this.#open++;
+      socket.once('close', () => this.#open--);
+    });
+    server.on('drop', () => {
+      log('Connection of a caller is refused.', {open: this.#open});
+    });
+  }
+
+  /** Whether an answer should end its connection. */
+  get areMany(): boolean {
+    return this.#open > this.#closeAbove;
+  }
+}
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -15,6 +15,7 @@
 import {Result} from 'true-myth';
 import type {CallProtocol} from '../calls/index.js';
 import {listen} from '../listen.js';
+import {CallerConnections} from './caller-connections.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
 import {
@@ -68,6 +69,7 @@
   readonly #bus: TcpPeerBus;
   readonly #end: AbortController;
   readonly #callers: Server;
+  readonly #connections: CallerConnections;
   readonly #others: readonly Server[];
   #closesConnections = false;
   #settings: HostedSettings;
@@ -104,10 +106,16 @@
         highWaterMark: pipelineBytes,
       },
       (req, res) => {
-        if (this.#closesConnections) res.shouldKeepAlive = false;
+        if (this.#closesConnections || this.#connections.areMany) {
+          res.shouldKeepAlive = false;
+        }
         this.#parts.entry.handle(req, res);
       },
     );
+    this.#connections = new CallerConnections(
+      this.#callers,
+      options.settings.maxDescriptors,
+    );
     this.#callers.on('connection', this.#parts.entry.onConnection);
     this.#parts.onConfig = ({document}) => {
       if (document.callerLimits) this.#applyLimits(document.callerLimits);
