--- a/apps/cli/src/run-cli.ts
+++ b/apps/cli/src/run-cli.ts
@@ -62,7 +62,7 @@
   streams: CliStreams,
 ): Promise<number> {
   const options = values.at(-1) as GlobalOptions & Record<string, unknown>;
-  const args = values.slice(0, -1).map(String);
+  const args = values.slice(0, -1).flat().map(String);
   const json = options.json === true;
   const cfg = loadConfig(options, streams.env);
   if (cfg.isErr) return report(cfg.error, json, streams);
