Share the store's rate over the nodes that live

A node took a tenth of the store's reading rate, whatever the number of nodes: 75 nodes could together ask for seven times the rate. It takes its part of nine tenths now, by the live nodes that it knows, at least 12. Test: a budget that is shared by five times as many nodes; before, the rate of a budget could not change.

--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -16,8 +16,10 @@
 import {SettingsFile} from './settings-file.js';
 
 const usageExit = 10;
-/** Share of the store's rates that one node may use at once. */
-const storeShare = 0.1;
+/** Share of the store's rate that the nodes use; operators use it too. */
+const storeShare = 0.9;
+/** Nodes that share the rate at least, while a node knows few of them. */
+const leastNodes = 12;
 
 const cli = cac('verbenabeam-hosted-node');
 cli.option('--config <file>', `Settings file; default $${SETTINGS_VARIABLE}`);
@@ -58,9 +60,11 @@
     process.once('SIGINT', () => resolve());
   });
   const {address, readsPerSecond} = settings.store;
+  let countNodes = () => leastNodes;
   const budget = new StoreBudget({
     role: 'node',
-    callsPerSecond: readsPerSecond * storeShare,
+    callsPerSecond: () =>
+      (readsPerSecond * storeShare) / Math.max(leastNodes, countNodes()),
   });
   const node = await HostedNode.start({
     settings,
@@ -70,6 +74,7 @@
     store: new KvStore({address, budget}),
   });
   if (node.isErr) return fail(node.error);
+  countNodes = () => node.value.liveNodes;
   const end = new AbortController();
   file.follow(changed => node.value.reload(changed), end.signal);
   await stopped;
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -183,6 +183,11 @@
     log('Settings are in use.', {bounds: settings.bounds});
   }
 
+  /** Nodes that are known to live, with this one. */
+  get liveNodes(): number {
+    return this.#parts.membership.live().length;
+  }
+
   /** Ends at once and cuts what is in flight, as a crash does. @internal */
   abort(): Promise<void> {
     return this.#close();
--- a/packages/store/src/store.feature
+++ b/packages/store/src/store.feature
@@ -38,6 +38,12 @@
     Given a store budget of 10 calls per second
     Then the store budget admits 30 of 1000 calls spread over 2 seconds
 
+  Scenario: The budget of a node shrinks with the number of nodes
+    Guards against nodes that together exceed what the store allows them.
+    Given a store budget of 10 calls per second
+    When the store budget is shared by 5 times as many nodes
+    Then the store budget admits 6 of 1000 calls spread over 2 seconds
+
   Scenario: A read moves to the next endpoint and a write does not
     Given a store gateway that drops every request and one that responds
     Then the http store reads a key from the second store gateway
--- a/packages/store/src/store.test.ts
+++ b/packages/store/src/store.test.ts
@@ -195,11 +195,18 @@
 });
 
 let budget: StoreBudget;
+let share = 0;
 
 Given('a store budget of {int} calls per second', (callsPerSecond: number) => {
-  budget = new StoreBudget({role: 'relay', callsPerSecond});
+  share = callsPerSecond;
+  budget = new StoreBudget({role: 'relay', callsPerSecond: () => share});
 });
 
+When(
+  'the store budget is shared by {int} times as many nodes',
+  (times: number) => (share /= times),
+);
+
 Then(
   'the store budget admits {int} of {int} calls spread over 2 seconds',
   (admitted: number, calls: number) => {
