Callers without a time limit are new callers

Found in reading: two calls without a time limit to one path had the same end of their time, infinity, so that a new caller was taken for one that had failed before. Test: fails before, passes after.

--- a/packages/routing/src/returning-callers.ts
+++ b/packages/routing/src/returning-callers.ts
@@ -41,6 +41,8 @@
 
   /** Notes an attempt that was not answered; its caller may return. */
   failed({key, endsAt}: CallerAttempt, firstAt: number, now: number): void {
-    if (endsAt > now) this.#failed.set(key, {endsAt, firstAt}, now);
+    // Callers without a time limit cannot be told from one another.
+    if (endsAt === Infinity || endsAt <= now) return;
+    this.#failed.set(key, {endsAt, firstAt}, now);
   }
 }
--- a/packages/routing/src/slot-queue.feature
+++ b/packages/routing/src/slot-queue.feature
@@ -29,6 +29,10 @@
     Then a call to the same path at 1100 ms with 377 ms left has waited 100 ms
     And a call to the same path at 1100 ms with 460 ms left has waited 0 ms
 
+  Scenario: A caller without a time limit is a new one
+    When a call that began at 1000 ms with no time limit failed at 1020 ms
+    Then a call to the same path at 1100 ms with no time limit has waited 0 ms
+
   Scenario: Urgent calls are served before less urgent ones
     When a slot queue with 11 slots gets urgent and other calls at 2 times its capacity
     Then the slot queue serves at least 97 in 100 urgent calls on time
--- a/packages/routing/src/slot-queue.test.ts
+++ b/packages/routing/src/slot-queue.test.ts
@@ -70,6 +70,23 @@
   },
 );
 
+When(
+  'a call that began at {int} ms with no time limit failed at {int} ms',
+  (firstAt: number, now: number) => {
+    callers = new ReturningCallers();
+    const attempt = {key: 'files/read/7', endsAt: Infinity};
+    callers.failed(attempt, firstAt, now);
+  },
+);
+
+Then(
+  'a call to the same path at {int} ms with no time limit has waited {int} ms',
+  (now: number, waitedMs: number) => {
+    const attempt = {key: 'files/read/7', endsAt: Infinity};
+    assert.equal(callers.waitedMs(attempt, now), waitedMs);
+  },
+);
+
 Then(
   'a call to the same path at {int} ms with {int} ms left has waited {int} ms',
   (now: number, leftMs: number, waitedMs: number) => {
