Refuse a body in chunks that grows beyond the limit

Only an announced length was compared with `max_body_bytes`; a body in chunks was passed on without end. It is counted now; beyond the limit the attempt is aborted, the caller gets 413 (1619, which does not promise that it was not run) and its connection ends. Test: 70 MB in chunks; without the limit it is not refused.

--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -126,4 +126,10 @@
     notRun: true,
     text: 'The headers of the request exceed the limit of the configuration.',
   },
+  bodyGrewTooLarge: {
+    code: 1619,
+    exit: 16,
+    http: 413,
+    text: 'The body exceeded the limit while it was passed on.',
+  },
 });
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -72,7 +72,11 @@
     );
     const {protocol} = ports;
     const hasBody = headers.bodyBytes !== 0;
-    this.#body = new ReplayBody(req, hasBody, protocol.replayBytes);
+    this.#body = new ReplayBody(req, hasBody, {
+      keptBytes: protocol.replayBytes,
+      maxBytes: snapshot.document.callerLimits?.maxBodyBytes ?? Infinity,
+      onTooLarge: () => this.#rejectBody(),
+    });
     this.#attempts = new AttemptFactory(call, service, ports, this.#body);
     const mark = {callId, configVersion: snapshot.version};
     const keep = !route.idempotent && headers.idempotencyKey !== null;
@@ -217,6 +221,21 @@
     this.#refuse(code);
   }
 
+  /** Ends a call whose body came in chunks and was longer than allowed. */
+  #rejectBody(): void {
+    if (this.#over) return;
+    const code = CALL_CODES.bodyGrewTooLarge;
+    this.#abort(code, OUTCOMES.cancelled);
+    if (this.#response.started) {
+      this.#response.cut();
+      this.#finish(code);
+      return;
+    }
+    // The rest of the body is not read, so the connection cannot be used again.
+    this.#call.res.shouldKeepAlive = false;
+    this.#refuse(code);
+  }
+
   #cancel(): void {
     if (this.#over) return;
     this.#abort(CALL_CODES.cancelled, OUTCOMES.cancelled);
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -3,6 +3,16 @@
 /** Default size up to which bodies are kept for retries. @internal */
 export const REPLAY_LIMIT_BYTES = 65_536;
 
+/** Bounds of a body. @internal */
+export interface BodyLimits {
+  /** Bodies up to this size are kept for retries. */
+  readonly keptBytes: number;
+  /** Largest body. */
+  readonly maxBytes: number;
+  /** Called once for a body that turns out larger. */
+  readonly onTooLarge: () => void;
+}
+
 /** Takes the body of one attempt. @internal */
 export interface BodyTarget {
   /** False asks to wait for `ReplayBody.resume`. */
@@ -18,7 +28,7 @@
  */
 export class ReplayBody {
   readonly #req: IncomingMessage;
-  readonly #limitBytes: number;
+  readonly #limits: BodyLimits;
   #kept: Buffer[] | null = [];
   #size = 0;
   #ended = false;
@@ -26,10 +36,9 @@
   #target: BodyTarget | null = null;
   #onWhole: (() => void) | null = null;
 
-  /** @param limitBytes - Bodies up to this many bytes are kept for retries. */
-  constructor(req: IncomingMessage, hasBody: boolean, limitBytes: number) {
+  constructor(req: IncomingMessage, hasBody: boolean, limits: BodyLimits) {
     this.#req = req;
-    this.#limitBytes = limitBytes;
+    this.#limits = limits;
     if (!hasBody) {
       this.#ended = true;
       return;
@@ -87,9 +96,15 @@
   #take(chunk: Buffer): void {
     if (this.#discarded) return;
     this.#size += chunk.length;
-    if (this.#size > this.#limitBytes && this.#target) this.#kept = null;
+    const {keptBytes, maxBytes, onTooLarge} = this.#limits;
+    if (this.#size > maxBytes) {
+      onTooLarge();
+      return;
+    }
+    const isLong = this.#size > keptBytes;
+    if (isLong && this.#target) this.#kept = null;
     else this.#kept?.push(chunk);
-    const isFull = this.#size > this.#limitBytes && !this.#target;
+    const isFull = isLong && !this.#target;
     if (this.#target?.write(chunk) === false || isFull) this.#req.pause();
   }
 
