--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -2,6 +2,8 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
+import {ReturningCallers} from '@verbenabeam/routing';
+import {failedFrom} from './attempt.js';
 import type {CallRecord} from './call-record.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
@@ -26,6 +28,7 @@
   readonly #ports: EntryPorts;
   readonly #inFlight = new InFlight();
   readonly #gate: StartGate;
+  readonly #returning = new ReturningCallers();
   #draining = false;
 
   constructor(ports: EntryPorts) {
@@ -67,10 +70,13 @@
     else {
       const code = this.#refusalCode(call, isDraining);
       if (code) this.#refuse(call, new MeshError(code, code.text));
-      else this.#start(call as RoutedCall);
+      else this.#start(call as Omit<RoutedCall, 'waitedMs'>);
     }
   }
 
+  /** Listener for the `connection` event of the server. */
+  readonly onConnection = (): void => this.#gate.onConnection();
+
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
    * when those in flight have ended.
@@ -117,9 +123,20 @@
     return parent !== null && this.#ports.serving.isRunning(parent);
   }
 
-  #start(call: RoutedCall): void {
+  #start(routed: Omit<RoutedCall, 'waitedMs'>): void {
+    const {req, startAt, headers} = routed;
+    const attempt = {
+      key: `${req.headers.host ?? ''}${req.url ?? ''}`,
+      endsAt: startAt + headers.deadlineMs,
+    };
+    const waitedMs = this.#returning.waitedMs(attempt, startAt);
+    const call = {...routed, waitedMs};
     const done = (record: CallRecord) => {
       this.#inFlight.leave();
+      if (record.status >= failedFrom || record.status === 0) {
+        const firstAt = startAt - waitedMs;
+        this.#returning.failed(attempt, firstAt, performance.now());
+      }
       this.#ports.observer.onCall(record);
     };
     new EntryCall(call, this.#ports, done).start();
--- a/packages/node/src/hosted/rollout-run.ts
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -13,6 +13,15 @@
   readonly at: number;
 }
 
+/** A node that may still use the old version. @internal */
+export interface NotMoved {
+  readonly nodeId: string;
+  /** Age of its last report in ms; null if there is none. */
+  readonly ageMs: number | null;
+  readonly share: number;
+  readonly oldInFlight: number;
+}
+
 interface NodeReport {
   readonly report: EvidenceReport;
   readonly at: number;
@@ -27,6 +36,8 @@
   /** State that the store shows for this order; null if none. */
   recorded: RolloutState | null = null;
   isWriting = false;
+  /** Share in the last report of this node. */
+  reportedShare = 0;
   readonly #bounds: RolloutBounds;
   readonly #given = new Map<string, GivenShare>();
   readonly #reports = new Map<string, NodeReport>();
@@ -55,13 +66,17 @@
    * word of every judge that speaks, so a node that hears none goes back to it.
    */
   share(now: number): number {
-    const shares = [...this.#given.values()]
-      .filter(({at}) => now - at <= freshMs)
-      .map(({share}) => share);
+    const shares = Object.values(this.given(now));
     const first = canaryShare(this.#bounds, this.known.order.durationMs);
     return shares.length === 0 ? first : Math.min(...shares);
   }
 
+  /** Shares that the judges which speak give, by node id. */
+  given(now: number): Readonly<Record<string, number>> {
+    const fresh = [...this.#given].filter(([, {at}]) => now - at <= freshMs);
+    return Object.fromEntries(fresh.map(([judge, {share}]) => [judge, share]));
+  }
+
   /** Takes the stage of a judge; returns whether the state has changed. */
   onStage(judge: string, stage: StageMessage, now: number): boolean {
     this.#given.set(judge, {share: stage.share, at: now});
@@ -82,12 +97,17 @@
     return total;
   }
 
-  /** Whether all given nodes have left the old version. */
-  isMoved(nodeIds: readonly string[], now: number): boolean {
-    return nodeIds.every(nodeId => {
+  /** The given nodes that have not left the old version, with what is known. */
+  notMoved(nodeIds: readonly string[], now: number): NotMoved[] {
+    const found: NotMoved[] = [];
+    for (const nodeId of nodeIds) {
       const known = this.#reports.get(nodeId);
-      if (!known || now - known.at > freshMs) return false;
-      return known.report.share === 1 && known.report.oldInFlight === 0;
-    });
+      const ageMs = known ? Math.round(now - known.at) : null;
+      const {share = 0, oldInFlight = 0} = known?.report ?? {};
+      const isFresh = ageMs !== null && ageMs <= freshMs;
+      if (isFresh && share === 1 && oldInFlight === 0) continue;
+      found.push({nodeId, ageMs, share, oldInFlight});
+    }
+    return found;
   }
 }
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -201,7 +201,12 @@
       usual === undefined || usual === run.target
         ? 0
         : this.#inFlight.count(service, usual);
-    const report = run.evidence.report(run.share(now));
+    const share = run.share(now);
+    if (share !== run.reportedShare) {
+      log('Share has changed.', {service, share, judges: run.given(now)});
+      run.reportedShare = share;
+    }
+    const report = run.evidence.report(share);
     const {bus, membership} = this.#options;
     const message: EvidenceMessage = {
       service,
@@ -250,9 +255,12 @@
       run.state = ROLLOUT_STATES.rolledBack;
     } else if (rank === 0 && share === 1 && mayFinish(bounds, progress)) {
       const nodeIds = live.map(({nodeId}) => nodeId);
-      if (run.isMoved(nodeIds, now)) {
+      const waitsFor = run.notMoved(nodeIds, now);
+      if (waitsFor.length === 0) {
         log('Version has all traffic.', {service, ...progress});
         run.state = ROLLOUT_STATES.done;
+      } else {
+        log('Rollout waits for nodes.', {service, waitsFor});
       }
     }
     this.#spread(run, live, share, now);
