--- a/apps/cli/src/read-document.ts
+++ b/apps/cli/src/read-document.ts
@@ -2,7 +2,8 @@
 import {Result} from 'true-myth';
 import {ACCESS_CODES, MeshError} from '@verbenabeam/core';
 
-const stdinPath = '-';
+/** Path that stands for standard input. */
+export const stdinPath = '-';
 const stdinFd = 0;
 
 /** Reads a document from a file, or from standard input for `-`. */
--- a/apps/cli/src/read-log-events.ts
+++ b/apps/cli/src/read-log-events.ts
@@ -1,9 +1,10 @@
 import {createReadStream} from 'node:fs';
 import {createInterface} from 'node:readline';
-import {ACCESS_CODES, MeshError} from '@verbenabeam/core';
+import {ACCESS_CODES, MeshError, parseJson} from '@verbenabeam/core';
 import {Result} from 'true-myth';
 import {logEventSchema} from './log-event.js';
 import type {LogEvent} from './log-event.js';
+import {stdinPath} from './read-document.js';
 
 /** What logs say of one call. */
 export interface FoundEvents {
@@ -15,8 +16,6 @@
   readonly malformed: readonly string[];
 }
 
-const stdinPath = '-';
-
 /** Finds the lines of a call and of the calls that its upstreams made. */
 export async function readLogEvents(
   callId: string,
@@ -34,7 +33,7 @@
         lines++;
         // Most lines are of other calls; these need not be parsed.
         if (!text.includes(callId)) continue;
-        const event = parseLine(text);
+        const event = logEventSchema.safeParse(parseJson(text)).data;
         if (!event) malformed.push(`${path}:${line}`);
         else if (isOfCall(event, callId)) events.push(event);
       }
@@ -48,14 +47,6 @@
   return Result.ok({events, lines, malformed});
 }
 
-function parseLine(text: string): LogEvent | null {
-  try {
-    return logEventSchema.safeParse(JSON.parse(text)).data ?? null;
-  } catch {
-    return null;
-  }
-}
-
 /** Upstreams that make calls put the id of their call before a dot. */
 function isOfCall({requestId}: LogEvent, callId: string): boolean {
   return requestId === callId || requestId?.startsWith(`${callId}.`) === true;
--- a/apps/cli/src/run-cli.ts
+++ b/apps/cli/src/run-cli.ts
@@ -1,7 +1,7 @@
 import {cac} from 'cac';
 import type {Result} from 'true-myth';
 import {versionMetaSchema} from '@verbenabeam/admin-api';
-import {ACCESS_CODES, MeshError} from '@verbenabeam/core';
+import {ACCESS_CODES, errorLine, MeshError} from '@verbenabeam/core';
 import {AdminClient} from './admin-client.js';
 import {loadConfig} from './cli-config.js';
 import type {GlobalOptions} from './cli-config.js';
@@ -85,7 +85,7 @@
     streams.err(JSON.stringify(err, null, jsonIndent));
     return err.code.exit;
   }
-  streams.err(`error ${err.code.code} ${err.code.name}: ${err.message}`);
+  streams.err(errorLine(err));
   for (const line of describeDetails(err)) streams.err(line);
   return err.code.exit;
 }
--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -1,7 +1,6 @@
 #!/usr/bin/env node
 import {setLogSink} from '@verbenabeam/core';
-import type {MeshError} from '@verbenabeam/core';
-import {HostedNode} from '@verbenabeam/node';
+import {HostedNode, reportFailure} from '@verbenabeam/node';
 import {
   KvStore,
   operatorFormat,
@@ -15,7 +14,6 @@
 import {createLogSink} from './log-sink.js';
 import {SettingsFile} from './settings-file.js';
 
-const usageExit = 10;
 /** Share of the store's rate that the nodes use; operators use it too. */
 const storeShare = 0.9;
 /** Nodes that share the rate at least, while a node knows few of them. */
@@ -35,10 +33,11 @@
   const path =
     typeof given === 'string' ? given : process.env[SETTINGS_VARIABLE];
   if (path === undefined)
-    return fail(`--config or $${SETTINGS_VARIABLE} is needed`);
+    return reportFailure(`--config or $${SETTINGS_VARIABLE} is needed`);
   const port: unknown = options['metricsPort'];
-  const read = readBootSettings(path, typeof port === 'number' ? port : null);
-  if (read.isErr) return fail(read.error);
+  const metricsPort = typeof port === 'number' ? port : null;
+  const read = readBootSettings(path, metricsPort);
+  if (read.isErr) return reportFailure(read.error);
   if (options['check'] === true) {
     process.stdout.write('settings are valid\n');
     return 0;
@@ -47,7 +46,6 @@
     process.stdout.write(`${JSON.stringify(read.value, null, 2)}\n`);
     return 0;
   }
-  const metricsPort = typeof port === 'number' ? port : null;
   return run(new SettingsFile(path, metricsPort, read.value));
 }
 
@@ -73,7 +71,7 @@
     upstreamFormat,
     store: new KvStore({address, budget}),
   });
-  if (node.isErr) return fail(node.error);
+  if (node.isErr) return reportFailure(node.error);
   countNodes = () => node.value.liveNodes;
   const end = new AbortController();
   file.follow(changed => node.value.reload(changed), end.signal);
@@ -83,13 +81,3 @@
   sink.flush();
   process.exit(0);
 }
-
-function fail(err: MeshError | string): number {
-  if (typeof err === 'string') {
-    process.stderr.write(`error: ${err}\n`);
-    return usageExit;
-  }
-  const {code, name, exit} = err.code;
-  process.stderr.write(`error ${code} ${name}: ${err.message}\n`);
-  return exit;
-}
--- a/apps/node/src/main.ts
+++ b/apps/node/src/main.ts
@@ -1,9 +1,6 @@
 #!/usr/bin/env node
 import {cac} from 'cac';
-import type {MeshError} from '@verbenabeam/core';
-import {MeshNode, loadSettings} from '@verbenabeam/node';
-
-const usageExit = 10;
+import {MeshNode, loadSettings, reportFailure} from '@verbenabeam/node';
 
 const cli = cac('verbenabeam-node');
 cli.option('--config <file>', 'Settings file (TOML)');
@@ -14,9 +11,10 @@
 
 async function main(): Promise<number> {
   const path: unknown = options['config'];
-  if (typeof path !== 'string') return fail('--config <file> is required');
+  if (typeof path !== 'string')
+    return reportFailure('--config <file> is required');
   const settings = loadSettings(path);
-  if (settings.isErr) return fail(settings.error);
+  if (settings.isErr) return reportFailure(settings.error);
   if (options['check'] === true) {
     process.stdout.write('settings are valid\n');
     return 0;
@@ -25,7 +23,7 @@
   process.once('SIGTERM', () => stop.abort());
   process.once('SIGINT', () => stop.abort());
   const node = await MeshNode.start(settings.value);
-  if (node.isErr) return fail(node.error);
+  if (node.isErr) return reportFailure(node.error);
   process.stdout.write(`${JSON.stringify(node.value.addresses())}\n`);
   await aborted(stop.signal);
   await node.value.stop();
@@ -37,13 +35,3 @@
     signal.addEventListener('abort', () => resolve(), {once: true});
   });
 }
-
-function fail(err: MeshError | string): number {
-  if (typeof err === 'string') {
-    process.stderr.write(`error: ${err}\n`);
-    return usageExit;
-  }
-  const {code, name, exit} = err.code;
-  process.stderr.write(`error ${code} ${name}: ${err.message}\n`);
-  return exit;
-}
--- a/platform/src/parse-json.ts
+++ b/packages/core/src/parse-json.ts
@@ -2,7 +2,7 @@
  * Parses a JSON text. Undefined for any other text, which the schema that gets
  * it reports.
  *
- * @internal
+ * @public
  */
 export function parseJson(text: string): unknown {
   try {
--- a/packages/core/src/random-source.ts
+++ b/packages/core/src/random-source.ts
@@ -3,6 +3,8 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {hashToUint32} from './hash.js';
 
+const maxSeed = 2 ** 31;
+
 /** Seeded source of random numbers, passed to decision logic. @public */
 export interface RandomSource {
   /** Uniform in [0, 1). */
@@ -15,6 +17,11 @@
   shuffle<T>(items: readonly T[]): T[];
 }
 
+/** Creates a source with a seed of the process's own. @public */
+export function processRandom(): RandomSource {
+  return seededRandom(Math.floor(Math.random() * maxSeed));
+}
+
 /** Creates a source whose whole sequence follows from the seed. @public */
 export function seededRandom(seed: number): RandomSource {
   // The first outputs of the generator are close to 1 for small seeds.
--- a/packages/distribution/src/store-records.ts
+++ b/packages/distribution/src/store-records.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import * as z from 'zod';
-import {MeshError, VERSION_CODES} from '@verbenabeam/core';
+import {MeshError, parseJson, VERSION_CODES} from '@verbenabeam/core';
 import type {Entry} from '@verbenabeam/store';
 
 /** Validator of {@link VersionMetadata}. @public */
@@ -87,11 +87,3 @@
   const code = VERSION_CODES.corruptRecord;
   return Result.err(new MeshError(code, `${key}: ${code.text}`, {key}));
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/membership/src/upstream-monitor.ts
+++ b/packages/membership/src/upstream-monitor.ts
@@ -1,4 +1,4 @@
-import {MEMBERSHIP_CODES, MeshError} from '@verbenabeam/core';
+import {describeIssue, MEMBERSHIP_CODES, MeshError} from '@verbenabeam/core';
 import {Result} from 'true-myth';
 import {announcementSchema} from './announcement.js';
 import type {Announcement} from './announcement.js';
@@ -57,9 +57,7 @@
   ): Result<UpstreamRecord, MeshError> {
     const parsed = announcementSchema.safeParse(body);
     if (!parsed.success) {
-      const issue = parsed.error.issues[0];
-      const field = issue?.path.join('.') ?? '';
-      const text = `announcement field "${field}": ${issue?.message ?? ''}`;
+      const text = `announcement ${describeIssue(parsed.error)}`;
       const err = new MeshError(MEMBERSHIP_CODES.invalidAnnouncement, text);
       return Result.err(err);
     }
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -4,7 +4,7 @@
   Invariants,
   logger,
   newId,
-  seededRandom,
+  processRandom,
   systemClock,
 } from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
@@ -27,7 +27,6 @@
 import type {UpstreamFormat} from './upstream-report.js';
 
 const log = logger('node');
-const maxSeed = 2 ** 31;
 /** Above the header limits of all configurations; those refuse with 431. */
 const maxHeaderBytes = 131_072;
 /**
@@ -94,7 +93,7 @@
       wireAddress,
       bus,
       clock: systemClock,
-      random: seededRandom(Math.floor(Math.random() * maxSeed)),
+      random: processRandom(),
       invariants,
       signal: this.#end.signal,
     });
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -33,6 +33,7 @@
   UpstreamMessage,
   UpstreamReport,
 } from './hosted/upstream-report.js';
+export {reportFailure} from './report-failure.js';
 export {loadSettings} from './settings/load-settings.js';
 export {nodeSettingsSchema} from './settings/node-settings.js';
 export type {NodeSettings, NodeSettingsFile} from './settings/node-settings.js';
--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -4,7 +4,7 @@
   Invariants,
   logger,
   newId,
-  seededRandom,
+  processRandom,
   systemClock,
 } from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
@@ -20,7 +20,6 @@
 import {readTls} from './tls-material.js';
 
 const log = logger('node');
-const maxSeed = 2 ** 31;
 /** Time in which a leave message reaches the peers, in milliseconds. */
 const leaveMs = 200;
 
@@ -90,7 +89,7 @@
       store,
       revisions,
       clock: systemClock,
-      random: seededRandom(Math.floor(Math.random() * maxSeed)),
+      random: processRandom(),
       invariants,
       signal: end.signal,
     });
--- a/packages/store/src/etcd-errors.ts
+++ b/packages/store/src/etcd-errors.ts
@@ -1,6 +1,13 @@
 import type {MeshError} from '@verbenabeam/core';
 import {errorResponse} from './etcd-codec.js';
-import {rejected, unavailable, unknownOutcome} from './store-errors.js';
+import {
+  errorOfTransport,
+  isUnknownOutcome,
+  rejected,
+  unavailable,
+  uncertain,
+} from './store-errors.js';
+import type {CallKind} from './store-errors.js';
 
 /** gRPC status numbers that the gateway puts into `code`. @internal */
 export const GRPC = {
@@ -27,18 +34,6 @@
   'etcdserver: too many requests',
 ]);
 
-/** Socket errors that occur before any byte of the request was sent. */
-const notSentCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
-/** Whether a repetition of a call can run it twice. @internal */
-export type CallKind = 'read' | 'write';
-
 /** One failed attempt at one endpoint. @internal */
 export interface Failure {
   readonly error: MeshError;
@@ -66,12 +61,12 @@
   }
   const notApplied =
     code === GRPC.resourceExhausted || notProposedMessages.has(message);
-  const certain = notApplied || kind === 'read';
+  const error = notApplied
+    ? unavailable(message, details)
+    : uncertain(kind, message, details);
   return {
-    error: certain
-      ? unavailable(message, details)
-      : unknownOutcome(message, details),
-    retry: certain,
+    error,
+    retry: !isUnknownOutcome(error),
     endpointFailed: true,
     grpcCode: code,
   };
@@ -79,24 +74,11 @@
 
 /** Classifies a failed connection, a time limit or an unreadable body. @internal */
 export function failureOfTransport(kind: CallKind, err: unknown): Failure {
-  const {code, message} = describe(err);
-  const certain = kind === 'read' || notSentCodes.has(code);
-  const details = {reason: code};
+  const error = errorOfTransport(kind, err);
   return {
-    error: certain
-      ? unavailable(message, details)
-      : unknownOutcome(message, details),
-    retry: certain,
+    error,
+    retry: !isUnknownOutcome(error),
     endpointFailed: true,
     grpcCode: null,
   };
 }
-
-function describe(err: unknown): {code: string; message: string} {
-  if (!(err instanceof Error)) return {code: 'unknown', message: String(err)};
-  const code = (err as {code?: unknown}).code;
-  return {
-    code: typeof code === 'string' ? code : err.name,
-    message: err.message,
-  };
-}
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,6 +1,6 @@
 import {Result} from 'true-myth';
 import {Agent} from 'undici';
-import {logger, seededRandom, systemClock} from '@verbenabeam/core';
+import {logger, processRandom, systemClock} from '@verbenabeam/core';
 import type {Clock, MeshError, RandomSource} from '@verbenabeam/core';
 import type {z} from 'zod';
 import {Breaker} from './breaker.js';
@@ -16,7 +16,7 @@
   txnResponse,
 } from './etcd-codec.js';
 import {GRPC} from './etcd-errors.js';
-import type {CallKind, Failure} from './etcd-errors.js';
+import type {Failure} from './etcd-errors.js';
 import {postJson} from './post-json.js';
 import type {
   Entry,
@@ -26,7 +26,8 @@
   WatchOptions,
 } from './store.js';
 import type {StoreBudget} from './store-budget.js';
-import {overBudget, unavailable, unknownOutcome} from './store-errors.js';
+import {overBudget, unavailable, uncertain} from './store-errors.js';
+import type {CallKind} from './store-errors.js';
 import {StoreRevisions} from './store-revisions.js';
 import {runWatch} from './watch-stream.js';
 
@@ -57,7 +58,6 @@
 const defaultConnectTimeoutMs = 300;
 const defaultConnections = 8;
 const defaultWatchIdleMs = 30_000;
-const maxSeed = 2 ** 31;
 
 interface Call {
   readonly kind: CallKind;
@@ -93,8 +93,7 @@
     this.#timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
     this.#watchIdleMs = options.watchIdleMs ?? defaultWatchIdleMs;
     this.#clock = options.clock ?? systemClock;
-    this.#random =
-      options.random ?? seededRandom(Math.floor(Math.random() * maxSeed));
+    this.#random = options.random ?? processRandom();
     this.#revisions = options.revisions ?? new StoreRevisions();
     this.#agent = new Agent({
       connections: options.connections ?? defaultConnections,
@@ -254,12 +253,8 @@
     if (parsed.success) return Result.ok(parsed.data);
     const message = `unreadable response of ${call.path}`;
     const details = {issue: parsed.error.issues[0]?.message};
-    const error =
-      call.kind === 'read'
-        ? unavailable(message, details)
-        : unknownOutcome(message, details);
     return Result.err({
-      error,
+      error: uncertain(call.kind, message, details),
       retry: false,
       endpointFailed: false,
       grpcCode: null,
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -26,4 +26,14 @@
 export type {RevisionView} from './store-revisions.js';
 export {StoreBudget} from './store-budget.js';
 export type {StoreBudgetOptions} from './store-budget.js';
-export {isUnknownOutcome} from './store-errors.js';
+export {sendJson} from './send-json.js';
+export type {JsonCall, JsonResponse} from './send-json.js';
+export {
+  errorOfTransport,
+  isUnknownOutcome,
+  overBudget,
+  rejected,
+  unavailable,
+  uncertain,
+} from './store-errors.js';
+export type {CallKind} from './store-errors.js';
--- a/packages/store/src/store-errors.ts
+++ b/packages/store/src/store-errors.ts
@@ -1,7 +1,19 @@
 import {MeshError, STORE_CODES} from '@verbenabeam/core';
 import type {ErrorDetails} from '@verbenabeam/core';
 
-/** The operation is known as not applied. @internal */
+/** Whether a repetition of a call can run it twice. @public */
+export type CallKind = 'read' | 'write';
+
+/** Socket errors that occur before any byte of the request was sent. */
+const notSentCodes: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** The operation is known as not applied. @public */
 export function unavailable(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.unavailable, message, details);
 }
@@ -11,12 +23,12 @@
   return new MeshError(STORE_CODES.unknownOutcome, message, details);
 }
 
-/** The call budget of the role is used up. @internal */
+/** The call budget of the role is used up. @public */
 export function overBudget(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.overBudget, message, details);
 }
 
-/** The store refused the operation; a repetition fails in the same way. @internal */
+/** The store refused the operation; a repetition fails in the same way. @public */
 export function rejected(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.rejected, message, details);
 }
@@ -25,3 +37,32 @@
 export function isUnknownOutcome(err: MeshError): boolean {
   return err.code === STORE_CODES.unknownOutcome;
 }
+
+/** A read changes nothing, so its failure leaves no doubt. @public */
+export function uncertain(
+  kind: CallKind,
+  message: string,
+  details: ErrorDetails = {},
+) {
+  return kind === 'read'
+    ? unavailable(message, details)
+    : unknownOutcome(message, details);
+}
+
+/** The error of a call that got no readable response. @public */
+export function errorOfTransport(kind: CallKind, err: unknown): MeshError {
+  const {code, message} = describe(err);
+  const details = {reason: code};
+  return notSentCodes.has(code)
+    ? unavailable(message, details)
+    : uncertain(kind, message, details);
+}
+
+function describe(err: unknown): {code: string; message: string} {
+  if (!(err instanceof Error)) return {code: 'unknown', message: String(err)};
+  const code = (err as {code?: unknown}).code;
+  return {
+    code: typeof code === 'string' ? code : err.name,
+    message: err.message,
+  };
+}
--- a/packages/store/src/watch-stream.ts
+++ b/packages/store/src/watch-stream.ts
@@ -1,6 +1,7 @@
 import {Result} from 'true-myth';
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
+import {parseJson} from '@verbenabeam/core';
 import type {MeshError} from '@verbenabeam/core';
 import {decodeEvent, keyRange, watchMessage} from './etcd-codec.js';
 import {failureOfTransport} from './etcd-errors.js';
@@ -107,7 +108,7 @@
   options: WatchOptions,
   position: {next: number},
 ): MeshError | null {
-  const parsed = watchMessage.safeParse(parse(line));
+  const parsed = watchMessage.safeParse(parseJson(line));
   if (!parsed.success) return unavailable('unreadable watch message');
   const {result} = parsed.data;
   const {revision} = result.header;
@@ -139,11 +140,3 @@
     yield* lines.filter(line => line !== '');
   }
 }
-
-function parse(line: string): unknown {
-  try {
-    return JSON.parse(line);
-  } catch {
-    return null;
-  }
-}
--- a/scripts/undici-client.cjs
+++ b/scripts/undici-client.cjs
@@ -11,12 +11,10 @@
 
 Object.assign(Dispatcher.prototype, api);
 
-/** As undici's; the dispatcher is required. */
+/** As undici's; the dispatcher and the method are required. */
 function request(url, {dispatcher, ...options}) {
   const {origin, pathname, search} = new URL(url);
-  const path = `${pathname}${search}`;
-  const method = options.method ?? (options.body ? 'PUT' : 'GET');
-  return dispatcher.request({...options, origin, path, method});
+  return dispatcher.request({...options, origin, path: `${pathname}${search}`});
 }
 
 module.exports = {Agent, buildConnector, Pool, request};
