--- a/packages/node/src/calls/call-headers.ts
+++ b/packages/node/src/calls/call-headers.ts
@@ -55,6 +55,8 @@
   CALL_HEADERS.configVersion,
 ]);
 
+const none: ReadonlySet<string> = new Set();
+
 /** Reads the headers of the system; malformed ones are `calls.badRequest`. */
 export function readCallerHeaders(
   req: IncomingMessage,
@@ -81,14 +83,22 @@
   });
 }
 
-/** Headers that are passed on, as a flat list of names and values. */
-export function passedHeaders(raw: readonly string[]): string[] {
+/**
+ * Headers that are passed on, as a flat list of names and values.
+ *
+ * @param dropped - Further names that are not passed on, in lower case.
+ */
+export function passedHeaders(
+  raw: readonly string[],
+  dropped: ReadonlySet<string> = none,
+): string[] {
   const named = connectionNames(raw);
   const passed: string[] = [];
   for (let i = 0; i + 1 < raw.length; i += 2) {
     const name = raw[i] as string;
     const lower = name.toLowerCase();
     if (hopByHop.has(lower) || replaced.has(lower)) continue;
+    if (dropped.has(lower)) continue;
     if (named?.includes(lower)) continue;
     passed.push(name, raw[i + 1] as string);
   }
@@ -124,7 +134,8 @@
   return null;
 }
 
-function bodyBytesOf({headers}: IncomingMessage): number | null {
+/** Length of the body; 0: no body; null: not known in advance. */
+export function bodyBytesOf({headers}: IncomingMessage): number | null {
   if (headers['transfer-encoding'] !== undefined) return null;
   return Number(headers['content-length'] ?? 0);
 }
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -3,7 +3,9 @@
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
 import {ReturningCallers} from '@verbenabeam/routing';
+import type {CallerAttempt} from '@verbenabeam/routing';
 import {failedFrom} from './attempt.js';
+import type {CallerHeaders} from './call-headers.js';
 import type {CallRecord} from './call-record.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
@@ -11,7 +13,6 @@
 import type {EntryPorts} from './entry-ports.js';
 import {recordOf} from './entry-record.js';
 import {InFlight} from './in-flight.js';
-import {lostMs} from './loop-watch.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
 import {StartGate} from './start-gate.js';
 
@@ -33,7 +34,7 @@
 
   constructor(ports: EntryPorts) {
     this.#ports = ports;
-    this.#gate = ports.gate ?? new StartGate({loop: ports.loop});
+    this.#gate = ports.gate ?? new StartGate();
   }
 
   /** Calls that have not ended. */
@@ -46,7 +47,7 @@
 
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
-    const startAt = performance.now() - lostMs(this.#ports.loop);
+    const startAt = performance.now() - this.#gate.lostMs;
     this.#inFlight.enter();
     const isDraining = this.#draining;
     this.#gate.run({
@@ -68,12 +69,23 @@
     const snapshot = this.#ports.config.current();
     const route = snapshot && this.#route(snapshot, req);
     const known = headers.unwrapOr(null);
-    const call = {callId, req, res, startAt, headers: known, snapshot, route};
+    const call = {
+      callId,
+      req,
+      res,
+      startAt,
+      headers: known,
+      snapshot,
+      route,
+      waitedMs: known
+        ? this.#returning.waitedMs(attemptOf(req, startAt, known), startAt)
+        : 0,
+    };
     if (headers.isErr) this.#refuse(call, headers.error);
     else {
       const code = this.#refusalCode(call, isDraining);
       if (code) this.#refuse(call, new MeshError(code, code.text));
-      else this.#start(call as Omit<RoutedCall, 'waitedMs'>);
+      else this.#start(call as RoutedCall);
     }
   }
 
@@ -123,18 +135,13 @@
     return parent !== null && this.#ports.serving.isRunning(parent);
   }
 
-  #start(routed: Omit<RoutedCall, 'waitedMs'>): void {
-    const {req, startAt, headers} = routed;
-    const attempt = {
-      key: `${req.headers.host ?? ''}${req.url ?? ''}`,
-      endsAt: startAt + headers.deadlineMs,
-    };
-    const waitedMs = this.#returning.waitedMs(attempt, startAt);
-    const call = {...routed, waitedMs};
+  #start(call: RoutedCall): void {
     const done = (record: CallRecord) => {
       this.#inFlight.leave();
       // A caller that left an attempt has status 0; it may return as well.
       if (record.status >= failedFrom || record.status === 0) {
+        const {req, startAt, headers, waitedMs} = call;
+        const attempt = attemptOf(req, startAt, headers);
         const firstAt = startAt - waitedMs;
         this.#returning.failed(attempt, firstAt, performance.now());
       }
@@ -162,6 +169,15 @@
   }
 }
 
+function attemptOf(
+  {headers, url}: IncomingMessage,
+  startAt: number,
+  {deadlineMs}: CallerHeaders,
+): CallerAttempt {
+  const key = `${headers.host ?? ''}${url ?? ''}`;
+  return {key, endsAt: startAt + deadlineMs};
+}
+
 function hostWithoutPort(host: string): string {
   return host.replace(/:\d+$/, '').toLowerCase();
 }
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -11,7 +11,6 @@
 import type {CallHead} from './call-head.js';
 import type {CallProtocol} from './call-protocol.js';
 import type {CallRecord} from './call-record.js';
-import type {LoopDelay} from './loop-watch.js';
 import type {StartGate} from './start-gate.js';
 
 /** What a route is looked up by. @public */
@@ -179,8 +178,6 @@
   readonly serving: LocalServing;
   readonly observer: CallObserver;
   readonly protocol: CallProtocol;
-  /** Default: the event loop is taken to keep up. */
-  readonly loop?: LoopDelay;
   /** Starts the calls; shared by both sides. Default: one for each. */
   readonly gate?: StartGate;
   /** Divides the calls of a route over its services. */
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -5,7 +5,13 @@
  */
 export {CALL_STREAM} from './call-head.js';
 export type {CallHead} from './call-head.js';
-export {CALL_HEADERS, headerValue, passedHeaders} from './call-headers.js';
+export {failedFrom} from './attempt.js';
+export {
+  bodyBytesOf,
+  CALL_HEADERS,
+  headerValue,
+  passedHeaders,
+} from './call-headers.js';
 export type {CallerHeaders} from './call-headers.js';
 export {CallLog} from './call-log.js';
 export {ANSWER_KINDS} from './call-protocol.js';
--- a/packages/node/src/calls/routed-call.ts
+++ b/packages/node/src/calls/routed-call.ts
@@ -13,6 +13,8 @@
   readonly headers: CallerHeaders | null;
   readonly snapshot: Snapshot | null;
   readonly route: Route | null;
+  /** Time that the caller has waited in earlier attempts, in ms; 0 if unknown. */
+  readonly waitedMs: number;
 }
 
 /** A call whose route is known. @internal */
@@ -20,6 +22,4 @@
   readonly headers: CallerHeaders;
   readonly snapshot: Snapshot;
   readonly route: Route;
-  /** Time that the caller has waited in earlier attempts, in ms; 0 if unknown. */
-  readonly waitedMs: number;
 }
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -10,7 +10,6 @@
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
-import {lostMs} from './loop-watch.js';
 import {ServingBody} from './serving-body.js';
 import type {ServingContext} from './serving-context.js';
 import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
@@ -42,7 +41,7 @@
     this.#context = context;
     const {replayBytes} = context.ports.protocol;
     this.#body = new ServingBody(head.bodyBytes, stream, replayBytes);
-    this.#startAt = performance.now() - lostMs(context.ports.loop);
+    this.#startAt = performance.now() - context.gate.lostMs;
     this.#deadlineAt = this.#startAt + head.remainingMs;
   }
 
--- a/packages/node/src/calls/serving-handler.ts
+++ b/packages/node/src/calls/serving-handler.ts
@@ -30,7 +30,7 @@
     this.#context = {
       ports,
       pool: this.#pool,
-      gate: ports.gate ?? new StartGate({loop: ports.loop}),
+      gate: ports.gate ?? new StartGate(),
       crashes: new CrashDetector(ports),
       running: this.#running,
       isDraining: () => this.#draining,
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,6 +1,5 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {CallProtocol} from './call-protocol.js';
-import type {LoopDelay} from './loop-watch.js';
 import type {StartGate} from './start-gate.js';
 import type {UpstreamState} from '@verbenabeam/membership';
 import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
@@ -109,8 +108,6 @@
   /** Shared with the entry side of this node. */
   readonly ledger: RetryLedger;
   readonly protocol: CallProtocol;
-  /** Default: the event loop is taken to keep up. */
-  readonly loop?: LoopDelay;
   /** Starts the calls; shared by both sides. Default: one for each. */
   readonly gate?: StartGate;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/start-gate.ts
+++ b/packages/node/src/calls/start-gate.ts
@@ -1,3 +1,4 @@
+import {lostMs} from './loop-watch.js';
 import type {LoopDelay} from './loop-watch.js';
 
 /** Settings of {@link StartGate}. @public */
@@ -67,6 +68,11 @@
     this.#afterPoll = options.afterPoll ?? (step => void setImmediate(step));
   }
 
+  /** Part of a stall that counts against the time that a call has left, in ms. */
+  get lostMs(): number {
+    return lostMs(this.#loop);
+  }
+
   /** Calls that wait to be started. */
   get waiting(): number {
     return this.#queue.length;
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -14,6 +14,7 @@
 import {EntryHandler} from '../entry-handler.js';
 import {nativeProtocol} from '../native-protocol.js';
 import {ServingHandler} from '../serving-handler.js';
+import {StartGate} from '../start-gate.js';
 import {
   collectingInvariants,
   FakeAdmission,
@@ -52,6 +53,7 @@
   ) {
     const {config, instances, admission, quarantine} = this;
     const ledger = new RetryLedger();
+    const gate = new StartGate({loop: this.loop});
     const invariants = collectingInvariants(broken);
     this.bus = new TcpPeerBus({nodeId, nodeKey: Buffer.from('test key')});
     this.serving = new ServingHandler({
@@ -61,7 +63,7 @@
       stopped: this.versions,
       ledger,
       protocol: nativeProtocol,
-      loop: this.loop,
+      gate,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -79,7 +81,7 @@
       serving: this.serving,
       observer: this.log,
       protocol: nativeProtocol,
-      loop: this.loop,
+      gate,
       random: seededRandom(1),
       invariants,
     });
--- a/packages/node/src/hosted/call-logger.ts
+++ b/packages/node/src/hosted/call-logger.ts
@@ -1,9 +1,9 @@
 import {CALL_CODES, logger} from '@verbenabeam/core';
+import {failedFrom} from '../calls/index.js';
 import type {CallRecord} from '../calls/index.js';
 import type {NodeMetrics} from '../metrics/node-metrics.js';
 
 const log = logger('calls');
-const firstServerError = 500;
 
 /** Counts each finished call and logs those that did not go as planned. */
 export class CallLogger {
@@ -25,7 +25,7 @@
     const isPlain =
       code === CALL_CODES.ok &&
       attempts.length === 1 &&
-      record.status < firstServerError;
+      record.status < failedFrom;
     if (isPlain) return;
     log('Call did not go as planned.', {
       requestId: record.callId,
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -174,7 +174,6 @@
       stopped: versions,
       ledger,
       protocol,
-      loop: this.#loop,
       gate,
       invariants,
     });
@@ -192,7 +191,6 @@
       serving: this.serving,
       observer: {onCall: record => this.#onCall(record)},
       protocol,
-      loop: this.#loop,
       gate,
       random,
       invariants,
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -5,7 +5,12 @@
  */
 export {MeshNode} from './mesh-node.js';
 export type {NodeAddresses} from './mesh-node.js';
-export {ANSWER_KINDS} from './calls/index.js';
+export {
+  ANSWER_KINDS,
+  bodyBytesOf,
+  headerValue,
+  passedHeaders,
+} from './calls/index.js';
 export type {
   AnswerKind,
   CallerHeaders,
@@ -16,7 +21,6 @@
   RefusalResponse,
   ResponseMark,
 } from './calls/index.js';
-export {headerValue, passedHeaders} from './calls/index.js';
 export {HostedNode} from './hosted/hosted-node.js';
 export type {HostedNodeOptions} from './hosted/hosted-node.js';
 export type {HostedBounds, HostedSettings} from './hosted/hosted-settings.js';
