Share the waiting calls of both admissions; keep a rollout's choice light

Found by reading the whole change again; behaviour stays as it is. The share is a loop again. - A state that was compared twice, and a getter that nothing called.

--- a/packages/node/src/hosted/own-upstream.ts
+++ b/packages/node/src/hosted/own-upstream.ts
@@ -25,6 +25,7 @@
  */
 export class HostedUpstream implements OwnUpstreamPort {
   readonly #options: HostedUpstreamOptions;
+  /** The last heartbeat that counts; null before the first. */
   #report: UpstreamReport | null = null;
   #isLeaving = false;
 
@@ -32,11 +33,6 @@
     this.#options = options;
   }
 
-  /** The last heartbeat that counts; null before the first. */
-  get report(): UpstreamReport | null {
-    return this.#report;
-  }
-
   current(): OwnUpstream | null {
     const {record, address} = this.#options.membership.monitor;
     if (!record || address === null) return null;
--- a/packages/node/src/hosted/rollout-run.ts
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -66,9 +66,12 @@
    * word of every judge that speaks, so a node that hears none goes back to it.
    */
   share(now: number): number {
-    const shares = Object.values(this.given(now));
-    const first = canaryShare(this.#bounds, this.known.order.durationMs);
-    return shares.length === 0 ? first : Math.min(...shares);
+    let least: number | null = null;
+    for (const {share, at} of this.#given.values()) {
+      if (now - at > freshMs) continue;
+      if (least === null || share < least) least = share;
+    }
+    return least ?? canaryShare(this.#bounds, this.known.order.durationMs);
   }
 
   /** Shares that the judges which speak give, by node id. */
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -149,12 +149,10 @@
     versions: ReadyVersions,
     run: RolloutRun | undefined,
   ): string | null {
-    if (run?.state === ROLLOUT_STATES.done) {
-      this.#usual.set(service, run.target);
-    }
+    const isDone = run?.state === ROLLOUT_STATES.done;
+    if (isDone) this.#usual.set(service, run.target);
     const usual = this.#usual.get(service);
     if (usual !== undefined && versions.has(usual)) return usual;
-    const isDone = run?.state === ROLLOUT_STATES.done;
     const others = [...versions].filter(
       ([version]) => isDone || version !== run?.target,
     );
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -8,9 +8,9 @@
 } from './admission-types.js';
 import {GradientLimit} from './gradient-limit.js';
 import type {LoadReport} from './load-report.js';
+import {cancelWaiting, expireWaiting} from './waiting-calls.js';
 
-interface Waiting {
-  readonly call: AdmissionCall;
+interface Waiting extends AdmissionCall {
   readonly since: number;
 }
 
@@ -79,7 +79,7 @@
     }
     if (free && this.#queue.length === 0) return this.#admit(call, now);
     if (waitMs > this.#maxWaitMs) return refused(call, CALL_CODES.queueFull);
-    this.#queue.push({call, since: now});
+    this.#queue.push({...call, since: now});
     return {kind: 'queued', callId: call.id};
   }
 
@@ -130,29 +130,24 @@
    * running call keeps its slot until {@link Admission.finish}.
    */
   cancel(callId: string): boolean {
-    const index = this.#queue.findIndex(w => w.call.id === callId);
-    if (index < 0) return false;
-    this.#queue.splice(index, 1);
-    return true;
+    return cancelWaiting(this.#queue, callId);
   }
 
   /** Refuses the waiting calls whose time is over. */
   expire(now: number): AdmissionDecision[] {
-    const decisions: AdmissionDecision[] = [];
-    for (let i = this.#queue.length - 1; i >= 0; i--) {
-      const waiting = this.#queue[i];
-      if (!waiting || this.#expiryOf(waiting) > now) continue;
-      this.#queue.splice(i, 1);
-      decisions.push(refused(waiting.call, this.#expiryCode(waiting)));
-    }
-    return decisions;
+    return expireWaiting(
+      this.#queue,
+      now,
+      waiting => this.#expiryOf(waiting),
+      waiting => refused(waiting, this.#expiryCode(waiting)),
+    );
   }
 
   /** Refuses new and waiting calls from now on; running calls continue. */
   drain(): AdmissionDecision[] {
     this.#draining = true;
     const waiting = this.#queue.splice(0);
-    return waiting.map(w => refused(w.call, CALL_CODES.draining));
+    return waiting.map(w => refused(w, CALL_CODES.draining));
   }
 
   /** Takes over a changed number of slots and fills the free ones. */
@@ -175,7 +170,7 @@
     const decisions = this.expire(now);
     while (this.#queue.length > 0 && this.#hasRoom()) {
       const next = this.#takeNext(now);
-      if (next) decisions.push(this.#admit(next.call, now));
+      if (next) decisions.push(this.#admit(next, now));
     }
     return decisions;
   }
@@ -215,7 +210,7 @@
   }
 
   #expiryOf(waiting: Waiting): number {
-    const lastStart = waiting.call.deadline.at - this.#limit.floorMs;
+    const lastStart = waiting.deadline.at - this.#limit.floorMs;
     return Math.min(waiting.since + this.#maxWaitMs, lastStart);
   }
 
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -7,6 +7,7 @@
 } from './admission-types.js';
 import type {LoadReport} from './load-report.js';
 import {Smoothed} from './smoothed.js';
+import {cancelWaiting, expireWaiting} from './waiting-calls.js';
 
 /** Settings of {@link SlotQueue}. @public */
 export interface SlotQueueOptions {
@@ -16,11 +17,6 @@
   readonly initialServiceMs?: number;
 }
 
-interface Waiting {
-  readonly call: AdmissionCall;
-  readonly since: number;
-}
-
 interface Running {
   readonly route: string;
   readonly since: number;
@@ -67,7 +63,7 @@
   #slots: number;
   readonly #initialMs: number;
   readonly #running = new Map<string, Running>();
-  readonly #queue: Waiting[] = [];
+  readonly #queue: AdmissionCall[] = [];
   readonly #serviceMs = new Map<string, Smoothed>();
   readonly #meanMs: Smoothed;
   #draining = false;
@@ -88,7 +84,7 @@
 
   get nextExpiry(): number | null {
     let next: number | null = null;
-    for (const {call} of this.#queue) {
+    for (const call of this.#queue) {
       const at = this.#lastStart(call);
       if (next === null || at < next) next = at;
     }
@@ -104,7 +100,7 @@
     if (now + waitMs > this.#lastUsefulStart(call, now)) {
       return this.#refused(call, CALL_CODES.queueFull, waitMs);
     }
-    this.#queue.push({call, since: now});
+    this.#queue.push(call);
     return {kind: 'queued', callId: call.id};
   }
 
@@ -134,24 +130,20 @@
   }
 
   cancel(callId: string): boolean {
-    const index = this.#queue.findIndex(w => w.call.id === callId);
-    if (index < 0) return false;
-    this.#queue.splice(index, 1);
-    return true;
+    return cancelWaiting(this.#queue, callId);
   }
 
   /** Refuses the waiting calls that can no longer be answered in time. */
   expire(now: number): AdmissionDecision[] {
-    const decisions: AdmissionDecision[] = [];
-    for (let i = this.#queue.length - 1; i >= 0; i--) {
-      const waiting = this.#queue[i];
-      if (!waiting || this.#lastStart(waiting.call) > now) continue;
-      this.#queue.splice(i, 1);
-      const {call} = waiting;
-      const waitMs = this.#expectedWait(call, now);
-      decisions.push(this.#refused(call, CALL_CODES.deadlineTooClose, waitMs));
-    }
-    return decisions;
+    return expireWaiting(
+      this.#queue,
+      now,
+      call => this.#lastStart(call),
+      call => {
+        const waitMs = this.#expectedWait(call, now);
+        return this.#refused(call, CALL_CODES.deadlineTooClose, waitMs);
+      },
+    );
   }
 
   /** Refuses new and waiting calls from now on; running calls continue. */
@@ -159,7 +151,7 @@
     this.#draining = true;
     const waiting = this.#queue.splice(0);
     const code = CALL_CODES.draining;
-    return waiting.map(({call}) => this.#refused(call, code, 0));
+    return waiting.map(call => this.#refused(call, code, 0));
   }
 
   setSlots(slots: number, now: number): AdmissionDecision[] {
@@ -180,7 +172,7 @@
     const decisions = this.expire(now);
     while (this.#queue.length > 0 && this.#running.size < this.#slots) {
       const [next] = this.#queue.splice(this.#nextIndex(now), 1);
-      if (next) decisions.push(this.#admit(next.call, now));
+      if (next) decisions.push(this.#admit(next, now));
     }
     return decisions;
   }
@@ -189,7 +181,7 @@
     let best = 0;
     for (let i = 1; i < this.#queue.length; i++) {
       const [a, b] = [this.#queue[i], this.#queue[best]];
-      if (a && b && this.#goesBefore(a.call, b.call, now)) best = i;
+      if (a && b && this.#goesBefore(a, b, now)) best = i;
     }
     return best;
   }
@@ -219,8 +211,8 @@
   #expectedWait(call: AdmissionCall, now: number): number {
     let aheadMs = this.#meanMs.value;
     for (const waiting of this.#queue) {
-      if (this.#goesBefore(call, waiting.call, now)) continue;
-      aheadMs += this.#estimate(waiting.call);
+      if (this.#goesBefore(call, waiting, now)) continue;
+      aheadMs += this.#estimate(waiting);
     }
     return aheadMs / Math.max(1, this.#slots);
   }
