Log fields cannot take the names of the structured log

Cause: pino writes its own msg; a field of that name replaced or lost the error's text in the lines of failed store calls. The type of log fields refuses these names now, which also showed a field 'node' of the upstream stand-in.

--- a/apps/upstream-standin/src/announcer.ts
+++ b/apps/upstream-standin/src/announcer.ts
@@ -65,7 +65,7 @@
       });
       await res.body.dump();
     } catch (err) {
-      log('Announcement failed', {node, err: String(err)});
+      log('Announcement failed', {nodeId: node, err: String(err)});
     }
   }
 }
--- a/packages/core/src/logger.ts
+++ b/packages/core/src/logger.ts
@@ -1,7 +1,18 @@
 import debug from 'debug';
 
-/** Fields appended to a log line. @public */
-export type LogFields = Readonly<Record<string, unknown>>;
+/**
+ * Fields appended to a log line. The names that the structured log uses itself
+ * are not allowed, because the value would be lost.
+ *
+ * @public
+ */
+export type LogFields = Readonly<Record<string, unknown>> & {
+  readonly level?: never;
+  readonly msg?: never;
+  readonly node?: never;
+  readonly part?: never;
+  readonly time?: never;
+};
 
 /** Writes one short sentence with optional fields. @public */
 export type Logger = (sentence: string, fields?: LogFields) => void;
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -265,7 +265,11 @@
     const endpoint = this.#endpoints[this.#preferred];
     this.#preferred = (this.#preferred + 1) % this.#endpoints.length;
     this.#breaker.onFailure(this.#clock.now(), this.#random);
-    log('call failed', {endpoint, code: error.code.code, msg: error.message});
+    log('call failed', {
+      endpoint,
+      code: error.code.code,
+      reason: error.message,
+    });
   }
 
   /** Budget first: a call without budget must not use up the trial call. */
