Hosted settings hold only what is used; a lease is never below the store's least

Nothing read the stability, drain, apply and rollback bounds, the retry window, the memory limit and the writing rate. The least lease was decoded but the directory asked for 12 s in any case; a store that grants no lease that short would have refused every entry.

--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -151,6 +151,7 @@
       store: this.#store,
       nodeId: settings.nodeId,
       address: options.wireAddress,
+      minLeaseMs: settings.store.minLeaseMs,
       random,
       signal,
     });
--- a/packages/node/src/hosted/hosted-settings.ts
+++ b/packages/node/src/hosted/hosted-settings.ts
@@ -1,24 +1,15 @@
 /** Bounds that the platform sets. Times in milliseconds. @public */
 export interface HostedBounds {
-  /** From the end of a disturbance until bounds with a time hold again. */
-  readonly stabilityMs: number;
-  /** From the acknowledged leaving of an upstream to its last request. */
-  readonly drainMs: number;
   /** From SIGTERM to SIGKILL. */
   readonly graceMs: number;
-  /** From the acceptance of a configuration to its being in force. */
-  readonly configApplyMs: number;
   /** Repeated requests per request of a service. */
   readonly retryShare: number;
-  /** Repeated requests that are always allowed within `retryWindowMs`. */
+  /** Repeated requests that are always allowed. */
   readonly retryMinimum: number;
-  readonly retryWindowMs: number;
   /** Share of a service's requests that a bad version may get. */
   readonly canaryShare: number;
   /** Requests that a bad version may get beyond its share. */
   readonly canarySlack: number;
-  /** From the evidence against a version to its last request. */
-  readonly rollbackMs: number;
 }
 
 /** Settings of a node whose configuration the platform keeps. @public */
@@ -45,15 +36,14 @@
   /** Wire addresses of nodes, beside those that the store names. */
   readonly seeds: readonly string[];
   readonly heartbeatMs: number;
-  readonly memoryMb: number;
   readonly maxDescriptors: number;
   readonly bounds: HostedBounds;
   readonly store: {
     /** `ip:port` */
     readonly address: string;
-    /** Calls per second of all nodes together. */
-    readonly writesPerSecond: number;
+    /** Reading calls per second of all nodes together. */
     readonly readsPerSecond: number;
+    /** Shortest lease that the store grants. */
     readonly minLeaseMs: number;
   };
 }
--- a/packages/node/src/hosted/node-directory.ts
+++ b/packages/node/src/hosted/node-directory.ts
@@ -5,7 +5,7 @@
 
 const prefix = 'verbenabeam/nodes/';
 /** An entry outlives a restart of its node, but not long. */
-const leaseMs = 12_000;
+const usualLeaseMs = 12_000;
 /** Time between two renewals; three may fail. */
 const renewMs = 3_500;
 /** Longest wait after a failure; entries must be back in about 2 s. */
@@ -19,6 +19,8 @@
   readonly nodeId: string;
   /** Wire address of this node. */
   readonly address: string;
+  /** Shortest lease that the store grants, in ms. */
+  readonly minLeaseMs: number;
   readonly random: RandomSource;
   readonly signal: AbortSignal;
 }
@@ -68,6 +70,7 @@
 
   async #enter(): Promise<boolean> {
     const {store, nodeId, address} = this.#options;
+    const leaseMs = Math.max(usualLeaseMs, this.#options.minLeaseMs);
     const granted = await store.grantLease(leaseMs, {timeoutMs});
     if (granted.isErr) return false;
     const lease = granted.value;
