Count the time that a call was on the wire against its deadline

It dispatched calls with 155 to 185 ms left that had been on their way for 260 to 435 ms, so their callers had long left.

Each frame that opens a stream, and each ping and pong, carries the sender's clock. The receiver takes the least difference on the connection as the time of a frame that was read at once; what is beyond it is the age of the call. Ruled out: the delay of the event loop (measured 0 at these calls; only stalls above 300 ms count).

Tests that failed first: a call that was on its way for longer than its time asked for a slot; the age of a stream on a slow link.

--- a/packages/node/src/calls/calls-stale.feature
+++ b/packages/node/src/calls/calls-stale.feature
@@ -18,6 +18,11 @@
     When its loop was late by 1400 ms and a call with 1000 ms arrives
     Then 1 stale data path call has asked for a slot
 
+  Scenario: A call whose time passed on its way is not run
+    Given a stale data path node that has answered a call
+    When a call with 1000 ms arrives that was on its way for 1100 ms
+    Then 1 stale data path call has asked for a slot
+
   Scenario: A stall of the event loop is measured
     When a watched loop stands still for 800 ms
     Then the watched loop is late by 750 ms for 150 ms
--- a/packages/node/src/calls/calls-stale.test.ts
+++ b/packages/node/src/calls/calls-stale.test.ts
@@ -158,8 +158,18 @@
   },
 );
 
-function serveStale(callId: string) {
+When(
+  'a call with {int} ms arrives that was on its way for {int} ms',
+  async (leftMs: number, ageMs: number) => {
+    assert.equal(leftMs, remainingMs);
+    serveStale('delayed', ageMs).end();
+    await sleep(settleMs);
+  },
+);
+
+function serveStale(callId: string, ageMs = 0) {
   const [own, serving] = localStreamPair();
+  Object.defineProperty(serving, 'ageMs', {value: ageMs});
   const ignore = () => undefined;
   own.listen({onChunk: ignore, onEnd: ignore, onReset: ignore});
   node!.serving.serve(head(callId), serving);
--- a/packages/node/src/calls/local-stream.ts
+++ b/packages/node/src/calls/local-stream.ts
@@ -18,6 +18,7 @@
 }
 
 class LocalStream implements ByteStream {
+  readonly ageMs = 0;
   #other: LocalStream | null = null;
   #listener: StreamListener | null = null;
   #paused = false;
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -41,7 +41,9 @@
     this.#context = context;
     const {replayBytes} = context.ports.protocol;
     this.#body = new ServingBody(head.bodyBytes, stream, replayBytes);
-    this.#startAt = performance.now() - context.gate.lostMs;
+    // Both tell of the same wait when this node was stalled.
+    const waitedMs = Math.max(context.gate.lostMs, stream.ageMs);
+    this.#startAt = performance.now() - waitedMs;
     this.#deadlineAt = this.#startAt + head.remainingMs;
   }
 
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -14,6 +14,7 @@
 import type {StreamLink} from './mux-stream.js';
 import {TRAFFIC_CLASSES} from './peer-bus.js';
 import type {ByteStream, PeerContext, RequestOptions} from './peer-bus.js';
+import {OneWayDelay} from './one-way-delay.js';
 import {PendingRequests} from './pending-requests.js';
 import {RequestServer} from './request-server.js';
 import {StreamTable} from './stream-table.js';
@@ -49,6 +50,7 @@
   readonly #context: PeerContext;
   readonly #ended = new AbortController();
   readonly #server: RequestServer;
+  readonly #delay = new OneWayDelay();
   /** Time at which a sweep last found the connection idle. */
   lastIdleAt = performance.now();
   #nextId = 1;
@@ -66,8 +68,11 @@
     [FRAME_TYPES.reset]: f =>
       this.#streams.get(f[1])?.takeReset(errorFromFrame(f)),
     [FRAME_TYPES.credit]: f => this.#takeCredit(f),
-    [FRAME_TYPES.ping]: () => this.send([FRAME_TYPES.pong]),
-    [FRAME_TYPES.pong]: () => undefined,
+    [FRAME_TYPES.ping]: f => {
+      this.#ageOf(f[1]);
+      this.send([FRAME_TYPES.pong, performance.now()]);
+    },
+    [FRAME_TYPES.pong]: f => void this.#ageOf(f[1]),
     [FRAME_TYPES.goAway]: () => {
       this.#goingAway = true;
     },
@@ -139,14 +144,15 @@
     signal: AbortSignal | undefined,
   ): Result<ByteStream, MeshError> {
     const id = this.#nextId++;
-    const sent = this.#sendFirst([FRAME_TYPES.open, id, kind, head], kind);
+    const frame: Frame = [FRAME_TYPES.open, id, kind, head, performance.now()];
+    const sent = this.#sendFirst(frame, kind);
     if (sent.isErr) return Result.err(sent.error);
     return Result.ok(this.#streams.open(id, sent.value, signal));
   }
 
   /** Sends a ping, whose response counts as a read. */
   ping(): void {
-    this.send([FRAME_TYPES.ping]);
+    this.send([FRAME_TYPES.ping, performance.now()]);
   }
 
   /** Tells the peer to start nothing new here. */
@@ -247,14 +253,14 @@
     }
   }
 
-  #takeOpen([, id, kind, head]: Frame): void {
+  #takeOpen([, id, kind, head, sentAt]: Frame): void {
     this.#lastUseAt = performance.now();
     const {handlers} = this.#options;
     if (typeof id !== 'number' || this.#streams.has(id)) {
       this.#refuseFrame(`Stream id ${String(id)} cannot be opened`);
       return;
     }
-    const stream = this.#streams.accept(id);
+    const stream = this.#streams.accept(id, this.#ageOf(sentAt));
     const handler = handlers.streams.get(String(kind));
     if (handlers.closing) {
       stream.reset(new MeshError(WIRE_CODES.closing, 'The peer is closing'));
@@ -267,6 +273,10 @@
     }
   }
 
+  #ageOf(sentAt: unknown): number {
+    return this.#delay.excessMs(sentAt, performance.now());
+  }
+
   #takeCredit(frame: Frame): void {
     const bytes = frame[2];
     const valid = typeof bytes === 'number' && bytes > 0;
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -26,6 +26,7 @@
  */
 export class MuxStream implements ByteStream {
   readonly id: number;
+  readonly ageMs: number;
   readonly #link: StreamLink;
   readonly #creditStep: number;
   #listener: StreamListener | null = null;
@@ -44,8 +45,14 @@
   #gotEnd = false;
   #closed = false;
 
-  constructor(id: number, link: StreamLink, creditBytes: number) {
+  constructor(
+    id: number,
+    link: StreamLink,
+    creditBytes: number,
+    ageMs: number,
+  ) {
     this.id = id;
+    this.ageMs = ageMs;
     this.#link = link;
     this.#window = creditBytes;
     this.#credit = creditBytes;
--- a/packages/wire/src/peer-bus.ts
+++ b/packages/wire/src/peer-bus.ts
@@ -54,6 +54,11 @@
  * @public
  */
 export interface ByteStream {
+  /**
+   * Time for which the first frame was on its way or unread, in ms, beyond the
+   * least on its connection; 0 at the side that opened the stream.
+   */
+  readonly ageMs: number;
   /** Sends the head of the answering side; at most once. */
   sendHead(head: unknown): void;
   /** Sends bytes. False means: wait for `onDrain` before more. */
--- a/packages/wire/src/stream-table.ts
+++ b/packages/wire/src/stream-table.ts
@@ -35,9 +35,9 @@
     return this.#streams.get(Number(id));
   }
 
-  /** Adds a stream that the peer opened. */
-  accept(id: number): MuxStream {
-    const stream = new MuxStream(id, this.#link, this.#creditBytes);
+  /** Adds a stream that the peer opened and that was `ageMs` on its way. */
+  accept(id: number, ageMs = 0): MuxStream {
+    const stream = new MuxStream(id, this.#link, this.#creditBytes, ageMs);
     this.#streams.set(id, stream);
     return stream;
   }
--- a/packages/wire/src/test/test-link.ts
+++ b/packages/wire/src/test/test-link.ts
@@ -12,6 +12,8 @@
   connections = 0;
   /** Drops what both sides send, as a link that fails silently does. */
   silent = false;
+  /** Time for which bytes are held, in ms. */
+  delayMs = 0;
   readonly #target: string;
   readonly #clients = new Set<net.Socket>();
   readonly #server = net.createServer(socket => {
@@ -49,7 +51,9 @@
 
   #pass(from: net.Socket, to: net.Socket): void {
     from.on('data', data => {
-      if (!this.silent) to.write(data);
+      if (this.silent) return;
+      if (this.delayMs === 0) to.write(data);
+      else setTimeout(() => to.write(data), this.delayMs);
     });
     from.on('error', () => to.destroy());
     from.on('close', () => to.destroy());
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -35,6 +35,19 @@
     And at most 262144 of its bytes were taken beside the wire link
     And the waiting request on the wire link gets its response
 
+  Scenario: A stream tells how long it was on a slow wire link
+    Guards against work for callers that left while their calls were unread.
+    Given a wire link between two buses
+    When a stream is opened on the wire link
+    Then its age beside the wire link is from 0 to 300 ms
+    When the wire link holds bytes for 700 ms
+    And a stream is opened on the wire link
+    Then its age beside the wire link is from 600 to 3000 ms
+
+  Scenario: Clocks of a wire link that drift apart make no stream old
+    When the clock of a wire peer loses 100 ms in each minute
+    Then no stream beside the wire link is older than 250 ms
+
   Scenario: A wire link notice is answered on the connection it came on
     Given a wire link between two buses
     When a notice on the wire link is answered by a notice
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -6,6 +6,7 @@
 import type {TcpPeerBusOptions} from './bus-options.js';
 import {encodeChunkHeader} from './chunk-frame.js';
 import {encodeFrame, FRAME_TYPES} from './frame.js';
+import {OneWayDelay} from './one-way-delay.js';
 import {TcpPeerBus} from './tcp-peer-bus.js';
 import {TestLink} from './test/test-link.js';
 import {RawPeer} from './test/test-peers.js';
@@ -25,6 +26,9 @@
 let raw: RawPeer;
 let taken: number;
 let answered: Promise<unknown>;
+let noteAge: (ageMs: number) => void;
+let age: Promise<number>;
+const driftAges: number[] = [];
 
 async function start(extra: Partial<TcpPeerBusOptions>): Promise<void> {
   client = new TcpPeerBus({nodeId: 'client', nodeKey, ...extra});
@@ -40,6 +44,7 @@
       onReset: () => undefined,
     });
   });
+  server.onStream('age', (_head, stream) => noteAge(stream.ageMs));
   taken = 0;
   serverAddress = (await server.start('127.0.0.1:0')).unwrapOr('');
   // Only a started bus looks for silent connections.
@@ -146,6 +151,51 @@
   assert.notEqual(await Promise.race([raw.closed, late]), 'late');
 });
 
+When('the wire link holds bytes for {int} ms', (delayMs: number) => {
+  link.delayMs = delayMs;
+});
+
+When('a stream is opened on the wire link', async () => {
+  age = new Promise(resolve => (noteAge = resolve));
+  const opened = await client.openStream(link.address, 'age', null, {
+    timeoutMs,
+  });
+  assert.ok(opened.isOk);
+  await age;
+});
+
+Then(
+  'its age beside the wire link is from {int} to {int} ms',
+  async (least: number, most: number) => {
+    const ageMs = await age;
+    assert.ok(ageMs >= least && ageMs <= most, `${ageMs} ms`);
+  },
+);
+
+When(
+  'the clock of a wire peer loses {int} ms in each minute',
+  (lostMs: number) => {
+    const delay = new OneWayDelay();
+    const minuteMs = 60_000;
+    const hourMs = 60 * minuteMs;
+    driftAges.length = 0;
+    for (let now = 0; now < hourMs; now += 1000) {
+      const sentAt = now * (1 - lostMs / minuteMs);
+      driftAges.push(delay.excessMs(sentAt, now));
+    }
+    // After an hour without a frame nothing of before may count.
+    driftAges.push(delay.excessMs(hourMs, 2 * hourMs));
+  },
+);
+
+Then(
+  'no stream beside the wire link is older than {int} ms',
+  (mostMs: number) => {
+    assert.ok(Math.max(...driftAges) <= mostMs);
+    assert.equal(driftAges.at(-1), 0);
+  },
+);
+
 Then(
   'at most {int} of its bytes were taken beside the wire link',
   (limit: number) => {
