Turn calls away at the entry node that the instances would refuse

Counted at the end of a call, with open calls as accepted: counted at its begin, new load would look like refusals. Only the hosted node has it.

--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -132,4 +132,11 @@
     http: 413,
     text: 'The body exceeded the limit while it was passed on.',
   },
+  throttled: {
+    code: 1620,
+    exit: 16,
+    http: 503,
+    notRun: true,
+    text: 'The instances refuse nearly all such calls at present.',
+  },
 });
--- a/packages/node/src/calls/call-record.ts
+++ b/packages/node/src/calls/call-record.ts
@@ -1,4 +1,5 @@
 import type {ResultCode} from '@verbenabeam/core';
+import type {TurnedAway} from '@verbenabeam/routing';
 import type {Outcome} from './entry-ports.js';
 
 /** One attempt of a call. @public */
@@ -36,6 +37,8 @@
   readonly depth: number;
   readonly attempts: readonly AttemptRecord[];
   readonly code: ResultCode;
+  /** Why the entry node turned it away; null if it did not. */
+  readonly turnedAway: TurnedAway | null;
   /** HTTP status that the caller got; 0 if it got none. */
   readonly status: number;
   readonly responseBytes: number;
--- /dev/null
+++ b/packages/node/src/calls/calls-throttled.test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {CALL_CODES, seededRandom} from '@verbenabeam/core';
+import {AdaptiveThrottle} from '@verbenabeam/routing';
+import {testSeed} from '@verbenabeam/testing';
+import {TestClient} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
+
+/** State of one scenario. */
+let client = new TestClient();
+let nodes: TestNode[] = [];
+let broken: string[] = [];
+let answers: Answer[] = [];
+
+async function startNodes(slots: number): Promise<void> {
+  client = new TestClient();
+  broken = [];
+  answers = [];
+  const random = seededRandom(testSeed());
+  const throttle = new AdaptiveThrottle({random});
+  nodes = [
+    new TestNode('entry', broken, throttle),
+    new TestNode('serving', broken),
+  ];
+  for (const node of nodes) {
+    await node.start({slots: 500});
+    node.admission.slots = slots;
+  }
+  nodes[0]!.sendTo(nodes[1]!);
+}
+
+After({tags: '@calls'}, async () => {
+  await Promise.all(nodes.map(n => n.stop()));
+  await client.close();
+  nodes = [];
+  assert.deepEqual(broken, []);
+});
+
+Given('2 throttled nodes whose instances refuse all calls', () =>
+  startNodes(0),
+);
+
+Given('2 throttled nodes whose instances take all calls', () =>
+  startNodes(500),
+);
+
+When(
+  '{int} throttled read calls are made one after the other',
+  async (count: number) => {
+    for (let i = 0; i < count; i++) {
+      answers.push(await client.call(nodes[0]!, '/read?ms=0'));
+    }
+  },
+);
+
+Then('all throttled calls are refused as not run', () => {
+  for (const {status, notRun} of answers) {
+    assert.equal(status, 503);
+    assert.ok(notRun);
+  }
+});
+
+Then('at most {int} throttled calls asked an instance', (most: number) => {
+  const asked = records().filter(({attempts}) => attempts.length > 0);
+  assert.ok(asked.length <= most, `${asked.length} asked`);
+});
+
+Then(
+  'a throttled call that asked none is recorded with {int}',
+  (code: number) => {
+    const turned = records().filter(({attempts}) => attempts.length === 0);
+    assert.ok(turned.length > 0);
+    assert.deepEqual([...new Set(turned.map(r => r.code.code))], [code]);
+  },
+);
+
+Then('all throttled calls are served', () => {
+  const {code} = CALL_CODES.ok;
+  assert.deepEqual([...new Set(answers.map(a => a.code))], [code]);
+});
+
+function records() {
+  return nodes[0]!.log.latest(answers.length);
+}
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -21,12 +21,16 @@
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome} from './entry-ports.js';
 import {ReplayBody} from './replay-body.js';
+import {spreadReturn} from './spread-return.js';
+
+/** Takes the record of a call that ended, and the refusal if it was refused. */
+export type EntryDone = (record: CallRecord, refusal: MeshError | null) => void;
 
 /** One call on the entry side, from its route to its end. @internal */
 export class EntryCall implements AttemptListener {
   readonly #call: RoutedCall;
   readonly #ports: EntryPorts;
-  readonly #done: (record: CallRecord) => void;
+  readonly #done: EntryDone;
   readonly #body: ReplayBody;
   readonly #response: CallerResponse;
   readonly #deadlineAt: number;
@@ -40,11 +44,7 @@
   #headMs: number | null = null;
   #over = false;
 
-  constructor(
-    call: RoutedCall,
-    ports: EntryPorts,
-    done: (record: CallRecord) => void,
-  ) {
+  constructor(call: RoutedCall, ports: EntryPorts, done: EntryDone) {
     const {headers, req, res, route, snapshot, callId, startAt} = call;
     this.#call = call;
     this.#ports = ports;
@@ -262,17 +262,9 @@
       !err.code.notRun || !wasOpen,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(this.#spread(err), this.#retries.toReport);
-    this.#finish(err.code);
-  }
-
-  /** Spreads the returns of refused callers over the time they are told. */
-  #spread(err: MeshError): MeshError {
-    const {retryAfterMs} = err.details;
-    if (typeof retryAfterMs !== 'number') return err;
-    const spreadMs = retryAfterMs * (1 + this.#ports.random.float());
-    const details = {...err.details, retryAfterMs: spreadMs};
-    return new MeshError(err.code, err.message, details);
+    const told = spreadReturn(err, this.#ports.random);
+    this.#response.refuse(told, this.#retries.toReport);
+    this.#finish(err.code, err);
   }
 
   #record(outcome: Outcome, code: ResultCode): void {
@@ -291,7 +283,7 @@
     }
   }
 
-  #finish(code: ResultCode): void {
+  #finish(code: ResultCode, refusal: MeshError | null = null): void {
     if (this.#over) return;
     this.#over = true;
     clearTimeout(this.#timer);
@@ -308,6 +300,7 @@
         responseBytes: this.#response.bytes,
         code,
       }),
+      refusal,
     );
   }
 }
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -2,20 +2,31 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
-import {ReturningCallers} from '@verbenabeam/routing';
-import type {CallerAttempt} from '@verbenabeam/routing';
+import {ReturningCallers, THROTTLE_OUTCOMES} from '@verbenabeam/routing';
+import type {
+  CallerAttempt,
+  ThrottleOutcome,
+  TurnedAway,
+} from '@verbenabeam/routing';
 import {failedFrom} from './attempt.js';
 import type {CallerHeaders} from './call-headers.js';
 import type {CallRecord} from './call-record.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
 import {EntryCall} from './entry-call.js';
+import type {EntryDone} from './entry-call.js';
 import type {EntryPorts} from './entry-ports.js';
 import {recordOf} from './entry-record.js';
 import {InFlight} from './in-flight.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
+import {spreadReturn} from './spread-return.js';
 import {StartGate} from './start-gate.js';
 
+/** Refusals of an instance that has too much to do. */
+const loadCodes: ReadonlySet<ResultCode> = new Set([
+  CALL_CODES.queueFull,
+  CALL_CODES.deadlineTooClose,
+]);
 /** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
 const maxDepth = 32;
 
@@ -85,7 +96,7 @@
     else {
       const code = this.#refusalCode(call, isDraining);
       if (code) this.#refuse(call, new MeshError(code, code.text));
-      else this.#start(call as RoutedCall);
+      else this.#admit(call as RoutedCall);
     }
   }
 
@@ -135,22 +146,50 @@
     return parent !== null && this.#ports.serving.isRunning(parent);
   }
 
-  #start(call: RoutedCall): void {
-    const done = (record: CallRecord) => {
+  /** Starts the call unless the instances would refuse it. */
+  #admit(call: RoutedCall): void {
+    const group = groupOf(call);
+    const now = performance.now();
+    const turnedAway = this.#ports.throttle?.turnsAway(group, now) ?? null;
+    if (!turnedAway) {
+      this.#start(call, group);
+      return;
+    }
+    const {throttled} = CALL_CODES;
+    const {retryAfterMs} = turnedAway;
+    const err = new MeshError(throttled, throttled.text, {retryAfterMs});
+    this.#noteFailed(call);
+    this.#refuse(call, spreadReturn(err, this.#ports.random), turnedAway);
+  }
+
+  #start(call: RoutedCall, group: string): void {
+    const done: EntryDone = (record, refusal) => {
       this.#inFlight.leave();
+      const outcome = throttleOutcomeOf(record, refusal);
+      const told = refusal?.details['retryAfterMs'];
+      const retryAfterMs = typeof told === 'number' ? told : undefined;
+      const now = performance.now();
+      this.#ports.throttle?.ended(group, outcome, now, retryAfterMs);
       // A caller that left an attempt has status 0; it may return as well.
       if (record.status >= failedFrom || record.status === 0) {
-        const {req, startAt, headers, waitedMs} = call;
-        const attempt = attemptOf(req, startAt, headers);
-        const firstAt = startAt - waitedMs;
-        this.#returning.failed(attempt, firstAt, performance.now());
+        this.#noteFailed(call);
       }
       this.#ports.observer.onCall(record);
     };
     new EntryCall(call, this.#ports, done).start();
   }
 
-  #refuse(call: ReceivedCall, err: MeshError): void {
+  #noteFailed({req, startAt, headers, waitedMs}: RoutedCall): void {
+    const attempt = attemptOf(req, startAt, headers);
+    const firstAt = startAt - waitedMs;
+    this.#returning.failed(attempt, firstAt, performance.now());
+  }
+
+  #refuse(
+    call: ReceivedCall,
+    err: MeshError,
+    turnedAway: TurnedAway | null = null,
+  ): void {
     this.#inFlight.leave();
     const configVersion = call.snapshot?.version ?? 0;
     const mark = {callId: call.callId, configVersion, retriesLeft: null};
@@ -164,11 +203,29 @@
         status,
         responseBytes: 0,
         code: err.code,
+        turnedAway,
       }),
     );
   }
 }
 
+/** Callers that return are served last, so their calls are counted apart. */
+function groupOf({route, waitedMs}: RoutedCall): string {
+  return waitedMs > 0 ? `${route.name} again` : route.name;
+}
+
+/** Whether instances refused the call because of load. */
+function throttleOutcomeOf(
+  {attempts}: CallRecord,
+  refusal: MeshError | null,
+): ThrottleOutcome {
+  if (attempts.length === 0) return THROTTLE_OUTCOMES.unknown;
+  if (!refusal?.code.notRun) return THROTTLE_OUTCOMES.accepted;
+  return loadCodes.has(refusal.code)
+    ? THROTTLE_OUTCOMES.refused
+    : THROTTLE_OUTCOMES.unknown;
+}
+
 function attemptOf(
   {headers, url}: IncomingMessage,
   startAt: number,
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -2,6 +2,7 @@
 import type {Invariants, MeshError, RandomSource} from '@verbenabeam/core';
 import type {Route, Service, Snapshot} from '@verbenabeam/document';
 import type {
+  AdaptiveThrottle,
   LoadReport,
   PickLimits,
   RetryBudget,
@@ -180,6 +181,8 @@
   readonly protocol: CallProtocol;
   /** Starts the calls; shared by both sides. Default: one for each. */
   readonly gate?: StartGate;
+  /** Turns calls away that the instances would refuse. Default: none is. */
+  readonly throttle?: AdaptiveThrottle;
   /** Divides the calls of a route over its services. */
   readonly random: RandomSource;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/entry-record.ts
+++ b/packages/node/src/calls/entry-record.ts
@@ -1,4 +1,5 @@
 import type {ResultCode} from '@verbenabeam/core';
+import type {TurnedAway} from '@verbenabeam/routing';
 import type {AttemptRecord, CallRecord} from './call-record.js';
 import type {VersionChoice} from './entry-ports.js';
 import type {ReceivedCall} from './routed-call.js';
@@ -12,6 +13,8 @@
   readonly status: number;
   readonly responseBytes: number;
   readonly code: ResultCode;
+  /** Set for a call that this node turned away. */
+  readonly turnedAway?: TurnedAway | null;
 }
 
 /** Builds the record of a call that ended now. @internal */
@@ -35,6 +38,7 @@
     depth: headers?.depth ?? 0,
     attempts: end.attempts,
     code: end.code,
+    turnedAway: end.turnedAway ?? null,
     status: end.status,
     responseBytes: end.responseBytes,
   };
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -8,6 +8,7 @@
 } from '@verbenabeam/app-upstream-standin';
 import {seededRandom} from '@verbenabeam/core';
 import {RetryBudget, RetryLedger} from '@verbenabeam/routing';
+import type {AdaptiveThrottle} from '@verbenabeam/routing';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {CALL_STREAM} from '../call-head.js';
 import {CallLog} from '../call-log.js';
@@ -50,6 +51,7 @@
   constructor(
     readonly nodeId: string,
     readonly broken: string[],
+    throttle?: AdaptiveThrottle,
   ) {
     const {config, instances, admission, quarantine} = this;
     const ledger = new RetryLedger();
@@ -82,6 +84,7 @@
       observer: this.log,
       protocol: nativeProtocol,
       gate,
+      ...(throttle ? {throttle} : {}),
       random: seededRandom(1),
       invariants,
     });
--- a/packages/node/src/hosted/call-logger.ts
+++ b/packages/node/src/hosted/call-logger.ts
@@ -1,4 +1,5 @@
 import {CALL_CODES, logger} from '@verbenabeam/core';
+import type {TurnedAway} from '@verbenabeam/routing';
 import {failedFrom} from '../calls/index.js';
 import type {CallRecord} from '../calls/index.js';
 import type {NodeMetrics} from '../metrics/node-metrics.js';
@@ -15,6 +16,7 @@
 
   onCall(record: CallRecord): void {
     const {attempts, code, service, callerClass, durationMs} = record;
+    const {turnedAway} = record;
     this.#metrics.recordCall({
       callerClass,
       service: service ?? 'none',
@@ -34,6 +36,7 @@
       configVersion: record.configVersion,
       status: record.status,
       code: code.code,
+      ...(turnedAway ? {turnedAway: describe(turnedAway)} : {}),
       ms: Math.round(durationMs),
       attempts: attempts.map(
         ({nodeId, version, outcome, code, atMs, latencyMs}) =>
@@ -49,3 +52,9 @@
     });
   }
 }
+
+/** Weights of the calls of late and of the accepted ones, and the time told. */
+function describe({calls, accepted, retryAfterMs}: TurnedAway): string {
+  const told = Math.round(retryAfterMs);
+  return `accepted ${accepted.toFixed(1)} of ${calls.toFixed(1)}, after ${told} ms`;
+}
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -2,7 +2,12 @@
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
 import type {GossipOptions} from '@verbenabeam/membership';
-import {RetryBudget, RetryLedger, SlotQueue} from '@verbenabeam/routing';
+import {
+  AdaptiveThrottle,
+  RetryBudget,
+  RetryLedger,
+  SlotQueue,
+} from '@verbenabeam/routing';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {
@@ -193,6 +198,7 @@
       observer: {onCall: record => this.#onCall(record)},
       protocol,
       gate,
+      throttle: new AdaptiveThrottle({random}),
       random,
       invariants,
     });
--- a/packages/routing/src/fakes/slot-model.ts
+++ b/packages/routing/src/fakes/slot-model.ts
@@ -1,6 +1,8 @@
 import type {RandomSource} from '@verbenabeam/core';
 import type {AdmissionDecision, AdmissionPolicy} from '../admission-types.js';
 import {Deadline} from '../deadline.js';
+import type {AdaptiveThrottle} from '../adaptive-throttle.js';
+import {THROTTLE_OUTCOMES} from '../adaptive-throttle.js';
 import type {CallerAttempt, ReturningCallers} from '../returning-callers.js';
 
 /** One kind of calls of a replay. */
@@ -24,6 +26,8 @@
   refused: number;
   /** Refused after a wait of more than an eighth of the target. */
   refusedLate: number;
+  /** Turned away before they reached the upstream. */
+  turnedAway: number;
 }
 
 /** A load that one upstream gets. */
@@ -33,6 +37,8 @@
   readonly seconds: number;
   /** Knows callers that return; without it they are taken for new ones. */
   readonly callers?: ReturningCallers;
+  /** Entry nodes that the calls reach first, one throttle each. */
+  readonly throttles?: readonly AdaptiveThrottle[];
 }
 
 interface Call {
@@ -56,11 +62,12 @@
 /** Replays a load on one upstream in simulated time. */
 export function replaySlots(
   policy: AdmissionPolicy,
-  {kinds, seconds, callers}: SlotReplay,
+  {kinds, seconds, callers, throttles}: SlotReplay,
   rng: RandomSource,
 ): ReadonlyMap<string, KindResult> {
   const results = new Map(kinds.map(({route}) => [route, emptyResult()]));
   const calls = new Map<string, Call>();
+  const throttleOf = new Map<string, AdaptiveThrottle>();
   const ends: {at: number; id: string; startAt: number}[] = [];
   const arrivals = kinds
     .flatMap(kind => arrivalsOf(kind, seconds, rng))
@@ -89,6 +96,14 @@
         ends.sort((a, b) => a.at - b.at);
       } else if (decision.kind === 'refused') {
         const held = now - call.at;
+        throttleOf
+          .get(call.id)
+          ?.ended(
+            call.kind.route,
+            THROTTLE_OUTCOMES.refused,
+            now,
+            decision.retryAfterMs,
+          );
         if (held > call.kind.targetMs * heldShare) resultOf(call).refusedLate++;
         else resultOf(call).refused++;
         comeBack(call, now, decision.retryAfterMs ?? 0);
@@ -105,6 +120,9 @@
         ends.shift();
         const call = calls.get(end.id);
         if (!call) continue;
+        throttleOf
+          .get(call.id)
+          ?.ended(call.kind.route, THROTTLE_OUTCOMES.accepted, end.at);
         const tookMs = end.at - call.firstAt;
         if (tookMs <= call.kind.targetMs) resultOf(call).onTime++;
         else if (tookMs <= call.kind.deadlineMs) resultOf(call).late++;
@@ -119,6 +137,14 @@
     const {route, priority, targetMs, deadlineMs} = call.kind;
     calls.set(call.id, call);
     if (call.at === call.firstAt) resultOf(call).asked++;
+    const throttle = throttles && rng.pick(throttles);
+    const told = throttle?.turnsAway(route, call.at) ?? null;
+    if (told !== null) {
+      resultOf(call).turnedAway++;
+      comeBack(call, call.at, told.retryAfterMs);
+      continue;
+    }
+    if (throttle) throttleOf.set(call.id, throttle);
     const leftMs = call.firstAt + deadlineMs - call.at;
     const waited = callers?.waitedMs(attemptOf(call), call.at) ?? 0;
     const decision = policy.tryEnter(
@@ -157,5 +183,12 @@
 }
 
 function emptyResult(): KindResult {
-  return {asked: 0, onTime: 0, late: 0, refused: 0, refusedLate: 0};
+  return {
+    asked: 0,
+    onTime: 0,
+    late: 0,
+    refused: 0,
+    refusedLate: 0,
+    turnedAway: 0,
+  };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -45,6 +45,12 @@
   RetryDecision,
   RetryRequest,
 } from './retry-budget.js';
+export {AdaptiveThrottle, THROTTLE_OUTCOMES} from './adaptive-throttle.js';
+export type {
+  AdaptiveThrottleOptions,
+  ThrottleOutcome,
+  TurnedAway,
+} from './adaptive-throttle.js';
 export {SubCallRoutes} from './sub-call-routes.js';
 export {ReturningCallers} from './returning-callers.js';
 export type {CallerAttempt} from './returning-callers.js';
