Metrics of the hosted node: queue, slots, retry budget, age, store, rollouts

The gauges are read when the metrics are collected, so they cost nothing per call; store calls are counted by result code.

--- /dev/null
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -0,0 +1,79 @@
+import type {LoadReport} from '@verbenabeam/routing';
+import type {GaugeSource} from '../metrics/gauge-source.js';
+import type {RolloutView} from './rollout-view.js';
+
+/** What the gauges of a hosted node read. @internal */
+export interface HostedGaugeParts {
+  /** Load of the own upstream. */
+  readonly load: () => LoadReport;
+  /** Retries that are left for a service. */
+  readonly retriesLeft: (service: string) => number;
+  readonly rollouts: () => readonly RolloutView[];
+  /** Time since the configuration came into force, in ms; not finite: none. */
+  readonly configAgeMs: () => number;
+  readonly services: () => readonly string[];
+  readonly isStoreReachable: () => boolean;
+}
+
+const msPerSecond = 1_000;
+
+/** Gauges that only the hosted node has. @internal */
+export function hostedGauges(parts: HostedGaugeParts): readonly GaugeSource[] {
+  const {load, rollouts} = parts;
+  return [
+    {
+      name: 'verbenabeam_upstream_slots',
+      help: 'Calls that the own upstream runs at once.',
+      read: () => [{labels: {}, value: load().slots}],
+    },
+    {
+      name: 'verbenabeam_upstream_queue',
+      help: 'Calls that wait for a slot of the own upstream.',
+      read: () => [{labels: {}, value: load().queued}],
+    },
+    {
+      name: 'verbenabeam_retry_budget',
+      help: 'Retries that this node may make now, by service.',
+      labelNames: ['service'],
+      read: () =>
+        parts.services().map(service => ({
+          labels: {service},
+          value: parts.retriesLeft(service),
+        })),
+    },
+    {
+      name: 'verbenabeam_config_age_seconds',
+      help: 'Time since the configuration came into force.',
+      read: () => {
+        const ageMs = parts.configAgeMs();
+        if (!Number.isFinite(ageMs)) return [];
+        return [{labels: {}, value: ageMs / msPerSecond}];
+      },
+    },
+    {
+      name: 'verbenabeam_store_reachable',
+      help: '1 if the last call to the store succeeded, else 0.',
+      read: () => [{labels: {}, value: parts.isStoreReachable() ? 1 : 0}],
+    },
+    {
+      name: 'verbenabeam_rollout_share',
+      help: 'Share of the traffic that the version of a running rollout gets.',
+      labelNames: ['service', 'version'],
+      read: () =>
+        rollouts().map(({service, version, share}) => ({
+          labels: {service, version},
+          value: share,
+        })),
+    },
+    {
+      name: 'verbenabeam_rollout_calls',
+      help: 'Calls that this node sent during a running rollout, by version.',
+      labelNames: ['service', 'sent_to'],
+      read: () =>
+        rollouts().flatMap(({service, sent, sentFresh}) => [
+          {labels: {service, sent_to: 'new'}, value: sentFresh},
+          {labels: {service, sent_to: 'old'}, value: sent - sentFresh},
+        ]),
+    },
+  ];
+}
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,4 +1,3 @@
-import type {Clock, Invariants, RandomSource} from '@verbenabeam/core';
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
 import type {GossipOptions} from '@verbenabeam/membership';
@@ -8,8 +7,6 @@
   RetryLedger,
   SlotQueue,
 } from '@verbenabeam/routing';
-import type {Store} from '@verbenabeam/store';
-import type {PeerBus} from '@verbenabeam/wire';
 import {
   CALL_STREAM,
   EntryHandler,
@@ -17,7 +14,7 @@
   StartGate,
   ServingHandler,
 } from '../calls/index.js';
-import type {CallProtocol, CallRecord} from '../calls/index.js';
+import type {CallRecord} from '../calls/index.js';
 import {InstanceAdapter} from '../entry/instance-adapter.js';
 import {every} from '../every.js';
 import {
@@ -29,12 +26,13 @@
 import {QuarantineAdapter} from '../serving/quarantine-adapter.js';
 import {StoreHealth} from '../store/store-health.js';
 import {CallLogger} from './call-logger.js';
+import {hostedGauges} from './hosted-gauges.js';
+import type {HostedPartsOptions} from './hosted-parts-options.js';
 import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
 import {logTraffic} from './log-traffic.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
-import type {OperatorFormat} from './operator-documents.js';
 import {OperatorFeed} from './operator-feed.js';
 import {OperatorRecords} from './operator-records.js';
 import {ownRecord} from './own-record.js';
@@ -70,22 +68,6 @@
   digestMs: 5_000,
 };
 
-/** What a hosted node is made from. @internal */
-export interface HostedPartsOptions {
-  readonly settings: HostedSettings;
-  readonly protocol: CallProtocol;
-  readonly operatorFormat: OperatorFormat;
-  /** Name of this process among the members. */
-  readonly memberId: string;
-  readonly wireAddress: string;
-  readonly bus: PeerBus;
-  readonly store: Store;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly invariants: Invariants;
-  readonly signal: AbortSignal;
-}
-
 /** The parts of a node whose configuration the platform keeps. @internal */
 export class HostedParts {
   readonly membership: MembershipService;
@@ -98,7 +80,7 @@
   /** Called with each configuration that comes into force. */
   onConfig: (snapshot: Snapshot) => void = () => undefined;
   readonly #options: HostedPartsOptions;
-  readonly #store: Store;
+  readonly #store: StoreHealth;
   readonly #admission: AdmissionAdapter;
   readonly #quarantine: QuarantineAdapter;
   readonly #instances: InstanceAdapter;
@@ -109,6 +91,8 @@
   readonly #loop: LoopWatch;
   #bounds: HostedBounds;
   #startedAt = Infinity;
+  /** Time at which the configuration came into force. */
+  #configSince = Infinity;
   #draining = false;
 
   constructor(options: HostedPartsOptions) {
@@ -117,9 +101,10 @@
     const {bus, clock, random, invariants, signal, settings} = options;
     this.metrics = this.#createMetrics();
     invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
-    this.#store = new StoreHealth(options.store, () =>
-      this.metrics.recordStoreCall('node'),
-    );
+    this.#store = new StoreHealth(options.store, {
+      began: () => this.metrics.recordStoreCall('node'),
+      ended: err => this.metrics.recordStoreOutcome('node', err?.code),
+    });
     const own = ownRecord(options);
     this.membership = new MembershipService({
       own,
@@ -278,12 +263,17 @@
   }
 
   #onConfig(snapshot: Snapshot): void {
-    this.#retries.retain(new Set(snapshot.document.services.keys()));
+    this.#configSince = this.#options.clock.now();
+    this.#retries.retain(new Set(this.#serviceNames()));
     const routes = new Set(snapshot.document.routes.map(({name}) => name));
     this.#admission.retainRoutes(routes);
     this.onConfig(snapshot);
   }
 
+  #serviceNames(): string[] {
+    return [...(this.records.snapshot?.document.services.keys() ?? [])];
+  }
+
   #onCall(record: CallRecord): void {
     this.#calls.onCall(record);
     this.rollouts.onCall(record);
@@ -306,6 +296,14 @@
       bytes: () => this.#options.bus.bytes(),
       sentByKind: () => this.#options.bus.sentByKind(),
       inFlight: () => this.serving.inFlight,
+      gauges: hostedGauges({
+        load: () => this.#admission.load(),
+        retriesLeft: service => this.#retries.tokens(service),
+        rollouts: () => this.rollouts.view(),
+        configAgeMs: () => this.#options.clock.now() - this.#configSince,
+        services: () => this.#serviceNames(),
+        isStoreReachable: () => this.#store.reachable,
+      }),
     });
   }
 }
--- a/packages/node/src/hosted/own-record.ts
+++ b/packages/node/src/hosted/own-record.ts
@@ -1,6 +1,6 @@
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
-import type {HostedPartsOptions} from './hosted-parts.js';
+import type {HostedPartsOptions} from './hosted-parts-options.js';
 
 /** Environment of all nodes: the platform keeps one configuration. */
 const environment = 'platform';
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -19,6 +19,7 @@
 import type {EvidenceMessage, StageMessage} from './rollout-messages.js';
 import {RolloutRecorder} from './rollout-recorder.js';
 import {RolloutRun} from './rollout-run.js';
+import type {RolloutView} from './rollout-view.js';
 import {VersionsInFlight} from './versions-in-flight.js';
 
 /** Version names of the ready instances of a service, with their number. */
@@ -96,6 +97,20 @@
     void this.#recorder.read(run);
   }
 
+  /** The running rollouts, for the metrics. */
+  view(): readonly RolloutView[] {
+    const now = this.#options.clock.now();
+    return [...this.#runs]
+      .filter(([, run]) => run.isRunning)
+      .map(([service, run]) => ({
+        service,
+        version: run.target,
+        share: run.share(now),
+        sent: run.evidence.sent,
+        sentFresh: run.evidence.sentFresh,
+      }));
+  }
+
   /** Version for the next attempt; null if no instance is ready. */
   choose(
     service: string,
--- a/packages/node/src/metrics/node-metrics.ts
+++ b/packages/node/src/metrics/node-metrics.ts
@@ -7,6 +7,7 @@
 } from 'prom-client';
 import type {ResultCode} from '@verbenabeam/core';
 import type {ByteCounts} from '@verbenabeam/wire';
+import type {GaugeSource} from './gauge-source.js';
 
 /** Upper bounds of the call histograms, in seconds. */
 const callBucketsSeconds = [
@@ -41,6 +42,8 @@
   /** Control bytes sent, by kind of message. */
   readonly sentByKind: () => Readonly<Record<string, number>>;
   readonly inFlight: () => number;
+  /** More gauges; default none. */
+  readonly gauges?: readonly GaugeSource[];
 }
 
 /** The Prometheus metrics of one node. @public */
@@ -84,6 +87,13 @@
     registers: [this.#registry],
   });
 
+  readonly #storeOutcomes = new Counter({
+    name: 'verbenabeam_store_outcomes_total',
+    help: 'Ended calls to the store by role and result code; 0 for success.',
+    labelNames: ['role', 'code'],
+    registers: [this.#registry],
+  });
+
   constructor(sources: MetricSources) {
     collectDefaultMetrics({
       register: this.#registry,
@@ -115,6 +125,11 @@
     this.#storeCalls.labels(role).inc();
   }
 
+  /** @param code - Of the error; undefined for a call that succeeded. */
+  recordStoreOutcome(role: string, code?: ResultCode): void {
+    this.#storeOutcomes.labels(role, String(code?.code ?? 0)).inc();
+  }
+
   get contentType(): string {
     return this.#registry.contentType;
   }
@@ -125,6 +140,12 @@
   }
 
   #addGauges(sources: MetricSources): void {
+    for (const {name, help, labelNames = [], read} of sources.gauges ?? []) {
+      this.#gauge(name, help, [...labelNames], gauge => {
+        gauge.reset();
+        for (const {labels, value} of read()) gauge.set({...labels}, value);
+      });
+    }
     this.#gauge(
       'verbenabeam_config_version',
       'Active configuration version.',
--- a/packages/node/src/node-parts.ts
+++ b/packages/node/src/node-parts.ts
@@ -92,9 +92,9 @@
     this.#options = options;
     const {bus, clock, random, invariants, signal, settings} = options;
     this.metrics = this.#createMetrics();
-    this.#store = new StoreHealth(options.store, () =>
-      this.metrics.recordStoreCall('node'),
-    );
+    this.#store = new StoreHealth(options.store, {
+      began: () => this.metrics.recordStoreCall('node'),
+    });
     const store = this.#store;
     invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
     this.membership = new MembershipService({
--- a/packages/node/src/store/store-health.ts
+++ b/packages/node/src/store/store-health.ts
@@ -9,18 +9,23 @@
 } from '@verbenabeam/store';
 import type {Result} from 'true-myth';
 
-/** Called once for each call to the store. @internal */
-export type StoreCallListener = () => void;
+/** Learns of the calls to the store. @internal */
+export interface StoreCallListener {
+  /** Called when a call or a watch begins. */
+  began(): void;
+  /** Called when a call ends; with the error of one that failed. */
+  ended?(err: MeshError | null): void;
+}
 
 /** Passes calls on and notes whether the store responds. @internal */
 export class StoreHealth implements Store {
   readonly #store: Store;
-  readonly #onCall: StoreCallListener;
+  readonly #listener: StoreCallListener;
   #reachable = true;
 
-  constructor(store: Store, onCall: StoreCallListener) {
+  constructor(store: Store, listener: StoreCallListener) {
     this.#store = store;
-    this.#onCall = onCall;
+    this.#listener = listener;
   }
 
   /** False after a failed call, until the next one that succeeds. */
@@ -53,16 +58,17 @@
   }
 
   watch(options: WatchOptions) {
-    this.#onCall();
+    this.#listener.began();
     return this.#store.watch(options);
   }
 
   async #note<T>(
     call: Promise<Result<T, MeshError>>,
   ): Promise<Result<T, MeshError>> {
-    this.#onCall();
+    this.#listener.began();
     const outcome = await call;
     this.#reachable = outcome.isOk;
+    this.#listener.ended?.(outcome.isErr ? outcome.error : null);
     return outcome;
   }
 }
