Bench part log: processor time of the structured log, on against off in one run

Two hosted nodes in one process, their stand-ins and callers in another: 150 calls/s at each node, a third refused; the log is switched on, off, off and on for a second each. The bound is 3% of the nodes' time.

--- a/apps/bench/src/bounds.ts
+++ b/apps/bench/src/bounds.ts
@@ -29,6 +29,7 @@
   convergenceFullSizeMs: 10_000,
   goodputShare: 0.9,
   retryShare: 0.1,
+  logPercent: 3,
 } as const;
 
 const overhead =
@@ -136,6 +137,15 @@
     limit: TARGETS.goodputShare,
     source: '1.2: goodput at twice the capacity is at least 90%',
   },
+  {
+    id: 'log-cpu',
+    part: 'log',
+    value: 'logPercent',
+    where: {},
+    kind: 'atMost',
+    limit: TARGETS.logPercent,
+    source: 'docs/OPERATIONS.md: the log takes at most 3% of a node’s time',
+  },
 ];
 
 /** Checks all rows of a part against its bounds. @public */
--- a/apps/bench/src/parts/all-parts.ts
+++ b/apps/bench/src/parts/all-parts.ts
@@ -5,6 +5,7 @@
 import {measureCalls} from './call.js';
 import {measureConvergence} from './convergence.js';
 import {measureCost} from './cost.js';
+import {measureLog} from './log.js';
 import type {PartOptions} from './part-options.js';
 import {measurePolicy} from './policy.js';
 import {measureStore} from './store.js';
@@ -61,6 +62,15 @@
       value: 'readsPerSecond',
     },
   },
+  log: {
+    measure: measureLog,
+    defaults: {seconds: 60, nodes: []},
+    plot: {
+      title: 'Part of a node’s processor time that the log takes, %',
+      value: 'logPercent',
+      limit: TARGETS.logPercent,
+    },
+  },
   policy: {
     measure: measurePolicy,
     defaults: {seconds: 0, nodes: []},
