Emulator: answers that a killed node had to pass are lost

Found in reading: calls of a node that restarts were answered through the dead process, and a call counted for the retry budget once for each try.

--- a/packages/emulator/src/call-path.ts
+++ b/packages/emulator/src/call-path.ts
@@ -13,6 +13,7 @@
 import {mayRetry} from './may-retry.js';
 import type {Timeline} from './timeline.js';
 import type {Troubles} from './troubles.js';
+import {isLost} from './try.js';
 import type {Try} from './try.js';
 import {scattered, subCallsOf} from './upstream-work.js';
 
@@ -79,6 +80,7 @@
       return;
     }
     call.group = group;
+    entry.retries.recordCall(kind.service);
     this.#try(call, waitedMs);
   }
 
@@ -107,11 +109,11 @@
       return;
     }
     tried.add(target.place.nodeId);
-    entry.retries.recordCall(kind.service);
     const tryOne: Try = {
       call,
       target,
       sentAt: now,
+      processes: [entry.processor.process, target.processor.process],
       enteredAt: now,
       startedAt: now,
     };
@@ -188,6 +190,7 @@
     const routes = subCallsOf(call.kind, random);
     const partMs = tookMs / (routes.length + 1);
     call.stop = () => this.#free(tryOne, null);
+    // It takes processor time, but the work does not wait for it.
     target.processor.run('rest', noStop);
     const next = () => {
       if (call.isOver) return;
@@ -229,8 +232,13 @@
     call.stop = noStop;
     timeline.after(fleet.linkMs(target, call.entry), () => {
       if (call.isOver) return;
+      const {accepted} = THROTTLE_OUTCOMES;
+      if (isLost(tryOne)) {
+        this.#end(call, CALL_ENDS.failed, 0, accepted);
+        return;
+      }
       this.#report(tryOne, CALL_OUTCOMES.ok);
-      this.#end(call, CALL_ENDS.answered, 0, THROTTLE_OUTCOMES.accepted);
+      this.#end(call, CALL_ENDS.answered, 0, accepted);
     });
   }
 
--- a/packages/emulator/src/emulator.feature
+++ b/packages/emulator/src/emulator.feature
@@ -34,6 +34,7 @@
     And all its emulated nodes restart after 4 s
     When it is emulated
     Then emulated calls fail in the window from 4 s
+    And no emulated call that began 20 ms before 4 s is answered
     And at least 90 in 100 emulated calls of the window from 8 s are on time
 
   Scenario Outline: A fault of a day file is named with its line
--- a/packages/emulator/src/emulator.test.ts
+++ b/packages/emulator/src/emulator.test.ts
@@ -161,6 +161,18 @@
   },
 );
 
+// Guards against answers that pass a node which has ended.
+Then(
+  'no emulated call that began {int} ms before {int} s is answered',
+  (beforeMs: number, atS: number) => {
+    const windowS = beforeMs / 1_000;
+    const {windows} = emulate({...day, window_s: windowS});
+    const {asked, failed} = windows[Math.round(atS / windowS) - 1]!;
+    assert.ok(asked > 0);
+    assert.equal(failed, asked);
+  },
+);
+
 When('an emulated day file has {string} as its line 2', (seconds: string) => {
   parsed = parseDay(dayText({seconds, service: 'files', rate: 1}));
 });
--- a/packages/emulator/src/processor.ts
+++ b/packages/emulator/src/processor.ts
@@ -19,7 +19,7 @@
   #freeAt = 0;
   #steps = 0;
   /** Changes with each restart; steps of an earlier process are dropped. */
-  #process = 0;
+  process = 0;
 
   constructor(settings: Day['nodes'], timeline: Timeline) {
     this.#settings = settings;
@@ -33,15 +33,15 @@
     this.#steps++;
     this.#freeAt = Math.max(this.#freeAt, this.#timeline.now) + tookMs;
     this.busyMs += tookMs;
-    const process = this.#process;
+    const {process} = this;
     this.#timeline.at(this.#freeAt, () => {
-      if (process === this.#process) then();
+      if (process === this.process) then();
     });
   }
 
   /** Ends the process; the next one is cold. */
   restart(): void {
-    this.#process++;
+    this.process++;
     this.#steps = 0;
     this.#freeAt = this.#timeline.now;
   }
