--- a/apps/bench/src/log/log-fleet.ts
+++ b/apps/bench/src/log/log-fleet.ts
@@ -6,6 +6,7 @@
 import {fileURLToPath} from 'node:url';
 import {
   bootText,
+  configKey,
   configText,
   KvStandin,
   ServerStandin,
@@ -53,7 +54,7 @@
       paths.push(path);
     }
     const rules = [{prefix: '/', service}];
-    this.#store.put('op/config', configText(1, rules, [service]));
+    this.#store.put(configKey, configText(1, rules, [service]));
     const stdio = ['ignore', 'ignore', 'inherit', 'ipc'] as const;
     this.#host = fork(program, paths, {stdio: [...stdio]});
     await once(this.#host, 'message');
