Reading: one rule for throttle groups, one error for a call turned away

The group of a call was written in the entry handler and in the emulator; a call that was turned away made two errors, each with a stack, on the busiest path. The emulator computes the link once. No change of behaviour.

--- a/apps/bench/src/log/log-fleet.ts
+++ b/apps/bench/src/log/log-fleet.ts
@@ -12,6 +12,7 @@
   ServerStandin,
   testHost,
   testPorts,
+  waitUntil,
 } from '@verbenabeam/platform/fakes';
 import type {TestPorts} from '@verbenabeam/platform/fakes';
 import {Agent} from 'undici';
@@ -24,7 +25,7 @@
 /** A third of the calls finds no slot: two nodes serve 200 of 300 a second. */
 const slots = 2;
 const workMs = 20;
-const readyGapMs = 50;
+const readyWithinMs = 10_000;
 const settleMs = 1_000;
 const callTimeMs = 500;
 
@@ -61,7 +62,9 @@
     for (const [i, server] of this.#servers.entries()) {
       server.beatTo(this.#ports[i]?.control ?? '', heartbeatMs);
     }
-    for (const {ready} of this.#ports) await untilReady(ready);
+    for (const {ready} of this.#ports) {
+      await waitUntil(() => isReady(ready), readyWithinMs, 'node ready');
+    }
     await sleep(settleMs);
   }
 
@@ -109,10 +112,7 @@
   }
 }
 
-async function untilReady(address: string): Promise<void> {
-  for (;;) {
-    const res = await fetch(`http://${address}/ready`).catch(() => null);
-    if (res?.status === 200) return;
-    await sleep(readyGapMs);
-  }
+async function isReady(address: string): Promise<boolean> {
+  const res = await fetch(`http://${address}/ready`).catch(() => null);
+  return res?.status === 200;
 }
--- a/apps/bench/src/log/log-host.ts
+++ b/apps/bench/src/log/log-host.ts
@@ -20,7 +20,7 @@
   readonly log: boolean;
 }
 
-/** Processor time of the process and lines that were logged, since its start. */
+/** Processor time and lines since the start, with those beyond the log's limit. */
 export interface LogUsage {
   readonly cpuMs: number;
   readonly lines: number;
--- a/apps/bench/src/parts/log.ts
+++ b/apps/bench/src/parts/log.ts
@@ -26,11 +26,13 @@
   const sending = startSending(fleet);
   const cpuMs = {on: 0, off: 0};
   let lines = 0;
+  let windows = 0;
   try {
     await fleet.switchLog(true);
     await sleep(warmUpMs);
-    for (let done = 0; done < seconds; done += order.length) {
+    while (windows < seconds) {
       for (const isOn of order) {
+        windows++;
         const before = await fleet.switchLog(isOn);
         await sleep(msPerSecond);
         const after = await fleet.switchLog(isOn);
@@ -42,7 +44,7 @@
     clearInterval(sending);
     await fleet.end();
   }
-  const half = seconds / 2;
+  const half = windows / 2;
   return [
     {
       labels: {nodes, callsPerSecond},
--- a/packages/emulator/src/call-path.ts
+++ b/packages/emulator/src/call-path.ts
@@ -1,12 +1,17 @@
 import {CALL_CODES} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
-import {CALL_OUTCOMES, Deadline, THROTTLE_OUTCOMES} from '@verbenabeam/routing';
+import {
+  CALL_OUTCOMES,
+  Deadline,
+  THROTTLE_OUTCOMES,
+  throttleGroup,
+} from '@verbenabeam/routing';
 import type {
   AdmissionDecision,
   CallOutcome,
   ThrottleOutcome,
 } from '@verbenabeam/routing';
-import {CALL_ENDS} from './emulated-call.js';
+import {beginCall, CALL_ENDS, noStop} from './emulated-call.js';
 import type {CallEnd, EmulatedCall, NewCall} from './emulated-call.js';
 import type {EmulatedNode} from './emulated-node.js';
 import type {Fleet} from './fleet.js';
@@ -30,7 +35,6 @@
 /** Time to return while no instance has named one, in ms. */
 const defaultRetryAfterMs = 50;
 const version = 'v1';
-const noStop = () => undefined;
 
 /** The way of a call: entry node, instance, upstream, and back. @internal */
 export class CallPath {
@@ -48,13 +52,7 @@
 
   /** Starts a call at its entry node. */
   start(begun: NewCall): void {
-    const call: EmulatedCall = {
-      ...begun,
-      tried: new Set(),
-      group: null,
-      isOver: false,
-      stop: noStop,
-    };
+    const call = beginCall(begun);
     const {timeline} = this.#options;
     timeline.at(call.deadlineAt, () => {
       const {stop} = call;
@@ -72,7 +70,7 @@
     const {now} = this.#options.timeline;
     const attempt = {key, endsAt: deadlineAt};
     const waitedMs = entry.returning?.waitedMs(attempt, now) ?? 0;
-    const group = waitedMs > 0 ? `${kind.route} again` : kind.route;
+    const group = throttleGroup(kind.route, waitedMs);
     const turnedAway = entry.throttle?.turnsAway(group, now);
     if (turnedAway) {
       const {refused} = THROTTLE_OUTCOMES;
--- a/packages/emulator/src/emulated-call.ts
+++ b/packages/emulator/src/emulated-call.ts
@@ -33,3 +33,12 @@
 
 /** A call as it begins. @internal */
 export type NewCall = Omit<EmulatedCall, 'tried' | 'group' | 'isOver' | 'stop'>;
+
+/** For a call of which nothing runs or waits. @internal */
+export const noStop = () => undefined;
+
+/** A call that nothing was decided on yet. @internal */
+export function beginCall(begun: NewCall): EmulatedCall {
+  const state = {group: null, isOver: false, stop: noStop};
+  return {...begun, ...state, tried: new Set()};
+}
--- a/packages/emulator/src/emulated-node.ts
+++ b/packages/emulator/src/emulated-node.ts
@@ -45,6 +45,8 @@
   onDecisions: (decisions: readonly AdmissionDecision[]) => void = () =>
     undefined;
   readonly #policy: Policy;
+  /** Added time of a call to another data centre. */
+  readonly #linkMs: number;
   readonly #random: RandomSource;
   readonly #timeline: Timeline;
   #expiryAt = Infinity;
@@ -61,13 +63,14 @@
     this.#random = random;
     this.#timeline = timeline;
     this.processor = new Processor(day.nodes, timeline);
-    this.#create(day.cross_link_ms - day.link_ms);
+    this.#linkMs = day.cross_link_ms - day.link_ms;
+    this.#create();
   }
 
   /** Forgets all that the process knew. */
-  restart(linkMs: number): void {
+  restart(): void {
     this.processor.restart();
-    this.#create(linkMs);
+    this.#create();
   }
 
   /** Refuses waiting calls when their time comes. */
@@ -82,7 +85,8 @@
     });
   }
 
-  #create(linkMs: number): void {
+  #create(): void {
+    const linkMs = this.#linkMs;
     const {slots, dataCentre, nodes} = this.place;
     const random = this.#random;
     this.queue = new SlotQueue({slots});
--- a/packages/emulator/src/troubles.ts
+++ b/packages/emulator/src/troubles.ts
@@ -93,7 +93,7 @@
     node.processor.restart();
     const run = () => {
       node.isUp = true;
-      node.restart(day.cross_link_ms - day.link_ms);
+      node.restart();
     };
     planEnd({afterMs: day.nodes.start_ms, run});
   },
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -262,11 +262,17 @@
       !err.code.notRun || !wasOpen,
       {callId: this.#call.callId, code: err.code.code},
     );
-    const told = spreadReturn(err, this.#ports.random);
-    this.#response.refuse(told, this.#retries.toReport);
+    this.#response.refuse(this.#spread(err), this.#retries.toReport);
     this.#finish(err.code, err);
   }
 
+  #spread(err: MeshError): MeshError {
+    const {retryAfterMs: told} = err.details;
+    if (typeof told !== 'number') return err;
+    const retryAfterMs = spreadReturn(told, this.#ports.random);
+    return new MeshError(err.code, err.message, {...err.details, retryAfterMs});
+  }
+
   #record(outcome: Outcome, code: ResultCode): void {
     const attempt = this.#attempt;
     if (!attempt) return;
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -2,7 +2,11 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Route, Snapshot} from '@verbenabeam/document';
-import {ReturningCallers, THROTTLE_OUTCOMES} from '@verbenabeam/routing';
+import {
+  ReturningCallers,
+  THROTTLE_OUTCOMES,
+  throttleGroup,
+} from '@verbenabeam/routing';
 import type {
   CallerAttempt,
   ThrottleOutcome,
@@ -148,7 +152,7 @@
 
   /** Starts the call unless the instances would refuse it. */
   #admit(call: RoutedCall): void {
-    const group = groupOf(call);
+    const group = throttleGroup(call.route.name, call.waitedMs);
     const now = performance.now();
     const turnedAway = this.#ports.throttle?.turnsAway(group, now) ?? null;
     if (!turnedAway) {
@@ -156,10 +160,11 @@
       return;
     }
     const {throttled} = CALL_CODES;
-    const {retryAfterMs} = turnedAway;
+    const {random} = this.#ports;
+    const retryAfterMs = spreadReturn(turnedAway.retryAfterMs, random);
     const err = new MeshError(throttled, throttled.text, {retryAfterMs});
     this.#noteFailed(call);
-    this.#refuse(call, spreadReturn(err, this.#ports.random), turnedAway);
+    this.#refuse(call, err, turnedAway);
   }
 
   #start(call: RoutedCall, group: string): void {
@@ -209,11 +214,6 @@
   }
 }
 
-/** Callers that return are served last, so their calls are counted apart. */
-function groupOf({route, waitedMs}: RoutedCall): string {
-  return waitedMs > 0 ? `${route.name} again` : route.name;
-}
-
 /** Whether instances refused the call because of load. */
 function throttleOutcomeOf(
   {attempts}: CallRecord,
--- a/packages/node/src/hosted/call-logger.ts
+++ b/packages/node/src/hosted/call-logger.ts
@@ -15,8 +15,8 @@
   }
 
   onCall(record: CallRecord): void {
-    const {attempts, code, service, callerClass, durationMs} = record;
-    const {turnedAway} = record;
+    const {attempts, code, service, callerClass, durationMs, turnedAway} =
+      record;
     this.#metrics.recordCall({
       callerClass,
       service: service ?? 'none',
--- a/packages/routing/src/adaptive-throttle.ts
+++ b/packages/routing/src/adaptive-throttle.ts
@@ -123,6 +123,17 @@
   }
 }
 
+/**
+ * Group of a call. Callers that return are served last, so their calls are
+ * counted apart.
+ *
+ * @param waitedMs - Time since the first attempt; 0 for a new caller.
+ * @public
+ */
+export function throttleGroup(route: string, waitedMs: number): string {
+  return waitedMs > 0 ? `${route} again` : route;
+}
+
 function newGroup(now: number): Group {
   return {
     calls: 0,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -45,7 +45,11 @@
   RetryDecision,
   RetryRequest,
 } from './retry-budget.js';
-export {AdaptiveThrottle, THROTTLE_OUTCOMES} from './adaptive-throttle.js';
+export {
+  AdaptiveThrottle,
+  THROTTLE_OUTCOMES,
+  throttleGroup,
+} from './adaptive-throttle.js';
 export type {
   AdaptiveThrottleOptions,
   ThrottleOutcome,
