Log and metrics: where a call waits before its upstream gets it

Added, to tell the three hypotheses of the incident apart:

- AcceptWatch: a connection of the node's own every 250 ms measures how long connections of callers wait to be accepted (gauge, and a line above 100 ms).
- CallWaits: calls that wait over 100 ms between reading and start, on the wire or for a connection to their upstream are counted by place and logged.
- The serving node logs a call that its entry node ended.
- The limit of the log counts each result code of a part apart: 50 lines a second in place of 100 a part.

No decision changes.

--- a/apps/hosted-node/src/hosted-process.feature
+++ b/apps/hosted-node/src/hosted-process.feature
@@ -11,6 +11,11 @@
     When the hosted node runs with "--check" and a broken settings file
     Then the hosted node ends with 10 and reports "1001"
 
+  Scenario: Lines of refusals leave room for those of other results
+    When 500 lines of refusals and one of another result are logged at once
+    Then the structured log holds the line of the other result
+    And the structured log holds at most 50 lines of refusals
+
   Scenario: A hosted node survives SIGHUP and a broken file, and ends by SIGTERM
     Given a running hosted node process
     When its settings file breaks and it gets SIGHUP
--- a/apps/hosted-node/src/log-sink.ts
+++ b/apps/hosted-node/src/log-sink.ts
@@ -5,8 +5,11 @@
 const minWriteBytes = 8_192;
 /** Lines wait at most this long. */
 const flushMs = 250;
-/** Lines of one part beyond this number a second are counted, not written. */
-const maxLinesPerSecond = 100;
+/**
+ * Lines of one part and result code beyond this number a second are counted, not
+ * written. Refusals under load leave room for the lines of other results.
+ */
+const maxLinesPerSecond = 50;
 const windowMs = 1_000;
 
 /** Writes log lines as JSON to standard output. */
@@ -30,11 +33,14 @@
   setInterval(() => out.flush(), flushMs).unref();
   const write: LogSink = (part, sentence, fields) => {
     const now = performance.now();
-    const window = windows.get(part) ?? {startAt: now, lines: 0, dropped: 0};
-    windows.set(part, window);
+    const code = fields?.['code'];
+    const key = `${part} ${String(code ?? '')}`;
+    const window = windows.get(key) ?? {startAt: now, lines: 0, dropped: 0};
+    windows.set(key, window);
     if (now - window.startAt > windowMs) {
       if (window.dropped > 0) {
-        log.info({part, dropped: window.dropped}, 'Lines were dropped.');
+        const {dropped} = window;
+        log.info({part, code, dropped}, 'Lines were dropped.');
       }
       Object.assign(window, {startAt: now, lines: 0, dropped: 0});
     }
--- /dev/null
+++ b/packages/node/src/calls/accept-watch.ts
@@ -0,0 +1,90 @@
+import net from 'node:net';
+import {logger} from '@verbenabeam/core';
+import {every} from '../every.js';
+
+const defaultEveryMs = 250;
+/** Longer waits are logged, in ms. */
+const longMs = 100;
+const log = logger('accept');
+
+/** Options of {@link AcceptWatch}. @internal */
+export interface AcceptWatchOptions {
+  /** Clock in ms; default `performance.now`. */
+  readonly now?: () => number;
+  /** Time between two measurements, in ms; default 250. */
+  readonly everyMs?: number;
+}
+
+/** A connection of the watch that has not been accepted yet. */
+interface Probe {
+  readonly socket: net.Socket;
+  readonly openedAt: number;
+}
+
+/**
+ * Measures how long connections of callers wait to be accepted. Node.js accepts
+ * one in each turn of the event loop and does not tell how many wait, so the watch
+ * opens a connection of its own that waits behind them.
+ *
+ * @internal
+ */
+export class AcceptWatch {
+  readonly #server: net.Server;
+  readonly #now: () => number;
+  readonly #everyMs: number;
+  #probe: Probe | null = null;
+  #lastMs = 0;
+  #isLong = false;
+
+  constructor(server: net.Server, {now, everyMs}: AcceptWatchOptions = {}) {
+    this.#server = server;
+    this.#now = now ?? (() => performance.now());
+    this.#everyMs = everyMs ?? defaultEveryMs;
+    server.on('connection', socket => this.#onConnection(socket));
+  }
+
+  /** Time that a connection which is accepted now may have waited, in ms. */
+  get waitMs(): number {
+    if (!this.#probe) return this.#lastMs;
+    return Math.max(this.#lastMs, this.#now() - this.#probe.openedAt);
+  }
+
+  /** Measures until the signal aborts, while the server listens. */
+  start(signal: AbortSignal): void {
+    every(this.#everyMs, signal, () => this.#open());
+  }
+
+  #open(): void {
+    const address = this.#server.address();
+    if (this.#probe || !address || typeof address === 'string') return;
+    const {port, address: host} = address;
+    const socket = net.connect({port, host});
+    const probe = {socket, openedAt: this.#now()};
+    this.#probe = probe;
+    socket.on('error', err => log('Probe failed.', {reason: err.message}));
+    socket.on('close', () => {
+      if (this.#probe === probe) this.#probe = null;
+    });
+  }
+
+  #onConnection(socket: net.Socket): void {
+    const probe = this.#probe;
+    if (!probe || socket.remotePort !== probe.socket.localPort) return;
+    this.#note(this.#now() - probe.openedAt);
+    this.#probe = null;
+    socket.destroy();
+    probe.socket.destroy();
+  }
+
+  #note(waitedMs: number): void {
+    this.#lastMs = waitedMs;
+    const isLong = waitedMs >= longMs;
+    if (isLong) {
+      const ms = Math.round(waitedMs);
+      log('Connections wait to be accepted.', {ms});
+    } else if (this.#isLong) {
+      log('Connections are accepted at once again.');
+    }
+    this.#isLong = isLong;
+  }
+}
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -15,6 +15,7 @@
 import {failedFrom} from './attempt.js';
 import type {CallerHeaders} from './call-headers.js';
 import type {CallRecord} from './call-record.js';
+import {WAIT_PLACES} from './call-waits.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
 import {EntryCall} from './entry-call.js';
@@ -62,12 +63,16 @@
 
   /** Listener for `http.createServer`. */
   readonly handle = (req: IncomingMessage, res: ServerResponse): void => {
-    const startAt = performance.now() - this.#gate.lostMs;
+    const readAt = performance.now();
+    const startAt = readAt - this.#gate.lostMs;
     this.#inFlight.enter();
     const isDraining = this.#draining;
     this.#gate.run({
       isOver: () => req.destroyed || res.closed,
-      start: () => this.#begin(req, res, startAt, isDraining),
+      start: () => {
+        this.#noteWait(req, readAt);
+        this.#begin(req, res, startAt, isDraining);
+      },
       drop: () => this.#inFlight.leave(),
     });
   };
@@ -104,6 +109,13 @@
     }
   }
 
+  #noteWait(req: IncomingMessage, readAt: number): void {
+    const {protocol, waits} = this.#ports;
+    if (!waits) return;
+    const waitedMs = performance.now() - readAt;
+    waits.note(WAIT_PLACES.entry, protocol.callId(req), waitedMs);
+  }
+
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
    * when those in flight have ended.
--- a/packages/node/src/calls/entry-ports.ts
+++ b/packages/node/src/calls/entry-ports.ts
@@ -12,6 +12,7 @@
 import type {CallHead} from './call-head.js';
 import type {CallProtocol} from './call-protocol.js';
 import type {CallRecord} from './call-record.js';
+import type {CallWaits} from './call-waits.js';
 import type {StartGate} from './start-gate.js';
 
 /** What a route is looked up by. @public */
@@ -183,6 +184,8 @@
   readonly gate?: StartGate;
   /** Turns calls away that the instances would refuse. Default: none is. */
   readonly throttle?: AdaptiveThrottle;
+  /** Notes long waits; default: they are not noted. */
+  readonly waits?: CallWaits;
   /** Divides the calls of a route over its services. */
   readonly random: RandomSource;
   readonly invariants: Invariants;
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export {AcceptWatch} from './accept-watch.js';
 export {CALL_STREAM} from './call-head.js';
 export type {CallHead} from './call-head.js';
 export {failedFrom} from './attempt.js';
@@ -22,6 +23,8 @@
   RefusalResponse,
 } from './call-protocol.js';
 export type {AttemptRecord, CallRecord} from './call-record.js';
+export {CallWaits, WAIT_PLACES} from './call-waits.js';
+export type {WaitPlace} from './call-waits.js';
 export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
 export {OUTCOMES} from './entry-ports.js';
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -1,35 +1,32 @@
-import {
-  CALL_CODES,
-  INVARIANT_CODES,
-  logger,
-  MeshError,
-} from '@verbenabeam/core';
+import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
 import {fingerprintOf} from '@verbenabeam/routing';
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
+import {WAIT_PLACES} from './call-waits.js';
+import type {WaitPlace} from './call-waits.js';
 import {ServingBody} from './serving-body.js';
+import {logCancelled, logFailed} from './serving-log.js';
+import type {ServingTimes} from './serving-log.js';
 import type {ServingContext} from './serving-context.js';
 import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
-const log = logger('serving');
-
 /** One call on the serving side. @internal */
 export class ServingCall implements StreamListener, UpstreamListener {
   readonly #head: CallHead;
   readonly #stream: ByteStream;
   readonly #context: ServingContext;
-  readonly #startAt: number;
-  readonly #deadlineAt: number;
+  readonly #times: ServingTimes;
   readonly #body: ServingBody;
   #ticket: Ticket | null = null;
   #cancelQueue: (() => void) | null = null;
   #request: UpstreamRequest | null = null;
   #upstream: OwnUpstream | null = null;
+  #enterAt = 0;
   #dispatchAt = 0;
   #headMs: number | null = null;
   #bytes = 0;
@@ -43,12 +40,13 @@
     this.#body = new ServingBody(head.bodyBytes, stream, replayBytes);
     // Both tell of the same wait when this node was stalled.
     const waitedMs = Math.max(context.gate.lostMs, stream.ageMs);
-    this.#startAt = performance.now() - waitedMs;
-    this.#deadlineAt = this.#startAt + head.remainingMs;
+    const startAt = performance.now() - waitedMs;
+    this.#times = {startAt, deadlineAt: startAt + head.remainingMs};
   }
 
   /** A call whose body is collected enters at the body's end. */
   start(): void {
+    this.#noteWait(WAIT_PLACES.wire, this.#stream.ageMs);
     this.#stream.listen(this);
     if (!this.#body.isCollected) this.#enterSoon();
   }
@@ -66,6 +64,7 @@
   /** The entry side ended the call. */
   onReset(): void {
     if (this.#over) return;
+    logCancelled(this.#head, this.#times, this.#request?.sent ?? false);
     this.#cancelQueue?.();
     this.#request?.abort();
     this.#end(null);
@@ -75,6 +74,13 @@
     this.#request?.resume();
   }
 
+  onUpstreamConnected(): void {
+    this.#noteWait(
+      WAIT_PLACES.connection,
+      performance.now() - this.#dispatchAt,
+    );
+  }
+
   onUpstreamHead(status: number, headers: string[]): void {
     this.#headMs = performance.now() - this.#dispatchAt;
     this.#ticket?.answered(this.#headMs);
@@ -135,10 +141,15 @@
    * paused finds the end of a call right behind its begin.
    */
   #enterSoon(): void {
+    this.#enterAt = performance.now();
     setImmediate(() => {
       this.#context.gate.run({
         isOver: () => this.#over,
-        start: () => this.#enter(),
+        start: () => {
+          const waitedMs = performance.now() - this.#enterAt;
+          this.#noteWait(WAIT_PLACES.serving, waitedMs);
+          this.#enter();
+        },
         drop: () => undefined,
       });
     });
@@ -162,10 +173,10 @@
     const {routeName, priority, targetMs, callerClass} = this.#head;
     const decision = admission.enter({
       callId,
-      deadlineAt: this.#deadlineAt,
+      deadlineAt: this.#times.deadlineAt,
       route: routeName,
       priority,
-      targetAt: this.#startAt + targetMs,
+      targetAt: this.#times.startAt + targetMs,
       callerClass,
     });
     if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
@@ -194,7 +205,7 @@
     if (upstream.service !== service || upstream.version !== version) {
       return CALL_CODES.noInstance;
     }
-    if (performance.now() >= this.#deadlineAt) {
+    if (performance.now() >= this.#times.deadlineAt) {
       return CALL_CODES.deadlineTooClose;
     }
     return null;
@@ -235,7 +246,7 @@
     running.add(this.#head.callId);
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#dispatchAt = performance.now();
-    const remainingMs = this.#deadlineAt - this.#dispatchAt;
+    const remainingMs = this.#times.deadlineAt - this.#dispatchAt;
     this.#request = new UpstreamRequest(
       this.#head,
       ports.protocol,
@@ -271,18 +282,7 @@
     const left = this.#upstream ? {retriesLeft: ledger.close(callId)} : {};
     this.#end(null);
     const report = admission.load();
-    const {inFlight, queued, slots} = report;
-    log('Call did not run to its end here.', {
-      requestId: callId,
-      route: this.#head.routeName,
-      code: code.code,
-      reason: message,
-      ms: Math.round(performance.now() - this.#startAt),
-      leftMs: Math.round(this.#deadlineAt - performance.now()),
-      inFlight,
-      queued,
-      slots,
-    });
+    logFailed(this.#head, this.#times, err, report);
     const load = encodeLoad(report);
     const details = {
       ...err.details,
@@ -293,6 +293,10 @@
     this.#stream.reset(new MeshError(code, message, details));
   }
 
+  #noteWait(place: WaitPlace, waitedMs: number): void {
+    this.#context.ports.waits?.note(place, this.#head.callId, waitedMs);
+  }
+
   #lostRequest(): LostRequest {
     return {callId: this.#head.callId, fingerprint: this.#fingerprint()};
   }
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -1,5 +1,6 @@
 import type {Invariants, MeshError} from '@verbenabeam/core';
 import type {CallProtocol} from './call-protocol.js';
+import type {CallWaits} from './call-waits.js';
 import type {StartGate} from './start-gate.js';
 import type {UpstreamState} from '@verbenabeam/membership';
 import type {LoadReport, RetryLedger} from '@verbenabeam/routing';
@@ -110,5 +111,7 @@
   readonly protocol: CallProtocol;
   /** Starts the calls; shared by both sides. Default: one for each. */
   readonly gate?: StartGate;
+  /** Notes long waits; default: they are not noted. */
+  readonly waits?: CallWaits;
   readonly invariants: Invariants;
 }
--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -1,4 +1,5 @@
 import type {LoadReport} from '@verbenabeam/routing';
+import type {WaitPlace} from '../calls/index.js';
 import type {GaugeSource} from '../metrics/gauge-source.js';
 import type {RolloutView} from './rollout-view.js';
 
@@ -13,6 +14,10 @@
   readonly configAgeMs: () => number;
   readonly services: () => readonly string[];
   readonly isStoreReachable: () => boolean;
+  /** Time that connections of callers wait to be accepted, in ms. */
+  readonly acceptWaitMs: () => number;
+  /** Calls that waited for long, by place. */
+  readonly waits: () => ReadonlyMap<WaitPlace, number>;
 }
 
 const msPerSecond = 1_000;
@@ -55,6 +60,18 @@
       help: '1 if the last call to the store succeeded, else 0.',
       read: () => [{labels: {}, value: parts.isStoreReachable() ? 1 : 0}],
     },
+    {
+      name: 'verbenabeam_accept_wait_seconds',
+      help: 'Time that connections of callers wait to be accepted.',
+      read: () => [{labels: {}, value: parts.acceptWaitMs() / msPerSecond}],
+    },
+    {
+      name: 'verbenabeam_long_waits',
+      help: 'Calls that waited over 100 ms since the start, by place.',
+      labelNames: ['place'],
+      read: () =>
+        [...parts.waits()].map(([place, value]) => ({labels: {place}, value})),
+    },
     {
       name: 'verbenabeam_rollout_share',
       help: 'Share of the traffic that the version of a running rollout gets.',
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -13,6 +13,7 @@
 import {systemSleep} from '@verbenabeam/store';
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
+import {AcceptWatch} from '../calls/index.js';
 import type {CallProtocol} from '../calls/index.js';
 import {listen} from '../listen.js';
 import {CallerConnections} from './caller-connections.js';
@@ -144,6 +145,7 @@
       return Result.err(failure);
     }
     node.#parts.start();
+    node.#watchAccepting();
     const {nodeId, service, listen: addresses} = settings;
     log('Node started.', {nodeId, service, ...addresses, pid: process.pid});
     return Result.ok(node);
@@ -227,6 +229,12 @@
     return null;
   }
 
+  #watchAccepting(): void {
+    const watch = new AcceptWatch(this.#callers);
+    watch.start(this.#end.signal);
+    this.#parts.acceptWaitMs = () => watch.waitMs;
+  }
+
   #applyLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
     this.#callers.keepAliveTimeout = idleTimeoutMs + idleSlackMs;
     this.#callers.headersTimeout = headerTimeoutMs;
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -9,6 +9,7 @@
 } from '@verbenabeam/routing';
 import {
   CALL_STREAM,
+  CallWaits,
   EntryHandler,
   LoopWatch,
   StartGate,
@@ -79,6 +80,8 @@
   readonly metrics: NodeMetrics;
   /** Called with each configuration that comes into force. */
   onConfig: (snapshot: Snapshot) => void = () => undefined;
+  /** Time that connections of callers wait to be accepted, in ms. */
+  acceptWaitMs: () => number = () => 0;
   readonly #options: HostedPartsOptions;
   readonly #store: StoreHealth;
   readonly #admission: AdmissionAdapter;
@@ -89,6 +92,7 @@
   readonly #retries: RetryBudget;
   readonly #calls: CallLogger;
   readonly #loop: LoopWatch;
+  readonly #waits = new CallWaits();
   #bounds: HostedBounds;
   #startedAt = Infinity;
   /** Time at which the configuration came into force. */
@@ -105,9 +109,8 @@
       began: () => this.metrics.recordStoreCall('node'),
       ended: err => this.metrics.recordStoreOutcome('node', err?.code),
     });
-    const own = ownRecord(options);
     this.membership = new MembershipService({
-      own,
+      own: ownRecord(options),
       bus,
       clock,
       random,
@@ -166,6 +169,7 @@
       ledger,
       protocol,
       gate,
+      waits: this.#waits,
       invariants,
     });
     this.entry = new EntryHandler({
@@ -183,6 +187,7 @@
       observer: {onCall: record => this.#onCall(record)},
       protocol,
       gate,
+      waits: this.#waits,
       throttle: new AdaptiveThrottle({random}),
       random,
       invariants,
@@ -303,6 +308,8 @@
         configAgeMs: () => this.#options.clock.now() - this.#configSince,
         services: () => this.#serviceNames(),
         isStoreReachable: () => this.#store.reachable,
+        acceptWaitMs: () => this.acceptWaitMs(),
+        waits: () => this.#waits.counts,
       }),
     });
   }
