--- /dev/null
+++ b/packages/node/src/calls/test/leaving-callers.ts
@@ -0,0 +1,37 @@
+/**
+ * Worker thread with callers that leave before their answer: each opens a
+ * connection, sends a call and closes the connection after some time.
+ *
+ * @packageDocumentation
+ */
+import net from 'node:net';
+import {parentPort, workerData} from 'node:worker_threads';
+
+/** What the worker gets as its data. */
+export interface LeavingCallers {
+  readonly port: number;
+  readonly count: number;
+  readonly staysMs: number;
+}
+
+const {port, count, staysMs} = workerData as LeavingCallers;
+const head = [
+  'GET /read?ms=0 HTTP/1.1',
+  'Host: files',
+  `Vb-Deadline-Ms: ${staysMs}`,
+  '\r\n',
+].join('\r\n');
+
+parentPort?.once('message', () => {
+  let open = count;
+  for (let i = 0; i < count; i++) {
+    const socket = net.connect(port, '127.0.0.1', () => {
+      socket.write(head);
+      setTimeout(() => socket.destroy(), staysMs);
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      if (--open === 0) process.exit();
+    });
+  }
+});
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -90,6 +90,7 @@
     });
     this.bus.onStream(CALL_STREAM, this.serving.onStream);
     this.#server = http.createServer(this.entry.handle);
+    this.#server.on('connection', this.entry.onConnection);
   }
 
   async start(options: Partial<StandinOptions>): Promise<void> {
