Do not send on calls whose caller's end has been read

Cause: Node.js accepts one connection in each turn of the event loop, so at an overloaded node they wait for up to 1.9 s. The call and the end of its connection are read one turn after the other, and the start gate holds the call for that. But it asked req.destroyed, which Node.js sets only when it has shut down its own side, one turn after it has read the end: the call left in that turn. Besides, a node that does not look busy yet did not hold the first such call.

Now the gate asks whether the socket's end has been read, and the first call of a connection always waits for one more poll, because nothing tells how long the connection waited to be accepted.

Ruled out: waits between the nodes, in the serving node and for a connection to the upstream (the serving node's record begins 1 ms after the entry node's attempt).

--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -16,6 +16,7 @@
 import type {CallerHeaders} from './call-headers.js';
 import type {CallRecord} from './call-record.js';
 import {WAIT_PLACES} from './call-waits.js';
+import {CallerLinks} from './caller-links.js';
 import {limitExceeded} from './caller-limits.js';
 import {sendRefusal} from './caller-response.js';
 import {EntryCall} from './entry-call.js';
@@ -45,6 +46,7 @@
   readonly #ports: EntryPorts;
   readonly #inFlight = new InFlight();
   readonly #gate: StartGate;
+  readonly #links = new CallerLinks();
   readonly #returning = new ReturningCallers();
   #draining = false;
 
@@ -68,7 +70,8 @@
     this.#inFlight.enter();
     const isDraining = this.#draining;
     this.#gate.run({
-      isOver: () => req.destroyed || res.closed,
+      mayBeOld: this.#links.noteCall(req.socket),
+      isOver: () => this.#links.hasLeft(req.socket),
       start: () => {
         this.#noteWait(req, readAt);
         this.#begin(req, res, startAt, isDraining);
--- a/packages/node/src/calls/start-gate.ts
+++ b/packages/node/src/calls/start-gate.ts
@@ -25,6 +25,11 @@
 
 /** A call that was read. @public */
 export interface GateCall {
+  /**
+   * Whether it may have waited unseen, as the first call of a connection does
+   * until the connection is accepted. It starts after one more poll.
+   */
+  readonly mayBeOld?: boolean;
   /** Whether its end has been read. */
   isOver(): boolean;
   start(): void;
@@ -94,12 +99,13 @@
   }
 
   #take(call: GateCall): void {
-    const isBusy =
+    const waits =
+      call.mayBeOld === true ||
       this.#accepting.turns >= backlogPolls ||
       this.#queue.length > 0 ||
       this.#spentMs >= this.#budgetMs ||
       this.#now() < this.#busyUntil;
-    if (isBusy) this.#queue.push(call);
+    if (waits) this.#queue.push(call);
     else this.#start(call);
     this.#arm();
   }
