End all calls of a connection when its caller leaves

What callers saw: nothing; what upstreams saw: of the calls that a caller had sent on one connection, only the first was cancelled when the caller left. The others ran to their end or deadline, held their slots, and were sent to upstreams meanwhile. An answer that was begun behind another one had no deadline any more and could wait for a caller that is gone until the node stopped.

Cause: a call listened for the end of its response. Node.js ends only the response whose turn it is on the connection; those behind it are never told.

Now the calls of a connection are ended together when the end of the connection is read, which is also one turn of the event loop earlier than before.

--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -12,6 +12,7 @@
 import {AttemptLog} from './attempt-log.js';
 import {CallClaim} from './call-claim.js';
 import type {AnswerHead, AnswerTrailer} from './call-head.js';
+import type {CallerLinks} from './caller-links.js';
 import type {CallRecord} from './call-record.js';
 import {chooseService, maxRetriesOf} from './choose-service.js';
 import {recordOf} from './entry-record.js';
@@ -35,6 +36,7 @@
   readonly #response: CallerResponse;
   readonly #deadlineAt: number;
   readonly #timer: NodeJS.Timeout;
+  readonly #forgetCaller: () => void;
   readonly #retries: CallRetries;
   readonly #attempts: AttemptFactory;
   readonly #log: AttemptLog;
@@ -44,7 +46,12 @@
   #headMs: number | null = null;
   #over = false;
 
-  constructor(call: RoutedCall, ports: EntryPorts, done: EntryDone) {
+  constructor(
+    call: RoutedCall,
+    ports: EntryPorts,
+    links: CallerLinks,
+    done: EntryDone,
+  ) {
     const {headers, req, res, route, snapshot, callId, startAt} = call;
     this.#call = call;
     this.#ports = ports;
@@ -81,9 +88,7 @@
     const mark = {callId, configVersion: snapshot.version};
     const keep = !route.idempotent && headers.idempotencyKey !== null;
     this.#response = new CallerResponse(res, protocol, mark, keep);
-    res.on('close', () => {
-      if (!res.writableFinished) this.#cancel();
-    });
+    this.#forgetCaller = links.whenLeft(req.socket, () => this.#cancel());
     res.on('drain', () => this.#attempt?.resume());
   }
 
@@ -293,6 +298,7 @@
     if (this.#over) return;
     this.#over = true;
     clearTimeout(this.#timer);
+    this.#forgetCaller();
     this.#body.discard();
     this.#finishClaim();
     this.#retries.end();
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -196,7 +196,7 @@
       }
       this.#ports.observer.onCall(record);
     };
-    new EntryCall(call, this.#ports, done).start();
+    new EntryCall(call, this.#ports, this.#links, done).start();
   }
 
   #noteFailed({req, startAt, headers, waitedMs}: RoutedCall): void {
