An entry of the directory that names no node is passed over

Nodes find each other by entries in the store. One with a port out of range, without a port or with bytes that are no text made net.connect throw ERR_SOCKET_BAD_PORT within the promise of a dial; nothing handled it, the process ended, read the directory again after its restart, and ended again. The pool of connections kept the failed dial besides.

Now an address is checked before it is dialled, and an entry that holds none is passed over with a log line; the others hold. Values of operators' records (deep nesting, numbers too large, bytes that are no text) were tried as well and did no harm.

--- /dev/null
+++ b/apps/hosted-node/src/odd-entries.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {
+  bootText,
+  configKey,
+  configText,
+  KvStandin,
+  ServerStandin,
+  testHost,
+  testPorts,
+  waitUntil,
+} from '@verbenabeam/platform/fakes';
+import type {TestPorts} from '@verbenabeam/platform/fakes';
+import {startProcess, stopProcess} from '../../../scripts/lib/environment.mjs';
+import type {Started} from '../../../scripts/lib/environment.mjs';
+
+const program = 'apps/hosted-node/dist/main.js';
+const service = 'shop';
+const heartbeatMs = 300;
+const stepTimeoutMs = 20_000;
+const depth = 200_000;
+const nested = '['.repeat(depth) + ']'.repeat(depth);
+const farFuture = 8_000_000_000_000;
+const hugeSequence = Number.MAX_SAFE_INTEGER;
+
+/** Values of entries by what is odd about them. */
+const values: Readonly<Record<string, string | Buffer>> = {
+  'a port out of range': '10.0.0.1:99999',
+  'a negative port': '10.0.0.1:-1',
+  'a number too large': '10.0.0.1:1e999',
+  'no address': 'abc',
+  'a deeply nested value': nested,
+  'bytes that are no text': Buffer.from([0xff, 0xfe, 0x00, 0x80]),
+  'an order without an end':
+    '{"service":"shop","target_version":"v2","duration_s":1e306}',
+};
+
+/** Fields of heartbeats by what is odd about them. */
+const heartbeats: Readonly<Record<string, Record<string, unknown>>> = {
+  'a port out of range': {address: '127.0.0.1:99999'},
+  'an address out of range': {address: '999.0.0.1:80'},
+  'a start in the far future': {born: farFuture, address: '127.0.0.1:1'},
+  'a sequence too large': {sequence: hugeSequence, address: '127.0.0.1:1'},
+  'a deeply nested service': {service: nestedArray(1_000)},
+};
+
+function nestedArray(depth: number): unknown {
+  let value: unknown = [];
+  for (let i = 0; i < depth; i++) value = [value];
+  return value;
+}
+
+/** Status of a request at the node; 0 if the connection ended without one. */
+function ask(address: string): Promise<number> {
+  const headers = {host: testHost, 'request-id': 'odd', 'deadline-ms': '1000'};
+  return new Promise(resolve => {
+    const req = http.get(`http://${address}/a`, {headers, agent: false});
+    req.on('error', () => resolve(0));
+    req.on('response', res => {
+      res.resume();
+      res.on('end', () => resolve(res.statusCode ?? 0));
+    });
+  });
+}
+
+let store: KvStandin | null = null;
+let server: ServerStandin | null = null;
+let ports: TestPorts | null = null;
+let started: Started | null = null;
+let folder: string | null = null;
+
+After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
+  if (started) await stopProcess(started);
+  server?.stop();
+  store?.stop();
+  if (folder !== null) rmSync(folder, {recursive: true});
+  started = server = store = folder = null;
+});
+
+Given(
+  /^a store with the entry "([^"]+)" of (.+)$/,
+  async (key: string, what: string) => {
+    const value = values[what];
+    assert.ok(value !== undefined, what);
+    store = new KvStandin();
+    await store.start();
+    store.put(key, value);
+  },
+);
+
+When(
+  'a hosted node process runs with that store',
+  {timeout: stepTimeoutMs},
+  async () => {
+    server = new ServerStandin('i-1', service);
+    server.bornAt = Date.now();
+    await server.start();
+    ports = await testPorts();
+    folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
+    const file = path.join(folder, 'boot.toml');
+    writeFileSync(file, bootText('node-1', server, ports, store!.address));
+    started = await startProcess([program, '--config', file]);
+    server.beatTo(ports.control, heartbeatMs);
+  },
+);
+
+Then(
+  'it is ready within {int} ms after a configuration was written',
+  {timeout: stepTimeoutMs},
+  async (withinMs: number) => {
+    const rules = [{prefix: '/', service}];
+    store!.put(configKey, configText(1, rules, [service]));
+    const isReady = async () => {
+      const res = await fetch(`http://${ports!.ready}/ready`).catch(() => null);
+      return res?.status === 200;
+    };
+    await waitUntil(isReady, withinMs, 'ready');
+  },
+);
+
+Then('the hosted node process is still the one that was started', () => {
+  const {child, log} = started!;
+  assert.equal(child.exitCode, null, log());
+});
+
+When(/^its upstream's heartbeat has (.+)$/, async (what: string) => {
+  const fields = heartbeats[what];
+  assert.ok(fields, what);
+  await server!.beat(ports!.control, fields);
+});
+
+Then(
+  'a request at the hosted node is answered by its upstream',
+  {timeout: stepTimeoutMs},
+  async () => {
+    const {callers} = ports!;
+    // The first tries may meet what the odd heartbeat named.
+    for (let i = 0; i < 3; i++) await ask(callers);
+    const answered = async () => (await ask(callers)) === 200;
+    await waitUntil(answered, heartbeatMs * 3, 'answered');
+  },
+);
--- a/packages/node/src/hosted/node-directory.ts
+++ b/packages/node/src/hosted/node-directory.ts
@@ -1,7 +1,8 @@
 import {logger} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
+import {isPeerAddress} from '@verbenabeam/wire';
 import {systemSleep} from '@verbenabeam/store';
-import type {Store} from '@verbenabeam/store';
+import type {Entry, Store} from '@verbenabeam/store';
 
 const prefix = 'verbenabeam/nodes/';
 /** An entry outlives a restart of its node, but not long. */
@@ -11,6 +12,8 @@
 /** Longest wait after a failure; entries must be back in about 2 s. */
 const retryMs = 900;
 const timeoutMs = 1_000;
+/** Longest `ip:port`, with an IPv6 address in brackets. */
+const maxAddressBytes = 64;
 const log = logger('directory');
 
 /** Parts of a {@link NodeDirectory}. @internal */
@@ -56,9 +59,13 @@
     const {store, address} = this.#options;
     const listed = await store.list(prefix, {timeoutMs});
     if (listed.isErr) return null;
-    const decoder = new TextDecoder();
-    const addresses = listed.value.map(({value}) => decoder.decode(value));
-    return [...new Set(addresses)].filter(other => other !== address);
+    const others = new Set<string>();
+    for (const entry of listed.value) {
+      const other = addressIn(entry);
+      if (other === null) log('Entry names no node.', {key: entry.key});
+      else if (other !== address) others.add(other);
+    }
+    return [...others];
   }
 
   /** Removes the own entry. */
@@ -97,3 +104,10 @@
     return this.#enter();
   }
 }
+
+/** Address in an entry; null if another writer put something else there. */
+function addressIn({value}: Entry): string | null {
+  if (value.length > maxAddressBytes) return null;
+  const text = new TextDecoder().decode(value);
+  return isPeerAddress(text) ? text : null;
+}
--- a/packages/wire/src/bus-options.ts
+++ b/packages/wire/src/bus-options.ts
@@ -1,3 +1,4 @@
+import {isIP} from 'node:net';
 import type {PeerAddress} from './peer-bus.js';
 
 /** Certificates for TLS in both directions, in PEM. @public */
@@ -45,6 +46,15 @@
   return {...defaults, ...options, tls: options.tls ?? null};
 }
 
+const maxPort = 65_535;
+
+/** Whether a text is an address to connect to: `ip:port`. @public */
+export function isPeerAddress(text: string): boolean {
+  const {host, port} = parseAddress(text);
+  const isPort = Number.isInteger(port) && port > 0 && port <= maxPort;
+  return isPort && isIP(host) !== 0;
+}
+
 /** Splits `ip:port`; an IPv6 address may be in brackets. @internal */
 export function parseAddress(address: PeerAddress): {
   host: string;
--- a/packages/wire/src/dial.ts
+++ b/packages/wire/src/dial.ts
@@ -1,5 +1,6 @@
 import {Result} from 'true-myth';
 import {MeshError, WIRE_CODES} from '@verbenabeam/core';
+import {isPeerAddress} from './bus-options.js';
 import type {BusSettings} from './bus-options.js';
 import {FrameSocket} from './frame-socket.js';
 import type {ByteCounter} from './frame-socket.js';
@@ -26,6 +27,10 @@
   settings: BusSettings,
   counter: ByteCounter,
 ): Promise<Result<Dialled, MeshError>> {
+  if (!isPeerAddress(peer)) {
+    const text = 'The address is not an IP address with a port';
+    return Promise.resolve(Result.err(unreachable(peer, text)));
+  }
   return new Promise(resolve => {
     const fail = (message: string) => {
       clearTimeout(timer);
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export {isPeerAddress} from './bus-options.js';
 export type {TcpPeerBusOptions, WireTls} from './bus-options.js';
 export {TcpPeerBus} from './tcp-peer-bus.js';
 export {TRAFFIC_CLASSES} from './peer-bus.js';
