--- a/apps/hosted-node/src/odd-entries.test.ts
+++ b/apps/hosted-node/src/odd-entries.test.ts
@@ -26,6 +26,7 @@
 const nested = '['.repeat(depth) + ']'.repeat(depth);
 const farFuture = 8_000_000_000_000;
 const hugeSequence = Number.MAX_SAFE_INTEGER;
+const farAhead = 2_000_000_000;
 
 /** Values of entries by what is odd about them. */
 const values: Readonly<Record<string, string | Buffer>> = {
@@ -45,6 +46,7 @@
   'an address out of range': {address: '999.0.0.1:80'},
   'a start in the far future': {born: farFuture, address: '127.0.0.1:1'},
   'a sequence too large': {sequence: hugeSequence, address: '127.0.0.1:1'},
+  'a sequence far ahead': {sequence: farAhead, address: '127.0.0.1:1'},
   'a deeply nested service': {service: nestedArray(1_000)},
 };
 
--- a/packages/node/src/hosted/own-upstream.ts
+++ b/packages/node/src/hosted/own-upstream.ts
@@ -13,6 +13,10 @@
   readonly isKnownService: (service: string) => boolean;
 }
 
+/** Clocks of instances differ by seconds, and may jump. */
+const maxClockSkewMs = 3_600_000;
+/** Heartbeats in a row that may be missing; those of a day and more. */
+const maxMissed = 100_000;
 const log = logger('upstream');
 
 /**
@@ -57,6 +61,11 @@
       log('Heartbeat names an unknown service.', {id, service});
       return Result.ok(true);
     }
+    if (this.#isImplausible(report)) {
+      const {id, sequence, bornAt} = report;
+      log('Implausible heartbeat ignored.', {id, sequence, bornAt});
+      return Result.ok(true);
+    }
     if (this.#isLate(report)) {
       const {id, sequence, bornAt} = report;
       log('Late heartbeat ignored.', {id, sequence, bornAt});
@@ -91,6 +100,14 @@
     return this.#report?.id === id && this.#report.bornAt === bornAt;
   }
 
+  /** Numbers that are never reached would make all later heartbeats late. */
+  #isImplausible(next: UpstreamReport): boolean {
+    const {bornAt, sequence} = next;
+    if (bornAt > this.#options.clock.wallTime() + maxClockSkewMs) return true;
+    const known = this.#isSameStart(next) ? this.#report : null;
+    return known !== null && sequence > known.sequence + maxMissed;
+  }
+
   #isLate(next: UpstreamReport): boolean {
     const known = this.#report;
     if (!known) return false;
