Log: 25 lines a second for each result code of a part

The lines that the incident added (waits, calls that their entry node ended) came on top of the lines of refusals.

--- a/apps/hosted-node/src/hosted-process.feature
+++ b/apps/hosted-node/src/hosted-process.feature
@@ -14,7 +14,7 @@
   Scenario: Lines of refusals leave room for those of other results
     When 500 lines of refusals and one of another result are logged at once
     Then the structured log holds the line of the other result
-    And the structured log holds at most 50 lines of refusals
+    And the structured log holds at most 25 lines of refusals
 
   Scenario: A hosted node survives SIGHUP and a broken file, and ends by SIGTERM
     Given a running hosted node process
--- a/apps/hosted-node/src/log-sink.ts
+++ b/apps/hosted-node/src/log-sink.ts
@@ -9,7 +9,7 @@
  * Lines of one part and result code beyond this number a second are counted, not
  * written. Refusals under load leave room for the lines of other results.
  */
-const maxLinesPerSecond = 50;
+const maxLinesPerSecond = 25;
 const windowMs = 1_000;
 
 /** Writes log lines as JSON to standard output. */
