Few connections of callers wait to be accepted at a hosted node

Cause: Node.js accepts one connection a turn, and 511 may wait. Under load more come than are accepted; once the queue is longer than callers wait, it holds only what they left, which costs as much to accept and read as a call, so it stays long.

Now 64 may wait.

Test: 200 of 200 callers were connected while the node stood still, now at most 80. Also: the signal that ends the node may have 32 listeners, so that a rollout brings no warning.

--- /dev/null
+++ b/packages/node/src/hosted/caller-backlog.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Worker} from 'node:worker_threads';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {listen} from '../listen.js';
+import {callerBacklog} from './caller-connections.js';
+
+/** Counts the connections that are made at once, in a thread of its own. */
+const callers = `
+  const net = require('node:net');
+  const {parentPort, workerData: {port, count, waitMs}} = require('node:worker_threads');
+  let connected = 0;
+  parentPort.once('message', () => {
+    for (let i = 0; i < count; i++) {
+      const socket = net.connect(port, '127.0.0.1', () => connected++);
+      socket.on('error', () => undefined);
+    }
+    setTimeout(() => {
+      parentPort.postMessage(connected);
+      process.exit();
+    }, waitMs);
+  });`;
+/** The callers count before the node goes on. */
+const countAfterShare = 0.6;
+
+let server: Server | null = null;
+let connected = 0;
+
+After({tags: '@hosted'}, () => {
+  server?.close();
+  server?.closeAllConnections();
+  server = null;
+});
+
+Given('a listener for callers', async () => {
+  server = createServer();
+  const listened = await listen(server, '127.0.0.1:0', callerBacklog);
+  assert.ok(listened.isOk);
+});
+
+When(
+  '{int} callers connect to it while its event loop stands still for {int} ms',
+  async (count: number, stallMs: number) => {
+    const {port} = server!.address() as AddressInfo;
+    const workerData = {port, count, waitMs: stallMs * countAfterShare};
+    const worker = new Worker(callers, {eval: true, workerData});
+    await once(worker, 'online');
+    const counted = once(worker, 'message');
+    worker.postMessage('start');
+    const until = performance.now() + stallMs;
+    while (performance.now() < until);
+    [connected] = (await counted) as [number];
+  },
+);
+
+Then('at most {int} of them were connected meanwhile', (most: number) => {
+  assert.ok(connected > 0 && connected <= most, `${connected} connected`);
+});
--- a/packages/node/src/hosted/caller-connections.ts
+++ b/packages/node/src/hosted/caller-connections.ts
@@ -7,6 +7,15 @@
 /** Share of the descriptors beyond which connections are refused. */
 const refuseShare = 0.8;
 
+/**
+ * Connections of callers that may wait to be accepted. An overloaded node accepts
+ * about 200 a second; behind more than this its callers have left before their
+ * turn, and to accept what they left takes the time of those who still wait.
+ *
+ * @internal
+ */
+export const callerBacklog = 64;
+
 /**
  * Bounds the connections of callers by the descriptors that the process may use.
  * Load pattern: callers that repeat on new channels and keep the old ones.
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {
@@ -16,7 +17,7 @@
 import {AcceptWatch} from '../calls/index.js';
 import type {CallProtocol} from '../calls/index.js';
 import {listen} from '../listen.js';
-import {CallerConnections} from './caller-connections.js';
+import {callerBacklog, CallerConnections} from './caller-connections.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
 import {
@@ -28,6 +29,8 @@
 import type {UpstreamFormat} from './upstream-report.js';
 
 const log = logger('node');
+/** Timers and loops that end with the node; a few more with each rollout. */
+const maxParts = 32;
 /** Above the header limits of all configurations; those refuse with 431. */
 const maxHeaderBytes = 131_072;
 /**
@@ -84,6 +87,7 @@
     this.#settings = options.settings;
     this.#bus = bus;
     this.#end = new AbortController();
+    setMaxListeners(maxParts, this.#end.signal);
     const invariants = new Invariants();
     invariants.onBroken((code, details) => {
       log('Invariant is broken.', {code: code.code, ...details});
@@ -223,7 +227,8 @@
       ...pairs,
     ]) {
       if (address === null) continue;
-      const listened = await listen(server, address);
+      const backlog = server === this.#callers ? callerBacklog : undefined;
+      const listened = await listen(server, address, backlog);
       if (listened.isErr) return listened.error;
     }
     return null;
--- a/packages/node/src/listen.ts
+++ b/packages/node/src/listen.ts
@@ -10,16 +10,18 @@
 /**
  * Listens on `ip:port`.
  *
+ * @param backlog - Connections that may wait to be accepted; default 511.
  * @returns The address with the actual port, or `wire.listenFailed`.
  * @internal
  */
 export async function listen(
   server: Server,
   address: string,
+  backlog?: number,
 ): Promise<Result<string, MeshError>> {
   const target = parseSocketAddress(address);
   try {
-    server.listen({host: target?.ip, port: target?.port});
+    server.listen({host: target?.ip, port: target?.port, backlog});
     await once(server, 'listening');
   } catch (err) {
     const reason = err instanceof Error ? err.message : String(err);
