Reading: the wait at the entry node is noted with the call's id

The wait was noted before the call began, which read the call's id a second time for every call; a call without an id of its own got two ids, and the line named one that no other line has. It is noted where the id is known now.

--- a/packages/node/src/calls/accept-watch.test.ts
+++ b/packages/node/src/calls/accept-watch.test.ts
@@ -7,6 +7,7 @@
 import {AcceptWatch} from './accept-watch.js';
 import {CallWaits} from './call-waits.js';
 import type {WaitPlace} from './call-waits.js';
+import {spin} from './test/spin.js';
 
 const everyMs = 20;
 const pollMs = 20;
@@ -24,11 +25,6 @@
   server = null;
 });
 
-function spin(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 Given(
   'a watched listener whose turns take {int} ms for each connection',
   async (ms: number) => {
--- a/packages/node/src/calls/calls-left.test.ts
+++ b/packages/node/src/calls/calls-left.test.ts
@@ -4,6 +4,7 @@
 import {Worker} from 'node:worker_threads';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import type {LeavingCallers} from './test/leaving-callers.js';
+import {spin} from './test/spin.js';
 import {TestNode} from './test/test-node.js';
 
 const program = new URL('test/leaving-callers.js', import.meta.url);
@@ -18,11 +19,6 @@
   node = null;
 });
 
-function spin(ms: number): void {
-  const until = performance.now() + ms;
-  while (performance.now() < until);
-}
-
 Given(
   'a data path node that callers reach over connections of their own',
   async () => {
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -36,6 +36,13 @@
 /** Deepest call chain; twice the depth that the fleet plans for, plus 4. */
 const maxDepth = 32;
 
+/** Times of a call on the clock of `performance.now()`, in ms. */
+interface ReadTimes {
+  readonly readAt: number;
+  /** Earlier than its reading after a stall. */
+  readonly startAt: number;
+}
+
 /**
  * Request listener of the callers' side: finds the route, then hands the call
  * to an instance.
@@ -72,10 +79,7 @@
     this.#gate.run({
       mayBeOld: this.#links.noteCall(req.socket),
       isOver: () => this.#links.hasLeft(req.socket),
-      start: () => {
-        this.#noteWait(req, readAt);
-        this.#begin(req, res, startAt, isDraining);
-      },
+      start: () => this.#begin(req, res, {readAt, startAt}, isDraining),
       drop: () => this.#inFlight.leave(),
     });
   };
@@ -83,11 +87,12 @@
   #begin(
     req: IncomingMessage,
     res: ServerResponse,
-    startAt: number,
+    {readAt, startAt}: ReadTimes,
     isDraining: boolean,
   ): void {
-    const {protocol} = this.#ports;
+    const {protocol, waits} = this.#ports;
     const callId = protocol.callId(req);
+    waits?.note(WAIT_PLACES.entry, callId, performance.now() - readAt);
     const headers = protocol.readCaller(req);
     const snapshot = this.#ports.config.current();
     const route = snapshot && this.#route(snapshot, req);
@@ -112,13 +117,6 @@
     }
   }
 
-  #noteWait(req: IncomingMessage, readAt: number): void {
-    const {protocol, waits} = this.#ports;
-    if (!waits) return;
-    const waitedMs = performance.now() - readAt;
-    waits.note(WAIT_PLACES.entry, protocol.callId(req), waitedMs);
-  }
-
   /**
    * Refuses new calls, except those of calls at the own upstream, and resolves
    * when those in flight have ended.
