Log and metrics: how the operators' records reach a node, and how late

The log said when a configuration came into force, but not from where, how long its transfer took, how long its check took, or that the node already knew of a newer one. Slow links, slow nodes and lost notices could not be told apart.

"Records came." names source, bytes and time of the transfer, "Configuration is in force." the time to check it and put it in force, "Records came late." the time for which a newer revision was known; verbenabeam_config_behind_seconds shows that time while it lasts. No decision changes.

--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -12,6 +12,8 @@
   readonly rollouts: () => readonly RolloutView[];
   /** Time since the configuration came into force, in ms; not finite: none. */
   readonly configAgeMs: () => number;
+  /** Time for which a newer configuration or order has been known, in ms. */
+  readonly behindMs: () => number;
   readonly services: () => readonly string[];
   readonly isStoreReachable: () => boolean;
   /** Time that connections of callers wait to be accepted, in ms. */
@@ -55,6 +57,11 @@
         return [{labels: {}, value: ageMs / msPerSecond}];
       },
     },
+    {
+      name: 'verbenabeam_config_behind_seconds',
+      help: 'Time for which a newer configuration or order has been known.',
+      read: () => [{labels: {}, value: parts.behindMs() / msPerSecond}],
+    },
     {
       name: 'verbenabeam_store_reachable',
       help: '1 if the last call to the store succeeded, else 0.',
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -39,6 +39,7 @@
 import {ownRecord} from './own-record.js';
 import {HostedUpstream} from './own-upstream.js';
 import {PeerRecords} from './peer-records.js';
+import {RecordWatch} from './record-watch.js';
 import {Rollouts} from './rollouts.js';
 
 /** Slots of an upstream that has not announced itself yet. */
@@ -93,6 +94,7 @@
   readonly #calls: CallLogger;
   readonly #loop: LoopWatch;
   readonly #waits = new CallWaits();
+  readonly #recordWatch: RecordWatch;
   #bounds: HostedBounds;
   #startedAt = Infinity;
   /** Time at which the configuration came into force. */
@@ -103,6 +105,7 @@
     this.#options = options;
     this.#bounds = options.settings.bounds;
     const {bus, clock, random, invariants, signal, settings} = options;
+    this.#recordWatch = new RecordWatch(clock);
     this.metrics = this.#createMetrics();
     invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
     this.#store = new StoreHealth(options.store, {
@@ -129,6 +132,7 @@
     this.records = new OperatorRecords(options.operatorFormat, invariants, {
       onConfig: snapshot => this.#onConfig(snapshot),
       onOrder: known => this.rollouts.onOrder(known),
+      onRevision: revision => this.#recordWatch.holds(revision),
     });
     this.upstream = new HostedUpstream({
       membership: this.membership,
@@ -138,6 +142,7 @@
     this.#peerRecords = new PeerRecords({
       ...shared,
       records: this.records,
+      watch: this.#recordWatch,
       onNewer: () => this.#peerRecords.announce(),
     });
     this.#directory = new NodeDirectory({
@@ -226,6 +231,7 @@
       prefix: operatorFormat.prefix,
       random,
       signal,
+      watch: this.#recordWatch,
       onRecords: found => {
         if (this.records.offer(found)) this.#peerRecords.announce();
       },
@@ -306,6 +312,7 @@
         retriesLeft: service => this.#retries.tokens(service),
         rollouts: () => this.rollouts.view(),
         configAgeMs: () => this.#options.clock.now() - this.#configSince,
+        behindMs: () => this.#recordWatch.behindMs,
         services: () => this.#serviceNames(),
         isStoreReachable: () => this.#store.reachable,
         acceptWaitMs: () => this.acceptWaitMs(),
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -3,6 +3,8 @@
 import type {Store} from '@verbenabeam/store';
 import {systemSleep} from '@verbenabeam/store';
 import type {OperatorRecord} from './operator-records.js';
+import {RECORD_SOURCES} from './record-watch.js';
+import type {RecordWatch} from './record-watch.js';
 
 /** Parts of an {@link OperatorFeed}. @internal */
 export interface OperatorFeedOptions {
@@ -10,6 +12,7 @@
   readonly prefix: string;
   readonly random: RandomSource;
   readonly signal: AbortSignal;
+  readonly watch: RecordWatch;
   /** Gets what was read or watched. */
   readonly onRecords: (records: readonly OperatorRecord[]) => void;
 }
@@ -44,7 +47,8 @@
 
   /** Returns the revision that was read; null if the store did not answer. */
   async #read(): Promise<number | null> {
-    const {store, prefix, signal, onRecords} = this.#options;
+    const {store, prefix, signal, watch, onRecords} = this.#options;
+    const startAt = performance.now();
     let revision = 0;
     const listed = await store.list(prefix, {
       timeoutMs: readTimeoutMs,
@@ -59,12 +63,13 @@
     }
     if (!this.#isReachable) log('Store is reachable again.', {revision});
     this.#isReachable = true;
+    watch.came(RECORD_SOURCES.read, listed.value, performance.now() - startAt);
     onRecords(listed.value);
     return revision;
   }
 
   async #follow(fromRevision: number): Promise<void> {
-    const {store, prefix, signal, onRecords} = this.#options;
+    const {store, prefix, signal, watch, onRecords} = this.#options;
     const watched = await store.watch({
       key: prefix,
       prefix: true,
@@ -72,7 +77,9 @@
       signal,
       // The system keeps what it knows when an operator deletes a record.
       onEvent: event => {
-        if (event.type === 'put') onRecords([event.entry]);
+        if (event.type !== 'put') return;
+        watch.came(RECORD_SOURCES.watch, [event.entry]);
+        onRecords([event.entry]);
       },
     });
     if (watched.isErr) this.#onFailure(watched.error);
--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -20,6 +20,8 @@
 export interface OperatorListener {
   onConfig(snapshot: Snapshot): void;
   onOrder(known: KnownOrder): void;
+  /** Called with the highest revision after records were taken. */
+  onRevision?(revision: number): void;
 }
 
 const log = logger('config');
@@ -68,6 +70,7 @@
   offer(records: readonly OperatorRecord[]): boolean {
     const newer = records.filter(r => this.#isNewer(r));
     for (const record of newer) this.#take(record);
+    if (newer.length > 0) this.#listener.onRevision?.(this.#revision);
     return newer.length > 0;
   }
 
@@ -79,18 +82,19 @@
     const {key, revision, value} = record;
     this.#records.set(key, record);
     this.#revision = Math.max(this.#revision, revision);
+    const startAt = performance.now();
     const parsed = this.#format.parse(key, value);
     if (parsed.isErr) {
       const {code, message} = parsed.error;
       log('Document refused.', {key, revision, code: code.code, message});
     } else if (parsed.value?.kind === 'config') {
-      this.#apply(parsed.value.snapshot, revision);
+      this.#apply(parsed.value.snapshot, revision, startAt);
     } else if (parsed.value?.kind === 'order') {
       this.#listener.onOrder({order: parsed.value.order, revision});
     }
   }
 
-  #apply(next: Snapshot, revision: number): void {
+  #apply(next: Snapshot, revision: number, startAt: number): void {
     const active = this.#snapshot?.version ?? 0;
     if (next.version <= active) {
       const {version} = next;
@@ -103,12 +107,13 @@
       {version: next.version, active},
     );
     this.#snapshot = next;
+    this.#listener.onConfig(next);
     log('Configuration is in force.', {
       version: next.version,
       before: active,
       revision,
       routes: next.document.routes.length,
+      ms: Math.round(performance.now() - startAt),
     });
-    this.#listener.onConfig(next);
   }
 }
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -5,6 +5,8 @@
 import * as z from 'zod';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecords} from './operator-records.js';
+import {RECORD_SOURCES} from './record-watch.js';
+import type {RecordWatch} from './record-watch.js';
 
 const newerKind = 'records.newer';
 const pullKind = 'records.pull';
@@ -29,6 +31,7 @@
   readonly membership: MembershipService;
   readonly records: OperatorRecords;
   readonly random: RandomSource;
+  readonly watch: RecordWatch;
   /** Called when a peer's records were taken over. */
   readonly onNewer: () => void;
 }
@@ -76,13 +79,15 @@
   }
 
   #onSeen(nodeId: string, revision: number): void {
+    this.#options.watch.heard(revision, this.#options.records.revision);
     if (revision <= this.#options.records.revision || this.#pulling) return;
     this.#pulling = true;
     setTimeout(() => void this.#pull(nodeId, revision), watchLeadMs).unref();
   }
 
   async #pull(nodeId: string, revision: number): Promise<void> {
-    const {bus, membership, records, onNewer} = this.#options;
+    const {bus, membership, records, watch, onNewer} = this.#options;
+    const startAt = performance.now();
     const since = records.revision;
     const address = membership.addressOf(nodeId);
     if (revision > since && address !== undefined) {
@@ -94,10 +99,12 @@
       );
       const parsed = recordsSchema.safeParse(got.unwrapOr(null));
       if (parsed.success) {
-        log('Records taken from a peer.', {nodeId, since, revision});
+        const ms = performance.now() - startAt;
+        watch.came(RECORD_SOURCES.peer, parsed.data, ms);
         if (records.offer(parsed.data)) onNewer();
       } else {
-        log('Peer gave no records.', {nodeId, since, revision});
+        const ms = Math.round(performance.now() - startAt);
+        log('Peer gave no records.', {nodeId, since, revision, ms});
       }
     }
     this.#pulling = false;
