--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,6 +1,5 @@
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
-import type {GossipOptions} from '@verbenabeam/membership';
 import {
   AdaptiveThrottle,
   RetryBudget,
@@ -28,6 +27,7 @@
 import {StoreHealth} from '../store/store-health.js';
 import {CallLogger} from './call-logger.js';
 import {hostedGauges} from './hosted-gauges.js';
+import {hostedGossip} from './hosted-gossip.js';
 import type {HostedPartsOptions} from './hosted-parts-options.js';
 import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
@@ -59,17 +59,6 @@
 /** Share of the platform's minimum of retries that nodes use at once. */
 const retryMinimumUsed = 0.7;
 
-/**
- * Gossip of fleets up to some hundred nodes: members that were cut off or
- * restarted must be known again within about a second.
- */
-const gossip: GossipOptions = {
-  tablesPerSecond: 20,
-  retryAfterMs: 200,
-  reunionMs: 500,
-  digestMs: 5_000,
-};
-
 /** The parts of a node whose configuration the platform keeps. @internal */
 export class HostedParts {
   readonly membership: MembershipService;
@@ -118,7 +107,7 @@
       clock,
       random,
       signal,
-      gossip,
+      gossip: hostedGossip,
       silenceMs: settings.heartbeatMs * missedHeartbeats,
     });
     const shared = {membership: this.membership, bus, clock, random};
