Few nodes follow the store, and none falls ever more behind its documents

Cause: each node took each version of a 400 KB document over its own link of 7 to 10 Mbit/s from the store (546 KB as base64), and again, as plain bytes, from a peer that announced it earlier, while it gave it to other peers. A watch brings every version, also those that newer ones replace; it takes longer than they are written, so the delay grows with each of them. Class of fault: work per change that grows with the fleet and with the document, without a bound at the link that does it.

Now four nodes of a data centre follow the store and the others take deflated records from peers; a follower that gets several versions together reads the newest until it has caught up; a notice that comes while a peer is asked is kept, another peer is asked when one has nothing, and the store when none has; a read ends after 1.5 s of silence, no longer after 1.5 s in all.

Ruled out: processor time alone (checks take 55 ms at the median; it adds to the delay and is next), an older version after a newer one (none in the log), lost notices alone (37 of 277 requests to peers failed, most at full links).

--- /dev/null
+++ b/packages/node/src/hosted/follower-policy.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {seededRandom} from '@verbenabeam/core';
+import {testSeed} from '@verbenabeam/testing';
+import {FollowerPolicy} from './follower-policy.js';
+
+const tickMs = 250;
+/** Nodes learn of a change of another one this much later. */
+const viewAgeTicks = 2;
+
+interface Node {
+  readonly id: number;
+  readonly policy: FollowerPolicy;
+}
+
+/** Ids of the followers at each tick. */
+let history: Set<number>[] = [];
+let nodes: Node[] = [];
+
+function run(ms: number): void {
+  for (let at = 0; at < ms; at += tickMs) {
+    const now = history.length * tickMs;
+    const seen = history.at(-viewAgeTicks) ?? new Set<number>();
+    const live = new Set(nodes.map(({id}) => id));
+    const followers = nodes.filter(({id, policy}) => {
+      const others = [...seen].filter(o => o !== id && live.has(o));
+      const before = others.filter(o => o < id).length;
+      return policy.next({count: others.length, before}, now);
+    });
+    history.push(new Set(followers.map(({id}) => id)));
+  }
+}
+
+Given(
+  '{int} nodes of a data centre that decide who follows the store',
+  (count: number) => {
+    const random = seededRandom(testSeed());
+    history = [];
+    nodes = Array.from({length: count}, (_, id) => ({
+      id,
+      policy: new FollowerPolicy(random),
+    }));
+  },
+);
+
+When('after {int} ms {int} followers end', (ms: number, lost: number) => {
+  run(ms);
+  const ended = [...(history.at(-1) ?? [])].slice(0, lost);
+  nodes = nodes.filter(({id}) => !ended.includes(id));
+});
+
+Then(
+  'after {int} ms {int} nodes follow the store',
+  (ms: number, expected: number) => {
+    run(ms);
+    assert.equal(history.at(-1)?.size, expected);
+  },
+);
+
+Then(
+  'after {int} ms at least {int} nodes follow the store',
+  (ms: number, least: number) => {
+    run(ms);
+    const size = history.at(-1)?.size ?? 0;
+    assert.ok(size >= least, `${size} follow`);
+  },
+);
--- /dev/null
+++ b/packages/node/src/hosted/follower-policy.ts
@@ -0,0 +1,58 @@
+import type {RandomSource} from '@verbenabeam/core';
+
+/** Nodes of a data centre that follow the store; the others ask their peers. */
+const followersPerDataCentre = 4;
+/** Followers are found missing within about this time, in ms. */
+const maxJoinWaitMs = 1_000;
+/** A follower that is not needed goes on for at most this time, in ms. */
+const maxLeaveWaitMs = 4_000;
+
+/** The other nodes of the data centre that follow the store. @internal */
+export interface OtherFollowers {
+  readonly count: number;
+  /** Those whose node id comes before the own one. */
+  readonly before: number;
+}
+
+/**
+ * Decides whether a node follows the store itself. A document of some hundred
+ * kilobytes takes the store's and each node's link once for each node that
+ * follows; peers pass it on in a tenth of the bytes. Any number of followers is
+ * correct, so the nodes need not agree. A node that starts follows the store.
+ *
+ * @internal
+ */
+export class FollowerPolicy {
+  readonly #random: RandomSource;
+  #follows = true;
+  /** Time of the next change; null while there is no reason for one. */
+  #changeAt: number | null = null;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
+
+  /**
+   * Whether the node follows the store from now on.
+   *
+   * @param now - Monotonic time in ms.
+   */
+  next(others: OtherFollowers, now: number): boolean {
+    if (!this.#shouldChange(others)) {
+      this.#changeAt = null;
+      return this.#follows;
+    }
+    const maxWaitMs = this.#follows ? maxLeaveWaitMs : maxJoinWaitMs;
+    this.#changeAt ??= now + this.#random.float() * maxWaitMs;
+    if (now < this.#changeAt) return this.#follows;
+    this.#changeAt = null;
+    this.#follows = !this.#follows;
+    return this.#follows;
+  }
+
+  #shouldChange({count, before}: OtherFollowers): boolean {
+    return this.#follows
+      ? before >= followersPerDataCentre
+      : count < followersPerDataCentre;
+  }
+}
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -34,12 +34,10 @@
 import {logTraffic} from './log-traffic.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
-import {OperatorFeed} from './operator-feed.js';
 import {OperatorRecords} from './operator-records.js';
 import {ownRecord} from './own-record.js';
 import {HostedUpstream} from './own-upstream.js';
-import {PeerRecords} from './peer-records.js';
-import {RecordWatch} from './record-watch.js';
+import {RecordSync} from './record-sync.js';
 import {Rollouts} from './rollouts.js';
 
 /** Slots of an upstream that has not announced itself yet. */
@@ -78,12 +76,11 @@
   readonly #quarantine: QuarantineAdapter;
   readonly #instances: InstanceAdapter;
   readonly #directory: NodeDirectory;
-  readonly #peerRecords: PeerRecords;
+  readonly #sync: RecordSync;
   readonly #retries: RetryBudget;
   readonly #calls: CallLogger;
   readonly #loop: LoopWatch;
   readonly #waits = new CallWaits();
-  readonly #recordWatch: RecordWatch;
   #bounds: HostedBounds;
   #startedAt = Infinity;
   /** Time at which the configuration came into force. */
@@ -94,7 +91,6 @@
     this.#options = options;
     this.#bounds = options.settings.bounds;
     const {bus, clock, random, invariants, signal, settings} = options;
-    this.#recordWatch = new RecordWatch(clock);
     this.metrics = this.#createMetrics();
     invariants.onBroken(code => this.metrics.recordBrokenInvariant(code));
     this.#store = new StoreHealth(options.store, {
@@ -121,18 +117,19 @@
     this.records = new OperatorRecords(options.operatorFormat, invariants, {
       onConfig: snapshot => this.#onConfig(snapshot),
       onOrder: known => this.rollouts.onOrder(known),
-      onRevision: revision => this.#recordWatch.holds(revision),
+      onRevision: revision => this.#sync.watch.holds(revision),
     });
     this.upstream = new HostedUpstream({
       membership: this.membership,
       clock,
       isKnownService: service => this.#isKnownService(service),
     });
-    this.#peerRecords = new PeerRecords({
+    this.#sync = new RecordSync({
       ...shared,
+      store: this.#store,
       records: this.records,
-      watch: this.#recordWatch,
-      onNewer: () => this.#peerRecords.announce(),
+      prefix: options.operatorFormat.prefix,
+      signal,
     });
     this.#directory = new NodeDirectory({
       store: this.#store,
@@ -203,8 +200,7 @@
 
   /** Starts the protocols. */
   start(): void {
-    const {bus, signal, settings, clock, random, operatorFormat} =
-      this.#options;
+    const {bus, signal, settings, clock} = this.#options;
     this.#startedAt = clock.now();
     this.#loop.start(signal);
     bus.onStream(CALL_STREAM, this.serving.onStream);
@@ -213,19 +209,8 @@
     );
     this.#quarantine.start();
     this.rollouts.start();
-    this.#peerRecords.start();
     this.membership.start(settings.seeds);
-    const feed = new OperatorFeed({
-      store: this.#store,
-      prefix: operatorFormat.prefix,
-      random,
-      signal,
-      watch: this.#recordWatch,
-      onRecords: found => {
-        if (this.records.offer(found)) this.#peerRecords.announce();
-      },
-    });
-    void feed.run();
+    this.#sync.start();
     void this.#directory.run();
     void this.#join();
     every(aloneMs, signal, () => {
@@ -301,7 +286,7 @@
         retriesLeft: service => this.#retries.tokens(service),
         rollouts: () => this.rollouts.view(),
         configAgeMs: () => this.#options.clock.now() - this.#configSince,
-        behindMs: () => this.#recordWatch.behindMs,
+        behindMs: () => this.#sync.watch.behindMs,
         services: () => this.#serviceNames(),
         isStoreReachable: () => this.#store.reachable,
         acceptWaitMs: () => this.acceptWaitMs(),
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -13,11 +13,16 @@
   readonly random: RandomSource;
   readonly signal: AbortSignal;
   readonly watch: RecordWatch;
-  /** Gets what was read or watched. */
-  readonly onRecords: (records: readonly OperatorRecord[]) => void;
+  /** Takes what was read or watched; returns whether some of it is new. */
+  readonly onRecords: (records: readonly OperatorRecord[]) => boolean;
+  /** Called when the feed begins or ceases to follow the store. */
+  readonly onFollowing: (isFollowing: boolean) => void;
 }
 
-const readTimeoutMs = 1_500;
+/** Time for all records, of a few megabytes over a slow link, in ms. */
+const readTimeoutMs = 8_000;
+/** A store that sends nothing for this long does not respond, in ms. */
+const silenceMs = 1_500;
 /**
  * Longest wait before the store is asked again. Nodes must know what they
  * missed about two seconds after an outage; full jitter spreads the herd.
@@ -25,33 +30,77 @@
 const maxPauseMs = 800;
 const log = logger('config');
 
-/** Reads the operators' records from the store, then follows their changes. */
+interface FoundRecords {
+  readonly revision: number;
+  /** Whether some were new here. */
+  readonly isNew: boolean;
+}
+
+/**
+ * Reads the operators' records from the store, then follows their changes if this
+ * node is to do so. A watch brings each version; a node whose link carries them
+ * slower than they are written reads the newest ones instead until it has caught
+ * up, so that its delay does not grow.
+ */
 export class OperatorFeed {
   readonly #options: OperatorFeedOptions;
   #isReachable = true;
+  #follows = true;
+  #isBehind = false;
+  /** Ends the step that runs; it is replaced for each step. */
+  #step = new AbortController();
 
   constructor(options: OperatorFeedOptions) {
     this.#options = options;
   }
 
+  /** Whether the store shall be followed beyond the first read; at first true. */
+  set follows(follows: boolean) {
+    if (this.#follows === follows) return;
+    this.#follows = follows;
+    this.#step.abort();
+  }
+
+  /** Reads the records once more, unless the store is followed. */
+  readNow(): void {
+    if (!this.#follows) this.#step.abort();
+  }
+
   /** Runs until the signal aborts. */
   async run(): Promise<void> {
     const {signal, random} = this.#options;
     while (!signal.aborted) {
-      const revision = await this.#read();
-      if (revision !== null) await this.#follow(revision + 1);
+      const found = await this.#read();
+      if (found?.isNew === true && this.#isBehind) continue;
+      this.#isBehind = false;
+      if (found !== null) await this.#stay(found.revision + 1);
       if (signal.aborted) return;
-      await systemSleep(random.float() * maxPauseMs, signal);
+      if (!this.#isBehind)
+        await systemSleep(random.float() * maxPauseMs, signal);
+    }
+  }
+
+  /** Returns when the records must be read again. */
+  async #stay(fromRevision: number): Promise<void> {
+    const {onFollowing} = this.#options;
+    if (this.#follows) {
+      onFollowing(true);
+      const isLost = !(await this.#follow(fromRevision));
+      if (this.#isBehind) return;
+      onFollowing(false);
+      if (isLost) return;
     }
+    if (!this.#follows) await this.#wait();
   }
 
-  /** Returns the revision that was read; null if the store did not answer. */
-  async #read(): Promise<number | null> {
+  /** Returns null if the store did not answer. */
+  async #read(): Promise<FoundRecords | null> {
     const {store, prefix, signal, watch, onRecords} = this.#options;
     const startAt = performance.now();
     let revision = 0;
     const listed = await store.list(prefix, {
       timeoutMs: readTimeoutMs,
+      silenceMs,
       signal,
       onRevision: seen => {
         revision = seen;
@@ -64,12 +113,13 @@
     if (!this.#isReachable) log('Store is reachable again.', {revision});
     this.#isReachable = true;
     watch.came(RECORD_SOURCES.read, listed.value, performance.now() - startAt);
-    onRecords(listed.value);
-    return revision;
+    return {revision, isNew: onRecords(listed.value)};
   }
 
-  async #follow(fromRevision: number): Promise<void> {
-    const {store, prefix, signal, watch, onRecords} = this.#options;
+  /** Returns false if the store was lost. */
+  async #follow(fromRevision: number): Promise<boolean> {
+    const {store, prefix, watch, onRecords} = this.#options;
+    const signal = this.#beginStep();
     const watched = await store.watch({
       key: prefix,
       prefix: true,
@@ -81,8 +131,26 @@
         watch.came(RECORD_SOURCES.watch, [event.entry]);
         onRecords([event.entry]);
       },
+      onBehind: () => {
+        this.#isBehind = true;
+        this.#step.abort();
+      },
     });
     if (watched.isErr) this.#onFailure(watched.error);
+    return watched.isOk;
+  }
+
+  /** Waits until the store is to be followed or read again. */
+  async #wait(): Promise<void> {
+    const signal = this.#beginStep();
+    await new Promise<void>(resolve => {
+      signal.addEventListener('abort', () => resolve(), {once: true});
+    });
+  }
+
+  #beginStep(): AbortSignal {
+    this.#step = new AbortController();
+    return AbortSignal.any([this.#options.signal, this.#step.signal]);
   }
 
   #onFailure(err: MeshError): void {
--- /dev/null
+++ b/packages/node/src/hosted/packed-record.ts
@@ -0,0 +1,42 @@
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import * as z from 'zod';
+import type {OperatorRecord} from './operator-records.js';
+
+/** Above the largest value of the store, in bytes. */
+const maxValueBytes = 4_194_304;
+/** Values are text that repeats itself; more effort saves a few per cent. */
+const level = 1;
+
+/** A record as it travels between nodes. */
+const packedSchema = z.object({
+  key: z.string(),
+  revision: z.number(),
+  /** The value, deflated. */
+  packed: z.instanceof(Uint8Array),
+});
+
+export const packedRecords = z.array(packedSchema);
+
+type PackedRecord = z.infer<typeof packedSchema>;
+
+const known = new WeakMap<OperatorRecord, PackedRecord>();
+
+/** Packs a record once, however often it is sent. @internal */
+export function packRecord(record: OperatorRecord): PackedRecord {
+  const before = known.get(record);
+  if (before) return before;
+  const {key, revision, value} = record;
+  const packed = {key, revision, packed: deflateRawSync(value, {level})};
+  known.set(record, packed);
+  return packed;
+}
+
+/** Throws if the value cannot be unpacked or is too long. @internal */
+export function unpackRecord({
+  key,
+  revision,
+  packed,
+}: PackedRecord): OperatorRecord {
+  const value = inflateRawSync(packed, {maxOutputLength: maxValueBytes});
+  return {key, revision, value};
+}
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -1,29 +1,26 @@
 import {logger} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
+import {systemSleep} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
 import * as z from 'zod';
 import type {MembershipService} from '../membership/membership-service.js';
-import type {OperatorRecords} from './operator-records.js';
+import type {OperatorRecord, OperatorRecords} from './operator-records.js';
+import {packedRecords, packRecord, unpackRecord} from './packed-record.js';
 import {RECORD_SOURCES} from './record-watch.js';
 import type {RecordWatch} from './record-watch.js';
 
 const newerKind = 'records.newer';
 const pullKind = 'records.pull';
 const pullTimeoutMs = 1_500;
+/** Peers that are asked in a row before the store is. */
+const maxPulls = 3;
 /** The own watch usually brings a change within this time. */
 const watchLeadMs = 150;
 /** Peers that a node tells of a change; each tells as many again. */
 const fanOut = 3;
 
 const pullSchema = z.object({since: z.number().nonnegative()});
-const recordsSchema = z.array(
-  z.object({
-    key: z.string(),
-    revision: z.number(),
-    value: z.instanceof(Uint8Array),
-  }),
-);
 
 /** Parts of {@link PeerRecords}. @internal */
 export interface PeerRecordsOptions {
@@ -31,22 +28,29 @@
   readonly membership: MembershipService;
   readonly records: OperatorRecords;
   readonly random: RandomSource;
+  readonly signal: AbortSignal;
   readonly watch: RecordWatch;
+  /** Whether this node follows the store itself. */
+  readonly isFollowing: () => boolean;
   /** Called when a peer's records were taken over. */
   readonly onNewer: () => void;
+  /** Called when no peer gave the records that one of them told of. */
+  readonly onMissing: () => void;
 }
 
 const log = logger('config');
 
 /**
- * Exchanges the operators' records between nodes, for nodes that the store
- * turns away or whose watch is silent.
+ * Exchanges the operators' records between nodes, for nodes that do not follow
+ * the store, that it turns away, or whose watch is silent.
  *
  * @internal
  */
 export class PeerRecords {
   readonly #options: PeerRecordsOptions;
-  #pulling = false;
+  /** Highest revision that a peer told of, and that peer. */
+  #heard = {revision: 0, nodeId: ''};
+  #isPulling = false;
 
   constructor(options: PeerRecordsOptions) {
     this.#options = options;
@@ -57,7 +61,7 @@
     bus.onRequest(pullKind, body => {
       const parsed = pullSchema.safeParse(body);
       const since = parsed.success ? parsed.data.since : 0;
-      return Result.ok(records.since(since));
+      return Result.ok(records.since(since).map(packRecord));
     });
     bus.onNotice(newerKind, (body, peer) => {
       if (typeof body === 'number') this.#onSeen(peer.nodeId, body);
@@ -79,34 +83,82 @@
   }
 
   #onSeen(nodeId: string, revision: number): void {
-    this.#options.watch.heard(revision, this.#options.records.revision);
-    if (revision <= this.#options.records.revision || this.#pulling) return;
-    this.#pulling = true;
-    setTimeout(() => void this.#pull(nodeId, revision), watchLeadMs).unref();
+    const {watch, records} = this.#options;
+    watch.heard(revision, records.revision);
+    if (revision > this.#heard.revision) this.#heard = {revision, nodeId};
+    if (!this.#isMissing || this.#isPulling) return;
+    this.#isPulling = true;
+    void this.#pullAll();
   }
 
-  async #pull(nodeId: string, revision: number): Promise<void> {
+  get #isMissing(): boolean {
+    return this.#heard.revision > this.#options.records.revision;
+  }
+
+  /** Asks peers until this node holds what they told of. */
+  async #pullAll(): Promise<void> {
+    const {isFollowing, onMissing, signal} = this.#options;
+    if (isFollowing()) await systemSleep(watchLeadMs, signal);
+    let failed = 0;
+    while (this.#isMissing && failed < maxPulls && !signal.aborted) {
+      const nodeId = failed === 0 ? this.#heard.nodeId : this.#otherSource();
+      failed = (await this.#pull(nodeId)) ? 0 : failed + 1;
+    }
+    this.#isPulling = false;
+    if (this.#isMissing) onMissing();
+  }
+
+  /** A peer that is known to hold more than this node. */
+  #otherSource(): string {
+    const {membership, records, random} = this.#options;
+    const own = membership.own.nodeId;
+    const sources = membership
+      .live()
+      .filter(row => row.nodeId !== own && row.configVersion > records.revision)
+      .map(({nodeId}) => nodeId);
+    return sources.length > 0 ? random.pick(sources) : this.#heard.nodeId;
+  }
+
+  /** Returns whether the peer had something new. */
+  async #pull(nodeId: string): Promise<boolean> {
     const {bus, membership, records, watch, onNewer} = this.#options;
     const startAt = performance.now();
     const since = records.revision;
     const address = membership.addressOf(nodeId);
-    if (revision > since && address !== undefined) {
-      const got = await bus.request(
-        address,
-        pullKind,
-        {since},
-        {timeoutMs: pullTimeoutMs},
-      );
-      const parsed = recordsSchema.safeParse(got.unwrapOr(null));
-      if (parsed.success) {
-        const ms = performance.now() - startAt;
-        watch.came(RECORD_SOURCES.peer, parsed.data, ms);
-        if (records.offer(parsed.data)) onNewer();
-      } else {
-        const ms = Math.round(performance.now() - startAt);
-        log('Peer gave no records.', {nodeId, since, revision, ms});
-      }
+    if (address === undefined) return false;
+    const got = await bus.request(
+      address,
+      pullKind,
+      {since},
+      {timeoutMs: pullTimeoutMs},
+    );
+    const ms = performance.now() - startAt;
+    const found = unpackAll(got.unwrapOr(null));
+    if (found) watch.came(RECORD_SOURCES.peer, found, ms);
+    const isNew = found !== null && records.offer(found);
+    if (isNew) onNewer();
+    else if (records.revision <= since) {
+      const {revision} = this.#heard;
+      log('Peer gave no records.', {
+        nodeId,
+        since,
+        revision,
+        ms: Math.round(ms),
+        reason: got.isErr ? got.error.message : 'none are newer',
+      });
     }
-    this.#pulling = false;
+    return isNew;
+  }
+}
+
+/** Null if the answer cannot be read. */
+function unpackAll(answer: unknown): readonly OperatorRecord[] | null {
+  const parsed = packedRecords.safeParse(answer);
+  if (!parsed.success) return null;
+  try {
+    return parsed.data.map(unpackRecord);
+  } catch (err) {
+    log('Records of a peer cannot be unpacked.', {err: String(err)});
+    return null;
   }
 }
--- a/packages/store/src/send-json.ts
+++ b/packages/store/src/send-json.ts
@@ -11,6 +11,8 @@
   readonly body?: unknown;
   readonly dispatcher: Dispatcher;
   readonly timeoutMs: number;
+  /** Time without a byte of the response. Default: only `timeoutMs`. */
+  readonly silenceMs?: number | undefined;
   readonly signal?: AbortSignal | undefined;
 }
 
@@ -28,6 +30,9 @@
     method: call.method,
     dispatcher: call.dispatcher,
     signal: call.signal ? AbortSignal.any([limit, call.signal]) : limit,
+    ...(call.silenceMs === undefined
+      ? {}
+      : {headersTimeout: call.silenceMs, bodyTimeout: call.silenceMs}),
     ...(call.query ? {query: call.query} : {}),
     ...(call.body === undefined
       ? {}
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -41,6 +41,8 @@
 export interface StoreCallOptions {
   /** Time limit in milliseconds. Default 1,000. */
   readonly timeoutMs?: number;
+  /** Time without a byte of the response, in ms. Default: only `timeoutMs`. */
+  readonly silenceMs?: number;
   readonly signal?: AbortSignal;
   /** Gets the store's revision at which a read was answered. */
   readonly onRevision?: (revision: number) => void;
@@ -62,6 +64,12 @@
   /** First revision to report; 0 means from now on. */
   readonly fromRevision: number;
   readonly onEvent: (event: WatchEvent) => void;
+  /**
+   * Called after changes of one key came together: they are written faster than
+   * they are read. Only the last one of them is reported then. A store that
+   * reports each change by itself does not call it.
+   */
+  readonly onBehind?: () => void;
   /** Ends the watch. */
   readonly signal: AbortSignal;
 }
