Calls that may last beyond the end of a stop are refused, not cut

Cause: the entry side refuses new calls only after the own upstream's last call has ended, because the upstream's own calls still have to be served and no header tells them from others. While one long call ran at the upstream, the entry side took calls until the deadline of the stop; the wait for their ends began at that deadline and had no time left.

Calls of the upstream are served as long as they can end in time.

Ruled out: the native node (its entry side refuses all but sub-calls from the beginning, which it knows by their parent) and a reload, which closes nothing.

--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -12,6 +12,7 @@
 import {AttemptLog} from './attempt-log.js';
 import {CallClaim} from './call-claim.js';
 import type {AnswerHead, AnswerTrailer} from './call-head.js';
+import {callLimitMs} from './call-limit.js';
 import type {CallerLinks} from './caller-links.js';
 import type {CallRecord} from './call-record.js';
 import {chooseService, maxRetriesOf} from './choose-service.js';
@@ -60,9 +61,7 @@
     const service = chooseService(route, ports.random);
     this.#service = service;
     const {answerLeadMs} = ports.protocol;
-    const callerMs = Math.max(1, headers.deadlineMs - answerLeadMs);
-    const limitMs = Math.min(callerMs, route.timeoutMs);
-    this.#deadlineAt = startAt + limitMs;
+    this.#deadlineAt = startAt + callLimitMs(headers, route, answerLeadMs);
     this.#retries = new CallRetries(ports, {
       service: service.name,
       idempotent: route.idempotent,
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -14,6 +14,7 @@
 } from '@verbenabeam/routing';
 import {failedFrom} from './attempt.js';
 import type {CallerHeaders} from './call-headers.js';
+import {callLimitMs} from './call-limit.js';
 import type {CallRecord} from './call-record.js';
 import {WAIT_PLACES} from './call-waits.js';
 import {CallerLinks} from './caller-links.js';
@@ -56,6 +57,8 @@
   readonly #links = new CallerLinks();
   readonly #returning = new ReturningCallers();
   #draining = false;
+  /** Time at which the calls in flight are cut. */
+  #endsAt = Infinity;
 
   constructor(ports: EntryPorts) {
     this.#ports = ports;
@@ -126,6 +129,16 @@
     await this.#inFlight.empty();
   }
 
+  /**
+   * Refuses calls whose time limit lies beyond the end of a stop: they would be
+   * cut then, after they were passed on.
+   *
+   * @param at - On the clock of `performance.now()`, in ms.
+   */
+  endBy(at: number): void {
+    this.#endsAt = at;
+  }
+
   /** Checks before connections are closed that none is cut. */
   checkDrained(): void {
     const {count} = this.#inFlight;
@@ -154,9 +167,16 @@
     if ((call.headers?.depth ?? 0) > maxDepth) return CALL_CODES.tooDeep;
     if (!call.route) return CALL_CODES.noRoute;
     if (call.headers?.deadlineMs === 0) return CALL_CODES.deadlineTooClose;
+    if (this.#endsTooLate(call)) return CALL_CODES.draining;
     return null;
   }
 
+  #endsTooLate({startAt, headers, route}: ReceivedCall): boolean {
+    if (!headers || !route) return false;
+    const {answerLeadMs} = this.#ports.protocol;
+    return startAt + callLimitMs(headers, route, answerLeadMs) > this.#endsAt;
+  }
+
   /** Refusing a sub-call would harm the call that the own upstream runs. */
   #isSubCall({headers}: ReceivedCall): boolean {
     const parent = headers?.parentCallId ?? null;
