A call's deadline is looked at when its request is about to be written

Guards against calls that run when their callers have left (GONE). A call that has got a slot may wait for a connection to its upstream, for a second if the first packet of the connection is dropped; its last look at the deadline was before that wait. The request was written with the time left of before the wait.

Now the serving call looks again when the connection is there, and refuses the call as not run if its deadline has passed; nothing was written then. Class of fault: a wait after the last look at a call's age.

--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -74,11 +74,13 @@
     this.#request?.resume();
   }
 
-  onUpstreamConnected(): void {
-    this.#noteWait(
-      WAIT_PLACES.connection,
-      performance.now() - this.#dispatchAt,
-    );
+  /** Looks at the deadline once more: the wait for a connection may be long. */
+  onUpstreamConnected(): boolean {
+    const now = performance.now();
+    this.#noteWait(WAIT_PLACES.connection, now - this.#dispatchAt);
+    if (now < this.#times.deadlineAt) return true;
+    this.#refuse(CALL_CODES.deadlineTooClose);
+    return false;
   }
 
   onUpstreamHead(status: number, headers: string[]): void {
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -9,8 +9,8 @@
 
 /** Callbacks of an {@link UpstreamRequest}; one of the last three ends it. */
 export interface UpstreamListener {
-  /** The request is about to be written. */
-  onUpstreamConnected(): void;
+  /** The request is about to be written; false if it must not be any more. */
+  onUpstreamConnected(): boolean;
   onUpstreamHead(status: number, headers: string[]): void;
   /** False asks to wait for `resume`. */
   onUpstreamData(chunk: Uint8Array): boolean;
@@ -86,11 +86,9 @@
 
   onConnect(abort: (err?: Error) => void): void {
     this.#abort = abort;
+    if (!this.#aborted) this.#aborted = !this.#listener.onUpstreamConnected();
     if (this.#aborted) abort(new Error('The call was cancelled'));
-    else {
-      this.sent = true;
-      this.#listener.onUpstreamConnected();
-    }
+    else this.sent = true;
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
