The time left in a call's head counts from the connection, not before it

The head of a call was made before the connection to the other node was there; the wait for it, up to a second at an overloaded node, did not count against the call. The serving node took the call for younger than it was, for its queue, its deadline and the time that the upstream is told (GONE, and more time than is left).

The bus makes the head when it has a connection, and sends none after the caller ended the call.

Evidence: 500 ms left, connected after 200 ms: the head said 500 ms before, 300 now.

--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -133,7 +133,7 @@
     const opened = await this.#ports.bus.openStream(
       address,
       CALL_STREAM,
-      encodeHead(this.#head),
+      () => encodeHead(this.#headNow()),
       {timeoutMs: this.#head.remainingMs, signal: opening.signal},
     );
     this.#opening = null;
@@ -142,6 +142,17 @@
     else this.#begin(opened.value);
   }
 
+  /** The head with the times that are left now. */
+  #headNow(): CallHead {
+    const waitedMs = performance.now() - this.startAt;
+    const {remainingMs, targetMs} = this.#head;
+    return {
+      ...this.#head,
+      remainingMs: Math.max(0, remainingMs - waitedMs),
+      targetMs: targetMs - waitedMs,
+    };
+  }
+
   #begin(stream: ByteStream): void {
     this.#stream = stream;
     this.#body.attach(this);
--- a/packages/node/src/calls/last-look.feature
+++ b/packages/node/src/calls/last-look.feature
@@ -8,3 +8,8 @@
     When calls with 100 ms and 400 ms left are served there
     Then the call with 100 ms left was refused as 1606 and not written
     And the call with 400 ms left was written
+
+  Scenario: The wait for a connection between nodes counts against a call's time
+    Given a peer that is connected to after 200 ms
+    When an attempt with 500 ms left is made at that peer
+    Then the head of the attempt says that at most 310 ms are left
--- a/packages/wire/src/peer-bus.ts
+++ b/packages/wire/src/peer-bus.ts
@@ -104,11 +104,16 @@
   ): Promise<Result<unknown, MeshError>>;
   /** Sends one way; delivery is not confirmed. */
   notify(peer: PeerAddress, kind: string, body: unknown): void;
-  /** Opens a stream; failures to connect arrive as `wire.unreachable`. */
+  /**
+   * Opens a stream; failures to connect arrive as `wire.unreachable`.
+   *
+   * @param head - Makes the first message when there is a connection, so that
+   *   times in it do not leave out the wait for one.
+   */
   openStream(
     peer: PeerAddress,
     kind: string,
-    head: unknown,
+    head: () => unknown,
     options: RequestOptions,
   ): Promise<Result<ByteStream, MeshError>>;
   onRequest(kind: string, handler: RequestHandler): void;
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -145,16 +145,17 @@
   async openStream(
     peer: PeerAddress,
     kind: string,
-    head: unknown,
+    head: () => unknown,
     options: RequestOptions,
   ): Promise<Result<ByteStream, MeshError>> {
     const open = this.#pool.open(peer, TRAFFIC_CLASSES.call);
     if (open && !options.signal?.aborted) {
-      return open.openStream(kind, head, options.signal);
+      return open.openStream(kind, head(), options.signal);
     }
     const found = await this.#connection(peer, 'call', options);
     if (found.isErr) return Result.err(found.error);
-    return found.value.openStream(kind, head, options.signal);
+    if (options.signal?.aborted) return Result.err(cancelled());
+    return found.value.openStream(kind, head(), options.signal);
   }
 
   onRequest(kind: string, handler: RequestHandler): void {
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -157,7 +157,7 @@
 
 When('a stream is opened on the wire link', async () => {
   age = new Promise(resolve => (noteAge = resolve));
-  const opened = await client.openStream(link.address, 'age', null, {
+  const opened = await client.openStream(link.address, 'age', () => null, {
     timeoutMs,
   });
   assert.ok(opened.isOk);
--- a/packages/wire/src/wire.test.ts
+++ b/packages/wire/src/wire.test.ts
@@ -75,7 +75,7 @@
 
 /** Sends bytes as one stream; resolves to the size that the peer counted. */
 async function sendStream(kind: string, size: number): Promise<unknown> {
-  const opened = await client.openStream(address, kind, null, options);
+  const opened = await client.openStream(address, kind, () => null, options);
   if (opened.isErr) throw opened.error;
   const stream = opened.value;
   return new Promise((resolve, reject) => {
@@ -111,7 +111,12 @@
 });
 
 Given('a wire stream in both directions', async () => {
-  const opened = await client.openStream(address, 'unread', null, options);
+  const opened = await client.openStream(
+    address,
+    'unread',
+    () => null,
+    options,
+  );
   assert.ok(opened.isOk);
   const stream = opened.value;
   sent = stream;
@@ -215,7 +220,12 @@
 });
 
 When('a wire stream of {int} bytes is not read', async (size: number) => {
-  const opened = await client.openStream(address, 'unread', null, options);
+  const opened = await client.openStream(
+    address,
+    'unread',
+    () => null,
+    options,
+  );
   assert.ok(opened.isOk);
   assert.equal(opened.value.write(Buffer.alloc(size, 'y')), false);
   opened.value.end();
