--- /dev/null
+++ b/packages/node/src/hosted/peer-records.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import {setImmediate as turn} from 'node:timers/promises';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {
+  Invariants,
+  MeshError,
+  seededRandom,
+  systemClock,
+  WIRE_CODES,
+} from '@verbenabeam/core';
+import {testSeed} from '@verbenabeam/testing';
+import {Result} from 'true-myth';
+import type {OperatorFormat} from './operator-documents.js';
+import {OperatorRecords} from './operator-records.js';
+import {packRecord} from './packed-record.js';
+import {PeerRecords} from './peer-records.js';
+import type {PeerRecordsOptions} from './peer-records.js';
+import {RecordWatch} from './record-watch.js';
+
+type Answer = Result<unknown, MeshError>;
+type NoticeHandler = (body: unknown, peer: {nodeId: string}) => void;
+
+/** Turns of the event loop in which all answers are handled. */
+const settleTurns = 20;
+const format = {
+  parse: () => Result.ok(null),
+} as unknown as OperatorFormat;
+
+let records: OperatorRecords;
+let hear: NoticeHandler = () => undefined;
+let asked: string[] = [];
+let storeReads = 0;
+/** What peers answer. */
+let answer: (peer: string) => Promise<Answer>;
+
+function recordAt(revision: number) {
+  return {key: 'config', revision, value: Buffer.from(`text ${revision}`)};
+}
+
+async function settle(): Promise<void> {
+  for (let i = 0; i < settleTurns; i++) await turn();
+}
+
+Given('a node that asks its peers for records', () => {
+  asked = [];
+  storeReads = 0;
+  const random = seededRandom(testSeed());
+  records = new OperatorRecords(format, new Invariants(), {
+    onConfig: () => undefined,
+    onOrder: () => undefined,
+  });
+  const options = {
+    bus: {
+      onRequest: () => undefined,
+      onNotice: (_kind: string, handler: NoticeHandler) => {
+        hear = handler;
+      },
+      notify: () => undefined,
+      request: (peer: string) => {
+        asked.push(peer);
+        return answer(peer);
+      },
+    },
+    membership: {
+      own: {nodeId: 'a'},
+      live: () => [],
+      addressOf: (nodeId: string) => nodeId,
+      gossip: {onPeerConfig: () => undefined, setConfig: () => undefined},
+    },
+    records,
+    random,
+    signal: new AbortController().signal,
+    watch: new RecordWatch(systemClock),
+    isFollowing: () => false,
+    onNewer: () => undefined,
+    onMissing: () => {
+      storeReads++;
+    },
+  } as unknown as PeerRecordsOptions;
+  new PeerRecords(options).start();
+});
+
+When(
+  'peer {string} tells of revision {int}, and peer {string} of revision {int} while {string} is asked',
+  async (
+    first: string,
+    older: number,
+    second: string,
+    newer: number,
+    _asked: string,
+  ) => {
+    let give: (answer: Answer) => void = () => undefined;
+    const held = new Promise<Answer>(resolve => {
+      give = resolve;
+    });
+    const packed = (revision: number) =>
+      Result.ok([packRecord(recordAt(revision))]);
+    answer = peer => (peer === first ? held : Promise.resolve(packed(newer)));
+    hear(older, {nodeId: first});
+    await settle();
+    hear(newer, {nodeId: second});
+    give(packed(older));
+    await settle();
+  },
+);
+
+When(
+  'peer {string} tells of revision {int} that no peer can give',
+  async (peer: string, revision: number) => {
+    const lost = new MeshError(WIRE_CODES.unreachable, 'closed');
+    answer = () => Promise.resolve(Result.err(lost));
+    hear(revision, {nodeId: peer});
+    await settle();
+  },
+);
+
+When(
+  'peer {string} tells of revision {int} and sends bytes that cannot be unpacked',
+  async (peer: string, revision: number) => {
+    const row = {key: 'config', revision, packed: Buffer.from('not deflated')};
+    answer = () => Promise.resolve(Result.ok([row]));
+    hear(revision, {nodeId: peer});
+    await settle();
+  },
+);
+
+Then(
+  'the node holds revision {int} after it asked {string}',
+  (revision: number, peers: string) => {
+    assert.equal(records.revision, revision);
+    assert.equal(asked.join(', '), peers);
+  },
+);
+
+Then('the node holds revision {int}', (revision: number) => {
+  assert.equal(records.revision, revision);
+});
+
+Then('the store was not asked', () => {
+  assert.equal(storeReads, 0);
+});
+
+Then('the node asked {int} times and then the store once', (times: number) => {
+  assert.equal(asked.length, times);
+  assert.equal(storeReads, 1);
+});
