An upstream that sends only informational heads is given up

After 16 of them the connection is closed and the call counts as lost (it may have run).

Empty lines before an answer are still read until the deadline: the HTTP client does not report them.

--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -23,6 +23,8 @@
 
 /** More of a refusal's body is not read: the connection is closed. */
 const maxRefusalBytes = 65_536;
+/** An upstream sends one or two; more are a fault of its own. */
+const maxInformationalHeads = 16;
 /** Status from which an answer is final. */
 const firstFinalStatus = 200;
 
@@ -44,6 +46,7 @@
   #aborted = false;
   #isChunked = false;
   #refusalBytes = 0;
+  #informationalHeads = 0;
   #kind: AnswerKind = ANSWER_KINDS.answer;
 
   constructor(
@@ -92,7 +95,10 @@
   }
 
   onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
-    if (status < firstFinalStatus) return true;
+    if (status < firstFinalStatus) {
+      this.#takeInformational();
+      return true;
+    }
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
     this.#isChunked = headerValue(headers, 'transfer-encoding') !== null;
@@ -144,6 +150,11 @@
     this.#abort?.(new Error('The refusal has no end'));
   }
 
+  #takeInformational(): void {
+    if (++this.#informationalHeads <= maxInformationalHeads) return;
+    this.#abort?.(new Error('The upstream sends only informational heads'));
+  }
+
   #reportNotRun(): void {
     const isOther = this.#kind === ANSWER_KINDS.otherUpstream;
     this.#listener.onUpstreamNotRun(isOther);
