A revision that the first peer cannot give is asked of others and the store at once

Peers whose revision is not known yet were not asked.

Now the store is read as soon as one peer fails, and other peers are asked meanwhile, first those that are known to hold the revision, then any.

--- a/packages/node/src/hosted/peer-records.feature
+++ b/packages/node/src/hosted/peer-records.feature
@@ -12,10 +12,10 @@
   Scenario: A revision that no peer can give is read from the store
     Given a node that asks its peers for records
     When peer "b" tells of revision 5 that no peer can give
-    Then the node asked 3 times and then the store once
+    Then the node asked 3 peers and the store once
 
   Scenario: Records of a peer that cannot be unpacked change nothing
     Given a node that asks its peers for records
     When peer "b" tells of revision 5 and sends bytes that cannot be unpacked
-    Then the node asked 3 times and then the store once
+    Then the node asked 3 peers and the store once
     And the node holds revision 0
--- a/packages/node/src/hosted/peer-records.test.ts
+++ b/packages/node/src/hosted/peer-records.test.ts
@@ -63,7 +63,7 @@
     },
     membership: {
       own: {nodeId: 'a'},
-      live: () => [],
+      live: () => ['b', 'c', 'd'].map(nodeId => ({nodeId, configVersion: 0})),
       addressOf: (nodeId: string) => nodeId,
       gossip: {onPeerConfig: () => undefined, setConfig: () => undefined},
     },
@@ -140,7 +140,9 @@
   assert.equal(storeReads, 0);
 });
 
-Then('the node asked {int} times and then the store once', (times: number) => {
-  assert.equal(asked.length, times);
+Then('the node asked {int} peers and the store once', (count: number) => {
+  assert.equal(asked.length, count);
+  assert.equal(new Set(asked).size, count);
+  assert.equal(asked[0], 'b');
   assert.equal(storeReads, 1);
 });
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -13,7 +13,7 @@
 const newerKind = 'records.newer';
 const pullKind = 'records.pull';
 const pullTimeoutMs = 1_500;
-/** Peers that are asked in a row before the store is. */
+/** Peers that are asked in a row without success. */
 const maxPulls = 3;
 /** The own watch usually brings a change within this time. */
 const watchLeadMs = 150;
@@ -34,7 +34,7 @@
   readonly isFollowing: () => boolean;
   /** Called when a peer's records were taken over. */
   readonly onNewer: () => void;
-  /** Called when no peer gave the records that one of them told of. */
+  /** Called when a peer did not give the records that one told of. */
   readonly onMissing: () => void;
 }
 
@@ -99,24 +99,31 @@
   async #pullAll(): Promise<void> {
     const {isFollowing, onMissing, signal} = this.#options;
     if (isFollowing()) await systemSleep(watchLeadMs, signal);
-    let failed = 0;
-    while (this.#isMissing && failed < maxPulls && !signal.aborted) {
-      const nodeId = failed === 0 ? this.#heard.nodeId : this.#otherSource();
-      failed = (await this.#pull(nodeId)) ? 0 : failed + 1;
+    const failed = new Set<string>();
+    while (this.#isMissing && failed.size < maxPulls && !signal.aborted) {
+      const nodeId = this.#source(failed);
+      if (nodeId === null) break;
+      if (await this.#pull(nodeId)) failed.clear();
+      else {
+        if (failed.size === 0 && this.#isMissing) onMissing();
+        failed.add(nodeId);
+      }
     }
     this.#isPulling = false;
-    if (this.#isMissing) onMissing();
   }
 
-  /** A peer that is known to hold more than this node. */
-  #otherSource(): string {
-    const {membership, records, random} = this.#options;
+  /** The peer that told of the revision, then others, first those that hold it. */
+  #source(failed: ReadonlySet<string>): string | null {
+    const {nodeId, revision} = this.#heard;
+    if (!failed.has(nodeId)) return nodeId;
+    const {membership, random} = this.#options;
     const own = membership.own.nodeId;
-    const sources = membership
+    const others = membership
       .live()
-      .filter(row => row.nodeId !== own && row.configVersion > records.revision)
-      .map(({nodeId}) => nodeId);
-    return sources.length > 0 ? random.pick(sources) : this.#heard.nodeId;
+      .filter(row => row.nodeId !== own && !failed.has(row.nodeId));
+    const holders = others.filter(row => row.configVersion >= revision);
+    const sources = holders.length > 0 ? holders : others;
+    return sources.length > 0 ? random.pick(sources).nodeId : null;
   }
 
   /** Returns whether the peer had something new. */
