--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -68,12 +68,13 @@
 
   /** Runs until the signal aborts. */
   async run(): Promise<void> {
-    const {signal, random} = this.#options;
+    const {signal, random, onFollowing} = this.#options;
     while (!signal.aborted) {
       const found = await this.#read();
       if (found?.isNew === true && this.#isBehind) continue;
       this.#isBehind = false;
-      if (found !== null) await this.#stay(found.revision + 1);
+      if (found === null) onFollowing(false);
+      else await this.#stay(found.revision + 1);
       if (signal.aborted) return;
       if (!this.#isBehind)
         await systemSleep(random.float() * maxPauseMs, signal);
