Records that changed while a list was read are left to the watch

A change made between its pages could bring a later record while an earlier change of another one was missing; the node then seemed to hold everything up to the later revision, and passed that on to its peers, which ask only for what is newer. A follower's watch brings the missing change; a node that does not follow the store would have kept the hole until the record's next change.

Now a list counts up to the revision of its first page; what is later comes in order.

Two more scenarios guard the one-off read and the reads of a feed that is behind.

--- /dev/null
+++ b/packages/node/src/hosted/operator-feed.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {seededRandom, systemClock} from '@verbenabeam/core';
+import type {Entry, Store, WatchOptions} from '@verbenabeam/store';
+import {testSeed} from '@verbenabeam/testing';
+import {Result} from 'true-myth';
+import {OperatorFeed} from './operator-feed.js';
+import {RecordWatch} from './record-watch.js';
+
+/** Longer than the pause of the feed before it reads again. */
+const settleMs = 1_000;
+
+let end = new AbortController();
+let feed: OperatorFeed;
+let listedAt = 0;
+let rows: Entry[] = [];
+let lists = 0;
+/** First revision of each watch, and the lists before it. */
+let watches: {from: number; lists: number}[] = [];
+let isWatchBehind = false;
+let brought: number[] = [];
+
+After({tags: '@hosted'}, () => end.abort());
+
+function entry(revision: number): Entry {
+  const value = Buffer.from('x');
+  const key = `key-${revision}`;
+  return {key, value, revision, createRevision: revision, lease: null};
+}
+
+const store = {
+  list: (_prefix: string, options: {onRevision?: (at: number) => void}) => {
+    lists++;
+    options.onRevision?.(listedAt);
+    return Promise.resolve(Result.ok(rows));
+  },
+  watch: async ({fromRevision, signal, onBehind}: WatchOptions) => {
+    watches.push({from: fromRevision, lists});
+    if (isWatchBehind && watches.length === 1) onBehind?.();
+    else
+      await new Promise(resolve => signal.addEventListener('abort', resolve));
+    return Result.ok(true);
+  },
+} as unknown as Store;
+
+async function run(follows: boolean): Promise<void> {
+  end = new AbortController();
+  lists = 0;
+  watches = [];
+  brought = [];
+  feed = new OperatorFeed({
+    store,
+    prefix: 'key',
+    random: seededRandom(testSeed()),
+    signal: end.signal,
+    watch: new RecordWatch(systemClock),
+    onRecords: records => {
+      brought.push(...records.map(({revision}) => revision));
+      // The second list of a feed that is behind has something new.
+      return lists <= 2;
+    },
+    onFollowing: () => undefined,
+  });
+  if (!follows) feed.follows = false;
+  void feed.run();
+  await sleep(settleMs);
+}
+
+Given(
+  'a store whose list at revision {int} has records of the revisions {int} and {int}',
+  (at: number, first: number, second: number) => {
+    listedAt = at;
+    rows = [entry(first), entry(second)];
+    isWatchBehind = false;
+  },
+);
+
+Given('its watch brings several changes of a record together', () => {
+  isWatchBehind = true;
+});
+
+When('an operator feed reads it', () => run(true));
+
+When('an operator feed that does not follow the store reads it', () =>
+  run(false),
+);
+
+When('the feed is told to read now', async () => {
+  feed.readNow();
+  await sleep(settleMs);
+});
+
+Then(
+  'the feed brought the revision {int} and watches from revision {int}',
+  (revision: number, from: number) => {
+    assert.deepEqual(brought, [revision]);
+    assert.deepEqual(
+      watches.map(watch => watch.from),
+      [from],
+    );
+  },
+);
+
+Then(
+  'the feed brought the revisions {int} and {int} and does not watch',
+  (first: number, second: number) => {
+    assert.deepEqual(brought, [first, second]);
+    assert.deepEqual(watches, []);
+  },
+);
+
+Then('it has listed the records {int} times', (times: number) => {
+  assert.equal(lists, times);
+});
+
+Then(
+  'it has listed the records {int} times before it watches again',
+  (times: number) => {
+    assert.equal(watches[1]?.lists, times);
+  },
+);
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -113,8 +113,11 @@
     }
     if (!this.#isReachable) log('Store is reachable again.', {revision});
     this.#isReachable = true;
-    watch.came(RECORD_SOURCES.read, listed.value, performance.now() - startAt);
-    return {revision, isNew: onRecords(listed.value)};
+    // A list is no snapshot: with a later change a node would seem to hold what
+    // changed before it as well. The watch or a peer brings both in their order.
+    const records = listed.value.filter(row => row.revision <= revision);
+    watch.came(RECORD_SOURCES.read, records, performance.now() - startAt);
+    return {revision, isNew: onRecords(records)};
   }
 
   /** Returns false if the store was lost. */
