--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -117,7 +117,7 @@
     this.records = new OperatorRecords(options.operatorFormat, invariants, {
       onConfig: snapshot => this.#onConfig(snapshot),
       onOrder: known => this.rollouts.onOrder(known),
-      onRevision: revision => this.#sync.watch.holds(revision),
+      onRevision: revision => this.#sync.progress.holds(revision),
     });
     this.upstream = new HostedUpstream({
       membership: this.membership,
@@ -286,7 +286,7 @@
         retriesLeft: service => this.#retries.tokens(service),
         rollouts: () => this.rollouts.view(),
         configAgeMs: () => this.#options.clock.now() - this.#configSince,
-        behindMs: () => this.#sync.watch.behindMs,
+        behindMs: () => this.#sync.progress.behindMs,
         services: () => this.#serviceNames(),
         isStoreReachable: () => this.#store.reachable,
         acceptWaitMs: () => this.acceptWaitMs(),
--- a/packages/node/src/hosted/operator-feed.test.ts
+++ b/packages/node/src/hosted/operator-feed.test.ts
@@ -6,7 +6,7 @@
 import {testSeed} from '@verbenabeam/testing';
 import {Result} from 'true-myth';
 import {OperatorFeed} from './operator-feed.js';
-import {RecordWatch} from './record-watch.js';
+import {RecordProgress} from './record-progress.js';
 
 /** Longer than the pause of the feed before it reads again. */
 const settleMs = 1_000;
@@ -54,7 +54,7 @@
     prefix: 'key',
     random: seededRandom(testSeed()),
     signal: end.signal,
-    watch: new RecordWatch(systemClock),
+    progress: new RecordProgress(systemClock),
     onRecords: records => {
       brought.push(...records.map(({revision}) => revision));
       // The second list of a feed that is behind has something new.
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -3,8 +3,8 @@
 import type {Store} from '@verbenabeam/store';
 import {systemSleep} from '@verbenabeam/store';
 import type {OperatorRecord} from './operator-records.js';
-import {RECORD_SOURCES} from './record-watch.js';
-import type {RecordWatch} from './record-watch.js';
+import {RECORD_SOURCES} from './record-progress.js';
+import type {RecordProgress} from './record-progress.js';
 
 /** Parts of an {@link OperatorFeed}. @internal */
 export interface OperatorFeedOptions {
@@ -12,7 +12,7 @@
   readonly prefix: string;
   readonly random: RandomSource;
   readonly signal: AbortSignal;
-  readonly watch: RecordWatch;
+  readonly progress: RecordProgress;
   /** Takes what was read or watched; returns whether some of it is new. */
   readonly onRecords: (records: readonly OperatorRecord[]) => boolean;
   /** Called when the feed begins or ceases to follow the store. */
@@ -96,7 +96,7 @@
 
   /** Returns null if the store did not answer. */
   async #read(): Promise<FoundRecords | null> {
-    const {store, prefix, signal, watch, onRecords} = this.#options;
+    const {store, prefix, signal, progress, onRecords} = this.#options;
     const startAt = performance.now();
     let revision = 0;
     const listed = await store.list(prefix, {
@@ -116,13 +116,13 @@
     // A list is no snapshot: with a later change a node would seem to hold what
     // changed before it as well. The watch or a peer brings both in their order.
     const records = listed.value.filter(row => row.revision <= revision);
-    watch.came(RECORD_SOURCES.read, records, performance.now() - startAt);
+    progress.came(RECORD_SOURCES.read, records, performance.now() - startAt);
     return {revision, isNew: onRecords(records)};
   }
 
   /** Returns false if the store was lost. */
   async #follow(fromRevision: number): Promise<boolean> {
-    const {store, prefix, watch, onRecords} = this.#options;
+    const {store, prefix, progress, onRecords} = this.#options;
     const signal = this.#beginStep();
     const watched = await store.watch({
       key: prefix,
@@ -132,7 +132,7 @@
       // The system keeps what it knows when an operator deletes a record.
       onEvent: event => {
         if (event.type !== 'put') return;
-        watch.came(RECORD_SOURCES.watch, [event.entry]);
+        progress.came(RECORD_SOURCES.watch, [event.entry]);
         onRecords([event.entry]);
       },
       onBehind: () => {
--- a/packages/node/src/hosted/peer-records.test.ts
+++ b/packages/node/src/hosted/peer-records.test.ts
@@ -15,7 +15,7 @@
 import {packRecord} from './packed-record.js';
 import {PeerRecords} from './peer-records.js';
 import type {PeerRecordsOptions} from './peer-records.js';
-import {RecordWatch} from './record-watch.js';
+import {RecordProgress} from './record-progress.js';
 
 type Answer = Result<unknown, MeshError>;
 type NoticeHandler = (body: unknown, peer: {nodeId: string}) => void;
@@ -70,7 +70,7 @@
     records,
     random,
     signal: new AbortController().signal,
-    watch: new RecordWatch(systemClock),
+    progress: new RecordProgress(systemClock),
     isFollowing: () => false,
     onNewer: () => undefined,
     onMissing: () => {
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -7,8 +7,8 @@
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecord, OperatorRecords} from './operator-records.js';
 import {packedRecords, packRecord, unpackRecord} from './packed-record.js';
-import {RECORD_SOURCES} from './record-watch.js';
-import type {RecordWatch} from './record-watch.js';
+import {RECORD_SOURCES} from './record-progress.js';
+import type {RecordProgress} from './record-progress.js';
 
 const newerKind = 'records.newer';
 const pullKind = 'records.pull';
@@ -29,7 +29,7 @@
   readonly records: OperatorRecords;
   readonly random: RandomSource;
   readonly signal: AbortSignal;
-  readonly watch: RecordWatch;
+  readonly progress: RecordProgress;
   /** Whether this node follows the store itself. */
   readonly isFollowing: () => boolean;
   /** Called when a peer's records were taken over. */
@@ -83,8 +83,8 @@
   }
 
   #onSeen(nodeId: string, revision: number): void {
-    const {watch, records} = this.#options;
-    watch.heard(revision, records.revision);
+    const {progress, records} = this.#options;
+    progress.heard(revision, records.revision);
     if (revision > this.#heard.revision) this.#heard = {revision, nodeId};
     if (!this.#isMissing || this.#isPulling) return;
     this.#isPulling = true;
@@ -128,7 +128,7 @@
 
   /** Returns whether the peer had something new. */
   async #pull(nodeId: string): Promise<boolean> {
-    const {bus, membership, records, watch, onNewer} = this.#options;
+    const {bus, membership, records, progress, onNewer} = this.#options;
     const startAt = performance.now();
     const since = records.revision;
     const address = membership.addressOf(nodeId);
@@ -141,7 +141,7 @@
     );
     const ms = performance.now() - startAt;
     const found = unpackAll(got.unwrapOr(null));
-    if (found) watch.came(RECORD_SOURCES.peer, found, ms);
+    if (found) progress.came(RECORD_SOURCES.peer, found, ms);
     const isNew = found !== null && records.offer(found);
     if (isNew) onNewer();
     else if (records.revision <= since) {
--- a/packages/node/src/hosted/record-watch.ts
+++ b/packages/node/src/hosted/record-progress.ts
@@ -25,7 +25,7 @@
  *
  * @internal
  */
-export class RecordWatch {
+export class RecordProgress {
   readonly #clock: Clock;
   /** Highest revision that this node has heard of. */
   #heard = 0;
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -9,7 +9,7 @@
 import {OperatorFeed} from './operator-feed.js';
 import type {OperatorRecords} from './operator-records.js';
 import {PeerRecords} from './peer-records.js';
-import {RecordWatch} from './record-watch.js';
+import {RecordProgress} from './record-progress.js';
 
 const roleTickMs = 250;
 
@@ -33,7 +33,7 @@
  * @internal
  */
 export class RecordSync {
-  readonly watch: RecordWatch;
+  readonly progress: RecordProgress;
   readonly #options: RecordSyncOptions;
   readonly #policy: FollowerPolicy;
   readonly #feed: OperatorFeed;
@@ -42,11 +42,11 @@
   constructor(options: RecordSyncOptions) {
     this.#options = options;
     const {records, membership, random, clock} = options;
-    this.watch = new RecordWatch(clock);
+    this.progress = new RecordProgress(clock);
     this.#policy = new FollowerPolicy(random);
     this.#feed = new OperatorFeed({
       ...options,
-      watch: this.watch,
+      progress: this.progress,
       onRecords: found => {
         const isNew = records.offer(found);
         if (isNew) this.#peers.announce();
@@ -56,7 +56,7 @@
     });
     this.#peers = new PeerRecords({
       ...options,
-      watch: this.watch,
+      progress: this.progress,
       isFollowing: () => membership.own.relay,
       onNewer: () => this.#peers.announce(),
       onMissing: () => this.#feed.readNow(),
