Log and metrics: how busy a node's event loop is and how long slots are held

Each second with calls has one line now, and verbenabeam_loop_busy_ratio the same for metrics. Cost: one line a second; a held slot costs two map operations a call.

Tests: the line's figures, and that idle seconds have none.

--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -20,6 +20,8 @@
   readonly acceptWaitMs: () => number;
   /** Calls that waited for long, by place. */
   readonly waits: () => ReadonlyMap<WaitPlace, number>;
+  /** Share of the last second in which the event loop was busy, 0 to 1. */
+  readonly busyRatio: () => number;
 }
 
 const msPerSecond = 1_000;
@@ -72,6 +74,11 @@
       help: 'Time that connections of callers wait to be accepted.',
       read: () => [{labels: {}, value: parts.acceptWaitMs() / msPerSecond}],
     },
+    {
+      name: 'verbenabeam_loop_busy_ratio',
+      help: 'Share of the last second in which the event loop was busy.',
+      read: () => [{labels: {}, value: parts.busyRatio()}],
+    },
     {
       name: 'verbenabeam_long_waits',
       help: 'Calls that waited over 100 ms since the start, by place.',
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -120,7 +120,10 @@
       this.#callers,
       options.settings.maxDescriptors,
     );
-    this.#callers.on('connection', this.#parts.entry.onConnection);
+    this.#callers.on('connection', () => {
+      this.#parts.load.noteConnection();
+      this.#parts.entry.onConnection();
+    });
     this.#parts.onConfig = ({document}) => {
       if (document.callerLimits) this.#applyLimits(document.callerLimits);
     };
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -31,6 +31,7 @@
 import type {HostedPartsOptions} from './hosted-parts-options.js';
 import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
+import {LoadWatch} from './load-watch.js';
 import {logTraffic} from './log-traffic.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
@@ -66,6 +67,7 @@
   readonly entry: EntryHandler;
   readonly serving: ServingHandler;
   readonly metrics: NodeMetrics;
+  readonly load: LoadWatch;
   /** Called with each configuration that comes into force. */
   onConfig: (snapshot: Snapshot) => void = () => undefined;
   /** Time that connections of callers wait to be accepted, in ms. */
@@ -139,19 +141,25 @@
       random,
       signal,
     });
+    this.#loop = new LoopWatch(() => clock.now());
+    const gate = new StartGate({loop: this.#loop});
     this.#admission = new AdmissionAdapter({
       clock,
       admission: new SlotQueue({slots: initialSlots}),
+      onLeft: (route, heldMs) => this.load.noteHeld(route, heldMs),
+    });
+    this.load = new LoadWatch({
+      load: () => this.#admission.load(),
+      callBytes: () => callBytesOf(bus),
+      waiting: () => gate.waiting,
     });
     this.#quarantine = new QuarantineAdapter(shared);
     this.#instances = new InstanceAdapter(shared);
     this.#retries = this.#createRetries();
     this.#calls = new CallLogger(this.metrics);
-    this.#loop = new LoopWatch(() => clock.now());
     const versions = new HostedVersions(this.membership, this.rollouts);
     const ledger = new RetryLedger();
     const {protocol} = options;
-    const gate = new StartGate({loop: this.#loop});
     this.serving = new ServingHandler({
       upstream: this.upstream,
       admission: this.#admission,
@@ -203,6 +211,7 @@
     const {bus, signal, settings, clock} = this.#options;
     this.#startedAt = clock.now();
     this.#loop.start(signal);
+    this.load.start(signal);
     bus.onStream(CALL_STREAM, this.serving.onStream);
     this.membership.monitor.onChange(({slots}) =>
       this.#admission.setSlots(slots),
@@ -261,6 +270,7 @@
 
   #onCall(record: CallRecord): void {
     this.#calls.onCall(record);
+    this.load.noteCall(record);
     this.rollouts.onCall(record);
   }
 
@@ -291,7 +301,14 @@
         isStoreReachable: () => this.#store.reachable,
         acceptWaitMs: () => this.acceptWaitMs(),
         waits: () => this.#waits.counts,
+        busyRatio: () => this.load.busyRatio,
       }),
     });
   }
 }
+
+/** Bytes of calls from and to other nodes since the start. */
+function callBytesOf(bus: HostedPartsOptions['bus']): number {
+  const {sent, received} = bus.bytes().call;
+  return sent + received;
+}
--- /dev/null
+++ b/packages/node/src/hosted/load-watch.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {CALL_CODES, setLogSink} from '@verbenabeam/core';
+import type {LogFields} from '@verbenabeam/core';
+import {LoadWatch} from './load-watch.js';
+
+let watch: LoadWatch | null = null;
+let lines: LogFields[] = [];
+
+After({tags: '@hosted'}, () => setLogSink(null));
+
+Given(
+  'a load watch of a node whose loop is busy for {float} of the time',
+  (busy: number) => {
+    lines = [];
+    setLogSink((part, _sentence, fields) => {
+      if (part === 'load' && fields) lines.push(fields);
+    });
+    watch = new LoadWatch({
+      load: () => ({inFlight: 11, queued: 4, slots: 11, serviceMs: 60}),
+      callBytes: () => 0,
+      waiting: () => 0,
+      utilization: () => ({active: 0, idle: 0, utilization: busy}),
+    });
+  },
+);
+
+When(
+  '{int} calls end there, {int} of them refused',
+  (calls: number, refused: number) => {
+    const codes = Array.from({length: calls}, (_, i) =>
+      i < refused ? CALL_CODES.queueFull : CALL_CODES.ok,
+    );
+    for (const code of codes) watch?.noteCall({code});
+  },
+);
+
+When(
+  'calls of {string} leave their slots after {int} and {int} ms',
+  (route: string, a: number, b: number) => {
+    watch?.noteHeld(route, a);
+    watch?.noteHeld(route, b);
+  },
+);
+
+When('its window ends', () => watch?.endWindow());
+
+Then('its line says {string} is {int}', (name: string, value: number) => {
+  assert.equal(lines.length, 1);
+  assert.equal(lines[0]?.[name], value);
+});
+
+Then('its line says {string} is {string}', (name: string, value: string) => {
+  assert.deepEqual(lines[0]?.[name], [value]);
+});
+
+Then('it has written no line', () => assert.equal(lines.length, 0));
--- /dev/null
+++ b/packages/node/src/hosted/load-watch.ts
@@ -0,0 +1,116 @@
+import {performance} from 'node:perf_hooks';
+import type {EventLoopUtilization} from 'node:perf_hooks';
+import {logger} from '@verbenabeam/core';
+import type {LoadReport} from '@verbenabeam/routing';
+import type {CallRecord} from '../calls/index.js';
+import {every} from '../every.js';
+
+const log = logger('load');
+const windowMs = 1_000;
+const percent = 100;
+const bytesPerKb = 1_024;
+
+/** What a {@link LoadWatch} reads at the end of each window. @internal */
+export interface LoadWatchSources {
+  /** Load of the own upstream. */
+  readonly load: () => LoadReport;
+  /** Bytes of calls from and to other nodes since the start. */
+  readonly callBytes: () => number;
+  /** Calls that were read and have not been started. */
+  readonly waiting: () => number;
+  /** How busy the event loop has been; default that of this thread. */
+  readonly utilization?: (since?: EventLoopUtilization) => EventLoopUtilization;
+}
+
+/** Slots of the own upstream that calls of one route have left. */
+interface HeldSlots {
+  calls: number;
+  ms: number;
+}
+
+/**
+ * Tells how busy the event loop is and what it does, in windows of one second.
+ * Calls that are answered have no line of their own, so that the lines of refused
+ * calls alone do not tell a lack of slots from a lack of processor time.
+ *
+ * @internal
+ */
+export class LoadWatch {
+  readonly #sources: LoadWatchSources;
+  readonly #utilization: NonNullable<LoadWatchSources['utilization']>;
+  #since: EventLoopUtilization;
+  #bytes = 0;
+  #connections = 0;
+  #calls = 0;
+  #refused = 0;
+  #held = new Map<string, HeldSlots>();
+  #busyRatio = 0;
+
+  constructor(sources: LoadWatchSources) {
+    this.#sources = sources;
+    this.#utilization =
+      sources.utilization ?? (since => performance.eventLoopUtilization(since));
+    this.#since = this.#utilization();
+  }
+
+  /** Share of the last window in which the event loop was busy, 0 to 1. */
+  get busyRatio(): number {
+    return this.#busyRatio;
+  }
+
+  /** Measures until the signal aborts. */
+  start(signal: AbortSignal): void {
+    every(windowMs, signal, () => this.endWindow());
+  }
+
+  /** A connection of a caller was accepted. */
+  noteConnection(): void {
+    this.#connections++;
+  }
+
+  /** A call of this entry node has ended. */
+  noteCall({code}: Pick<CallRecord, 'code'>): void {
+    this.#calls++;
+    if (code.notRun) this.#refused++;
+  }
+
+  /** A call has left its slot of the own upstream. */
+  noteHeld(route: string, heldMs: number): void {
+    const held = this.#held.get(route) ?? {calls: 0, ms: 0};
+    held.calls++;
+    held.ms += heldMs;
+    this.#held.set(route, held);
+  }
+
+  /** Logs the window that ends now, unless no call came in it. */
+  endWindow(): void {
+    const {load, callBytes, waiting} = this.#sources;
+    const now = this.#utilization();
+    this.#busyRatio = this.#utilization(this.#since).utilization;
+    this.#since = now;
+    const bytes = callBytes();
+    if (this.#calls > 0 || this.#held.size > 0) {
+      const {inFlight, queued, slots} = load();
+      log('Load of the last second.', {
+        busyPercent: Math.round(this.#busyRatio * percent),
+        connections: this.#connections,
+        calls: this.#calls,
+        refused: this.#refused,
+        waiting: waiting(),
+        callKb: Math.round((bytes - this.#bytes) / bytesPerKb),
+        inFlight,
+        queued,
+        slots,
+        held: [...this.#held].map(
+          ([route, {calls, ms}]) =>
+            `${route} ${calls} calls ${Math.round(ms / calls)} ms`,
+        ),
+      });
+    }
+    this.#bytes = bytes;
+    this.#connections = 0;
+    this.#calls = 0;
+    this.#refused = 0;
+    this.#held = new Map();
+  }
+}
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -14,12 +14,18 @@
   Ticket,
 } from '../calls/index.js';
 
-type Settle = (decided: Result<Ticket, MeshError>) => void;
+/** A call that waits for a slot. */
+interface Waiting {
+  readonly route: string;
+  settle(decided: Result<Ticket, MeshError>): void;
+}
 
 /** Options of {@link AdmissionAdapter}. @internal */
 export interface AdmissionAdapterOptions {
   readonly clock: Clock;
   readonly admission: AdmissionPolicy;
+  /** Learns how long the calls of a route held a slot; default none. */
+  readonly onLeft?: (route: string, heldMs: number) => void;
 }
 
 /** Connects the admission logic to timers and promises. @internal */
@@ -27,12 +33,14 @@
   readonly #clock: Clock;
   readonly #admission: AdmissionPolicy;
   readonly #subCalls = new SubCallRoutes();
-  readonly #waiting = new Map<string, Settle>();
+  readonly #onLeft: (route: string, heldMs: number) => void;
+  readonly #waiting = new Map<string, Waiting>();
   #timer: NodeJS.Timeout | null = null;
 
-  constructor({clock, admission}: AdmissionAdapterOptions) {
+  constructor({clock, admission, onLeft}: AdmissionAdapterOptions) {
     this.#clock = clock;
     this.#admission = admission;
+    this.#onLeft = onLeft ?? (() => undefined);
   }
 
   get inFlight(): number {
@@ -61,19 +69,25 @@
     const call = {id: callId, deadline, isSubCall, ...rest};
     const decision = this.#admission.tryEnter(call, this.#clock.now());
     if (decision.kind === 'admitted') {
-      return {kind: 'admitted', ticket: this.#ticket(callId)};
+      return {kind: 'admitted', ticket: this.#ticket(callId, req.route)};
     }
     if (decision.kind === 'refused') {
       return {kind: 'refused', err: refusal(decision)};
     }
+    const {route} = req;
     const decided = new Promise<Result<Ticket, MeshError>>(resolve => {
-      this.#waiting.set(callId, resolve);
+      this.#waiting.set(callId, {route, settle: resolve});
     });
     this.#schedule();
-    return {kind: 'queued', decided, cancel: () => this.#cancel(callId)};
+    return {
+      kind: 'queued',
+      decided,
+      cancel: () => this.#cancel(callId, route),
+    };
   }
 
-  #ticket(callId: string): Ticket {
+  #ticket(callId: string, route: string): Ticket {
+    const since = this.#clock.now();
     return {
       answered: serviceMs => {
         const now = this.#clock.now();
@@ -81,27 +95,28 @@
       },
       leave: serviceMs => {
         const now = this.#clock.now();
+        this.#onLeft(route, now - since);
         this.#carryOut(this.#admission.finish(callId, now, serviceMs));
       },
     };
   }
 
-  #cancel(callId: string): void {
+  #cancel(callId: string, route: string): void {
     this.#waiting.delete(callId);
     if (this.#admission.cancel(callId)) return;
     // The call left the queue before it was cancelled; its slot is given back.
-    this.#ticket(callId).leave(null);
+    this.#ticket(callId, route).leave(null);
   }
 
   #carryOut(decisions: readonly Decision[]): void {
     for (const decision of decisions) {
-      const settle = this.#waiting.get(decision.callId);
+      const waiting = this.#waiting.get(decision.callId);
       this.#waiting.delete(decision.callId);
       if (decision.kind === 'refused') {
-        settle?.(Result.err(refusal(decision)));
+        waiting?.settle(Result.err(refusal(decision)));
       } else if (decision.kind === 'admitted') {
-        const ticket = this.#ticket(decision.callId);
-        if (settle) settle(Result.ok(ticket));
+        const ticket = this.#ticket(decision.callId, waiting?.route ?? '');
+        if (waiting) waiting.settle(Result.ok(ticket));
         else ticket.leave(null);
       }
     }
