A call that would be refused is refused at its head, before its body is sent

Uploads of 280 KB were sent whole to the node beside their upstream, which asked for a slot when the body was whole, and refused them for load. The nodes beside the two upstreams of uploads that were left took 17 to 23 MB/s for 8 to 10 MB/s of uploads that ran, and were busy for 98 to 99%; calls for running calls timed out there, and the slots of their parents were lost.

Cause: admission came after the transfer, and the opening side of a stream could send 256 KB unasked. Class of fault: work is spent on a call before it is known whether it can be taken.

Now a call with a body is looked at when its head arrives, by the same rules as when it asks for a slot, and refused then. The opening side may send 64 KB until the other side allows more, which a node does at once for a body that it takes. Nodes of the version before take 64 KB as a part of their 256 KB and return credit as they read, so that both versions understand each other. An entry node begins with the first bytes of a larger body in place of its end.

Ruled out: cold code as the cause from 18 to 32 s (the other ten nodes are busy for 34 to 88%).

--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -6,6 +6,7 @@
 } from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Service} from '@verbenabeam/document';
+import {FIRST_STREAM_BYTES} from '@verbenabeam/wire';
 import {failedFrom, outcomeOf} from './attempt.js';
 import type {Attempt, AttemptListener} from './attempt.js';
 import {AttemptFactory} from './attempt-factory.js';
@@ -187,11 +188,13 @@
     }
   }
 
-  /** A small body is read first: it then leaves with the head in one write. */
+  /**
+   * A small body is read first: it then leaves with the head in one write. Of a
+   * larger one the instance says first whether it takes it.
+   */
   #begin(): void {
     const {bodyBytes} = this.#call.headers;
-    if (bodyBytes === null || bodyBytes > this.#ports.protocol.replayBytes)
-      this.#try();
+    if (bodyBytes === null || bodyBytes > FIRST_STREAM_BYTES) this.#try();
     else this.#body.whenWhole(() => this.#try());
   }
 
--- a/packages/node/src/calls/local-stream.ts
+++ b/packages/node/src/calls/local-stream.ts
@@ -47,6 +47,10 @@
     return !this.#wantsDrain;
   }
 
+  allow(): void {
+    // Bytes within a process need no credit.
+  }
+
   end(trailer?: unknown): void {
     if (this.#closed || this.#ended) return;
     this.#ended = true;
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -1,17 +1,17 @@
 import {CALL_CODES, INVARIANT_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
-import {fingerprintOf} from '@verbenabeam/routing';
 import type {ByteStream, StreamListener} from '@verbenabeam/wire';
 import {encodeAnswerHead, encodeLoad, encodeTrailer} from './call-head.js';
 import type {CallHead} from './call-head.js';
 import {WAIT_PLACES} from './call-waits.js';
 import type {WaitPlace} from './call-waits.js';
 import {ServingBody} from './serving-body.js';
+import {fingerprintOfCall, slotRequest} from './serving-head.js';
 import {logCancelled, logFailed} from './serving-log.js';
 import type {ServingTimes} from './serving-log.js';
 import type {ServingContext} from './serving-context.js';
-import type {LostRequest, OwnUpstream, Ticket} from './serving-ports.js';
+import type {AdmissionRequest, OwnUpstream, Ticket} from './serving-ports.js';
 import {isInvalidRequest, UpstreamRequest} from './upstream-request.js';
 import type {UpstreamListener} from './upstream-request.js';
 
@@ -22,6 +22,7 @@
   readonly #context: ServingContext;
   readonly #times: ServingTimes;
   readonly #body: ServingBody;
+  readonly #asked: AdmissionRequest;
   #ticket: Ticket | null = null;
   #cancelQueue: (() => void) | null = null;
   #request: UpstreamRequest | null = null;
@@ -42,13 +43,25 @@
     const waitedMs = Math.max(context.gate.lostMs, stream.ageMs);
     const startAt = performance.now() - waitedMs;
     this.#times = {startAt, deadlineAt: startAt + head.remainingMs};
+    this.#asked = slotRequest(head, this.#times);
   }
 
-  /** A call whose body is collected enters at the body's end. */
+  /**
+   * A call whose body is collected enters at the body's end; one that would be
+   * refused now is refused before the rest of its body is sent.
+   */
   start(): void {
     this.#noteWait(WAIT_PLACES.wire, this.#stream.ageMs);
     this.#stream.listen(this);
-    if (!this.#body.isCollected) this.#enterSoon();
+    if (!this.#body.isCollected) {
+      this.#enterSoon();
+      return;
+    }
+    const code = this.#refusalNow();
+    const refusal = this.#context.ports.admission.refusalOf(this.#asked);
+    if (code) this.#refuse(code);
+    else if (refusal) this.#reset(refusal, false);
+    else this.#stream.allow(this.#body.aheadBytes);
   }
 
   onChunk(chunk: Uint8Array): void {
@@ -132,8 +145,10 @@
       this.#reset(lost, true);
       return;
     }
+    const {callId} = this.#head;
+    const lostRequest = {callId, fingerprint: this.#fingerprint()};
     // Only a request that may have killed the upstream must not be repeated.
-    void crashes.onLost(this.#lostRequest(), this.#upstream).then(died => {
+    void crashes.onLost(lostRequest, this.#upstream).then(died => {
       if (!this.#over) this.#reset(lost, died);
     });
   }
@@ -172,23 +187,15 @@
       this.#refuse(blocked.code);
       return;
     }
-    const {routeName, priority, targetMs, callerClass} = this.#head;
-    const decision = admission.enter({
-      callId,
-      deadlineAt: this.#times.deadlineAt,
-      route: routeName,
-      priority,
-      targetAt: this.#times.startAt + targetMs,
-      callerClass,
-    });
+    const decision = admission.enter(this.#asked);
     if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
-    else if (decision.kind === 'refused') this.#refuseWith(decision.err);
+    else if (decision.kind === 'refused') this.#reset(decision.err, false);
     else {
       this.#cancelQueue = decision.cancel;
       void decision.decided.then(result => {
         this.#cancelQueue = null;
         if (result.isOk) this.#dispatchQueued(result.value);
-        else if (!this.#over) this.#refuseWith(result.error);
+        else if (!this.#over) this.#reset(result.error, false);
       });
     }
   }
@@ -256,7 +263,8 @@
       pool.resets,
     );
     const upstreamPool = pool.get(upstream.address);
-    const {content} = this.#body;
+    const {content, isCollected, aheadBytes} = this.#body;
+    if (!isCollected) this.#stream.allow(aheadBytes);
     this.#request.dispatch(upstreamPool, upstream, content, remainingMs);
   }
 
@@ -271,11 +279,6 @@
     this.#reset(new MeshError(code, code.text), false);
   }
 
-  /** Refuses a call that admission turned away. */
-  #refuseWith(err: MeshError): void {
-    this.#reset(err, false);
-  }
-
   /** Reports a failure with the load and the retries that are left. */
   #reset(err: MeshError, suspect: boolean): void {
     const {code, message} = err;
@@ -299,13 +302,8 @@
     this.#context.ports.waits?.note(place, this.#head.callId, waitedMs);
   }
 
-  #lostRequest(): LostRequest {
-    return {callId: this.#head.callId, fingerprint: this.#fingerprint()};
-  }
-
   #fingerprint(): string {
-    const {service, method, path} = this.#head;
-    return fingerprintOf({service, method, path, body: this.#body.known});
+    return fingerprintOfCall(this.#head, this.#body);
   }
 
   /** Frees the slot; for an answer with the time until its head. */
--- /dev/null
+++ b/packages/node/src/calls/serving-head.ts
@@ -0,0 +1,28 @@
+import {fingerprintOf} from '@verbenabeam/routing';
+import type {CallHead} from './call-head.js';
+import type {ServingBody} from './serving-body.js';
+import type {ServingTimes} from './serving-log.js';
+import type {AdmissionRequest} from './serving-ports.js';
+
+/** What a call asks admission for. @internal */
+export function slotRequest(
+  {callId, routeName, priority, targetMs, callerClass}: CallHead,
+  {startAt, deadlineAt}: ServingTimes,
+): AdmissionRequest {
+  return {
+    callId,
+    deadlineAt,
+    route: routeName,
+    priority,
+    targetAt: startAt + targetMs,
+    callerClass,
+  };
+}
+
+/** Fingerprint of a call, by what is known of its body. @internal */
+export function fingerprintOfCall(
+  {service, method, path}: CallHead,
+  body: ServingBody,
+): string {
+  return fingerprintOf({service, method, path, body: body.known});
+}
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -70,6 +70,8 @@
 /** Slots and queue of the own upstream. @public */
 export interface AdmissionPort {
   enter(call: AdmissionRequest): AdmissionDecision;
+  /** The refusal that the call would get now; null if it would enter. */
+  refusalOf(call: AdmissionRequest): MeshError | null;
   load(): LoadReport;
 }
 
--- a/packages/node/src/calls/test/test-ports.ts
+++ b/packages/node/src/calls/test/test-ports.ts
@@ -100,10 +100,8 @@
     if (this.#used < this.slots) {
       return {kind: 'admitted', ticket: this.#ticket()};
     }
-    if (this.#queue.length >= this.queueLimit) {
-      const {queueFull} = CALL_CODES;
-      return {kind: 'refused', err: new MeshError(queueFull, 'full')};
-    }
+    const err = this.refusalOf();
+    if (err) return {kind: 'refused', err};
     let granted: (ticket: Ticket) => void = () => undefined;
     const decided = new Promise<Result<Ticket, MeshError>>(resolve => {
       granted = ticket => {
@@ -118,6 +116,12 @@
     return {kind: 'queued', decided, cancel};
   }
 
+  refusalOf(): MeshError | null {
+    if (this.#used < this.slots) return null;
+    if (this.#queue.length < this.queueLimit) return null;
+    return new MeshError(CALL_CODES.queueFull, 'full');
+  }
+
   load(): LoadReport {
     const queued = this.#queue.length;
     return {inFlight: this.#used, queued, slots: this.slots, serviceMs: 1};
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@verbenabeam/core';
 import {Deadline, SubCallRoutes} from '@verbenabeam/routing';
 import type {
+  AdmissionCall,
   AdmissionDecision as Decision,
   AdmissionPolicy,
   LoadReport,
@@ -62,11 +63,9 @@
   }
 
   enter(req: AdmissionRequest): AdmissionDecision {
-    const {callId, deadlineAt, callerClass, ...rest} = req;
+    const {callId, callerClass} = req;
     this.#subCalls.record(req.route, callerClass);
-    const isSubCall = this.#subCalls.isSubCall(req.route);
-    const deadline = new Deadline(deadlineAt);
-    const call = {id: callId, deadline, isSubCall, ...rest};
+    const call = this.#callOf(req);
     const decision = this.#admission.tryEnter(call, this.#clock.now());
     if (decision.kind === 'admitted') {
       return {kind: 'admitted', ticket: this.#ticket(callId, req.route)};
@@ -86,6 +85,17 @@
     };
   }
 
+  refusalOf(req: AdmissionRequest): MeshError | null {
+    const call = this.#callOf(req);
+    const decision = this.#admission.refusalOf(call, this.#clock.now());
+    return decision?.kind === 'refused' ? refusal(decision) : null;
+  }
+
+  #callOf({callId, deadlineAt, ...rest}: AdmissionRequest): AdmissionCall {
+    const isSubCall = this.#subCalls.isSubCall(rest.route);
+    return {id: callId, deadline: new Deadline(deadlineAt), isSubCall, ...rest};
+  }
+
   #ticket(callId: string, route: string): Ticket {
     const since = this.#clock.now();
     return {
--- a/packages/routing/src/admission-types.ts
+++ b/packages/routing/src/admission-types.ts
@@ -42,6 +42,8 @@
   /** Time at which `expire` is due; null with no queue. */
   readonly nextExpiry: number | null;
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision;
+  /** The refusal that the call would get now; null if it would enter. */
+  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null;
   finish(
     callId: string,
     now: number,
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -71,16 +71,22 @@
    * the expected wait exceeds the limit.
    */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
+    const refusal = this.refusalOf(call, now);
+    if (refusal) return refusal;
+    if (this.#isIdle) return this.#admit(call, now);
+    this.#queue.push({...call, since: now});
+    return {kind: 'queued', callId: call.id};
+  }
+
+  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null {
     if (this.#draining) return refused(call, CALL_CODES.draining);
-    const free = this.#hasRoom();
-    const waitMs = free && this.#queue.length === 0 ? 0 : this.#expectedWait();
+    const isIdle = this.#isIdle;
+    const waitMs = isIdle ? 0 : this.#expectedWait();
     if (!call.deadline.allows(now, waitMs + this.#limit.floorMs)) {
       return refused(call, CALL_CODES.deadlineTooClose);
     }
-    if (free && this.#queue.length === 0) return this.#admit(call, now);
-    if (waitMs > this.#maxWaitMs) return refused(call, CALL_CODES.queueFull);
-    this.#queue.push({...call, since: now});
-    return {kind: 'queued', callId: call.id};
+    if (isIdle || waitMs <= this.#maxWaitMs) return null;
+    return refused(call, CALL_CODES.queueFull);
   }
 
   /**
@@ -192,6 +198,11 @@
     return {kind: 'admitted', callId: call.id};
   }
 
+  /** Whether a call gets a slot at once. */
+  get #isIdle(): boolean {
+    return this.#hasRoom() && this.#queue.length === 0;
+  }
+
   #hasRoom(): boolean {
     const {slots, limit} = this.#limit;
     return this.#running.size < slots && this.#unanswered < limit;
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -93,17 +93,21 @@
 
   /** Refusals: 1605 while draining, 1604 if the wait would be of no use. */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
-    if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
-    const isFree = this.#running.size < this.#slots;
-    if (isFree && this.#queue.length === 0) return this.#admit(call, now);
-    const waitMs = this.#expectedWait(call, now);
-    if (now + waitMs > this.#lastUsefulStart(call, now)) {
-      return this.#refused(call, CALL_CODES.queueFull, waitMs);
-    }
+    const refusal = this.refusalOf(call, now);
+    if (refusal) return refusal;
+    if (this.#isIdle) return this.#admit(call, now);
     this.#queue.push(call);
     return {kind: 'queued', callId: call.id};
   }
 
+  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null {
+    if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
+    if (this.#isIdle) return null;
+    const waitMs = this.#expectedWait(call, now);
+    if (now + waitMs <= this.#lastUsefulStart(call, now)) return null;
+    return this.#refused(call, CALL_CODES.queueFull, waitMs);
+  }
+
   /**
    * Ends a running call and fills the free slots. An unknown id is ignored.
    *
@@ -168,6 +172,11 @@
     };
   }
 
+  /** Whether a call gets a slot at once. */
+  get #isIdle(): boolean {
+    return this.#running.size < this.#slots && this.#queue.length === 0;
+  }
+
   #fill(now: number): AdmissionDecision[] {
     const decisions = this.expire(now);
     while (this.#queue.length > 0 && this.#running.size < this.#slots) {
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -13,6 +13,13 @@
 
 type StreamEvent = (listener: StreamListener) => void;
 
+/**
+ * Bytes that the side which opens a stream may send before the other side allows
+ * more: a stream that is refused by its first frame costs no more than these.
+ *
+ * @public
+ */
+export const FIRST_STREAM_BYTES = 65_536;
 /** Larger writes are split, so that other streams get their turn. */
 const maxChunkBytes = 65_536;
 /** Credit is returned in steps of this share of the window. */
@@ -45,18 +52,23 @@
   #gotEnd = false;
   #closed = false;
 
+  /**
+   * @param windowBytes - Bytes that the other side may send.
+   * @param creditBytes - Bytes that this side may send.
+   */
   constructor(
     id: number,
     link: StreamLink,
+    windowBytes: number,
     creditBytes: number,
     ageMs: number,
   ) {
     this.id = id;
     this.ageMs = ageMs;
     this.#link = link;
-    this.#window = creditBytes;
+    this.#window = windowBytes;
     this.#credit = creditBytes;
-    this.#creditStep = creditBytes * creditStepShare;
+    this.#creditStep = windowBytes * creditStepShare;
   }
 
   sendHead(head: unknown): void {
@@ -78,6 +90,12 @@
     this.#pump();
   }
 
+  allow(bytes: number): void {
+    if (this.#closed || this.#gotEnd || bytes <= 0) return;
+    this.#window += bytes;
+    this.#link.send([FRAME_TYPES.credit, this.id, bytes]);
+  }
+
   reset(err: MeshError): void {
     if (this.#closed) return;
     const {code, message, details} = err;
--- a/packages/wire/src/peer-bus.ts
+++ b/packages/wire/src/peer-bus.ts
@@ -63,6 +63,11 @@
   sendHead(head: unknown): void;
   /** Sends bytes. False means: wait for `onDrain` before more. */
   write(chunk: Uint8Array): boolean;
+  /**
+   * Lets the other side send this many bytes more than its credit. The side that
+   * opened the stream begins with 64 KB, the other one with the whole credit.
+   */
+  allow(bytes: number): void;
   /** Ends this side, with an optional trailer. */
   end(trailer?: unknown): void;
   /** Ends both sides at once; the other side gets `onReset`. */
--- a/packages/wire/src/stream-table.ts
+++ b/packages/wire/src/stream-table.ts
@@ -1,5 +1,5 @@
 import type {MeshError} from '@verbenabeam/core';
-import {MuxStream} from './mux-stream.js';
+import {FIRST_STREAM_BYTES, MuxStream} from './mux-stream.js';
 import type {StreamLink} from './mux-stream.js';
 import {cancelled, notSent} from './wire-errors.js';
 
@@ -37,9 +37,7 @@
 
   /** Adds a stream that the peer opened and that was `ageMs` on its way. */
   accept(id: number, ageMs = 0): MuxStream {
-    const stream = new MuxStream(id, this.#link, this.#creditBytes, ageMs);
-    this.#streams.set(id, stream);
-    return stream;
+    return this.#add(id, this.#creditBytes, ageMs);
   }
 
   /**
@@ -52,7 +50,8 @@
     frameNumber: number,
     signal: AbortSignal | undefined,
   ): MuxStream {
-    const stream = this.accept(id);
+    const firstBytes = Math.min(FIRST_STREAM_BYTES, this.#creditBytes);
+    const stream = this.#add(id, firstBytes, 0);
     const abort = () => {
       stream.reset(cancelled());
     };
@@ -82,4 +81,12 @@
       stream.takeReset(sent ? lost : notSent(cause));
     }
   }
+
+  #add(id: number, firstBytes: number, ageMs: number): MuxStream {
+    const link = this.#link;
+    const window = this.#creditBytes;
+    const stream = new MuxStream(id, link, window, firstBytes, ageMs);
+    this.#streams.set(id, stream);
+    return stream;
+  }
 }
