Calls from other nodes do not wait behind connections and calls of own callers

Calls that upstreams make for running calls waited at the nodes beside the upstreams of uploads, whose gate held 16 to 23 calls (log, 20 to 28 s), and timed out after 160 ms; the runs that had made them ended with status 500 after 260 to 320 ms in a slot.

Cause: one queue of starts for both sides of a node. While each turn accepts a connection nothing is started for up to 25 ms, then for 10 ms. An entry node beside a scarce upstream has connections to accept in nearly every turn. Class of fault: work that only this node can do waits behind work that any node can do.

Now calls from other nodes have a queue of their own that goes first and does not wait for connections; they still wait for one poll at a busy node, which reads their ends. Callers' calls get one start a turn at least, so that they do not starve.

Test: 100 calls of other nodes among a connection and a call in each turn, in simulated time; none may wait longer than 20 ms.

--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -161,6 +161,7 @@
     this.#enterAt = performance.now();
     setImmediate(() => {
       this.#context.gate.run({
+        fromNode: true,
         isOver: () => this.#over,
         start: () => {
           const waitedMs = performance.now() - this.#enterAt;
--- a/packages/node/src/calls/start-gate.feature
+++ b/packages/node/src/calls/start-gate.feature
@@ -27,3 +27,11 @@
     When the start gate reads 200 calls in one poll that do not end
     Then all start gate calls were started in their order
     And no turn spent more than 12 ms with start gate calls
+
+  Scenario: Calls from other nodes do not wait behind connections of callers
+    Guards against a node beside a scarce upstream that reads calls for it in time
+    and starts them after the connections and calls of its own callers.
+    Given a start gate whose turns all accept a connection and read its call
+    When 100 calls from other nodes are read there among them
+    Then the start gate kept none of these for more than 20 ms
+    And it started calls of its own callers meanwhile
--- a/packages/node/src/calls/start-gate.test.ts
+++ b/packages/node/src/calls/start-gate.test.ts
@@ -225,3 +225,68 @@
     assert.ok(model.longestTurnMs <= boundMs, `${model.longestTurnMs} ms`);
   },
 );
+
+const busyTurnMs = 3;
+const callerStartMs = 2;
+const peerStartMs = 1;
+/** A call from another node is read once in so many turns. */
+const peerEveryTurns = 4;
+let peerWaitsMs: number[] = [];
+let callersStarted = 0;
+
+Given(
+  'a start gate whose turns all accept a connection and read its call',
+  () => {
+    peerWaitsMs = [];
+    callersStarted = 0;
+  },
+);
+
+When(
+  '{int} calls from other nodes are read there among them',
+  (count: number) => {
+    let now = 0;
+    let steps: (() => void)[] = [];
+    const gate = new StartGate({
+      now: () => now,
+      afterPoll: step => steps.push(step),
+    });
+    const read = (startMs: number, fromNode: boolean, onStart: () => void) =>
+      gate.run({
+        mayBeOld: !fromNode,
+        fromNode,
+        isOver: () => false,
+        start: () => {
+          onStart();
+          now += startMs;
+        },
+        drop: () => undefined,
+      });
+    for (let turn = 0; turn < count * peerEveryTurns; turn++) {
+      now += busyTurnMs;
+      gate.onConnection();
+      read(callerStartMs, false, () => callersStarted++);
+      if (turn % peerEveryTurns === 0) {
+        const readAt = now;
+        read(peerStartMs, true, () => peerWaitsMs.push(now - readAt));
+      }
+      const due = steps;
+      steps = [];
+      for (const step of due) step();
+    }
+    const unstarted = count - peerWaitsMs.length;
+    for (let i = 0; i < unstarted; i++) peerWaitsMs.push(Infinity);
+  },
+);
+
+Then(
+  'the start gate kept none of these for more than {int} ms',
+  (boundMs: number) => {
+    const longest = Math.max(...peerWaitsMs);
+    assert.ok(longest <= boundMs, `${longest} ms`);
+  },
+);
+
+Then('it started calls of its own callers meanwhile', () => {
+  assert.ok(callersStarted > 0);
+});
--- a/packages/node/src/calls/start-gate.ts
+++ b/packages/node/src/calls/start-gate.ts
@@ -30,6 +30,11 @@
    * until the connection is accepted. It starts after one more poll.
    */
   readonly mayBeOld?: boolean;
+  /**
+   * Whether it comes from another node. Such calls go first and do not wait for
+   * connections: work has been done for them, and only this node can take them.
+   */
+  readonly fromNode?: boolean;
   /** Whether its end has been read. */
   isOver(): boolean;
   start(): void;
@@ -37,6 +42,13 @@
   drop(): void;
 }
 
+/** Calls that wait to be started, in their order. */
+interface Lane {
+  readonly queue: GateCall[];
+  /** Calls at the head of the queue that were read before the last poll. */
+  polled: number;
+}
+
 /**
  * Starts the calls that were read. Load pattern: a node behind its callers, after
  * a restart or a stall, reads calls whose callers have left. To start one costs
@@ -47,7 +59,7 @@
  *
  * Node.js accepts one connection in each turn. While every turn accepts one, more
  * are waiting, and turns that start calls would accept them later than they come:
- * starts wait until they have been accepted.
+ * starts of callers' calls wait until they have been accepted.
  *
  * @public
  */
@@ -56,9 +68,8 @@
   readonly #budgetMs: number;
   readonly #now: () => number;
   readonly #afterPoll: (step: () => void) => void;
-  readonly #queue: GateCall[] = [];
-  /** Calls at the head of the queue that were read before the last poll. */
-  #polled = 0;
+  readonly #fromNodes: Lane = {queue: [], polled: 0};
+  readonly #fromCallers: Lane = {queue: [], polled: 0};
   #spentMs = 0;
   #busyUntil = -Infinity;
   #accepted = false;
@@ -80,7 +91,7 @@
 
   /** Calls that wait to be started. */
   get waiting(): number {
-    return this.#queue.length;
+    return this.#fromNodes.queue.length + this.#fromCallers.queue.length;
   }
 
   /** Starts a call, now or later, unless it is over by then. */
@@ -99,13 +110,15 @@
   }
 
   #take(call: GateCall): void {
+    const isFromNode = call.fromNode === true;
+    const {queue} = isFromNode ? this.#fromNodes : this.#fromCallers;
     const waits =
       call.mayBeOld === true ||
-      this.#accepting.turns >= backlogPolls ||
-      this.#queue.length > 0 ||
+      (!isFromNode && this.#accepting.turns >= backlogPolls) ||
+      queue.length > 0 ||
       this.#spentMs >= this.#budgetMs ||
       this.#now() < this.#busyUntil;
-    if (waits) this.#queue.push(call);
+    if (waits) queue.push(call);
     else this.#start(call);
     this.#arm();
   }
@@ -132,9 +145,13 @@
       this.#busyUntil = this.#now() + busyMs;
     }
     this.#spentMs = 0;
-    if (!this.#isAccepting()) this.#startPolled();
-    this.#polled = this.#queue.length;
-    if (this.#polled > 0 || this.#spentMs > 0) this.#arm();
+    const isAccepting = this.#isAccepting();
+    this.#startPolled(this.#fromNodes, 0);
+    if (!isAccepting) this.#startPolled(this.#fromCallers, 1);
+    for (const lane of [this.#fromNodes, this.#fromCallers]) {
+      lane.polled = lane.queue.length;
+    }
+    if (this.waiting > 0 || this.#spentMs > 0) this.#arm();
   }
 
   /** Whether connections wait to be accepted, and starts wait for them. */
@@ -151,12 +168,15 @@
     return this.#accepting.turns >= backlogPolls && !isLong;
   }
 
-  #startPolled(): void {
+  /** @param least - Starts beyond the budget, so that no lane starves. */
+  #startPolled(lane: Lane, least: number): void {
+    const {queue, polled} = lane;
     let started = 0;
-    while (started < this.#polled && this.#spentMs < this.#budgetMs) {
-      const call = this.#queue[started++];
+    while (started < polled) {
+      if (started >= least && this.#spentMs >= this.#budgetMs) break;
+      const call = queue[started++];
       if (call) this.#start(call);
     }
-    this.#queue.splice(0, started);
+    queue.splice(0, started);
   }
 }
