A restarted hosted node loads the code that its build compiled

Cause: a cold process compiles each function at its first call, in the seconds in which all callers come at once. Class of fault: work of the start that is left to the first calls.

Tests: the deployed command finds its code cache used (there was none before), and starts without one that is cut short.

--- a/apps/hosted-node/src/hosted-process.feature
+++ b/apps/hosted-node/src/hosted-process.feature
@@ -23,3 +23,16 @@
     Then its log says "Settings file refused." and "Settings were read again."
     And it still answers that it is not ready
     And the hosted node process ends by itself after SIGTERM
+
+  Scenario: A restarted hosted node finds its code compiled
+    Guards against the first seconds after a restart, in which a node compiles its
+    code one function after the other while callers wait.
+    Given the bundle of the hosted node
+    When the bundle starts as it is deployed
+    Then it says that its code cache is "used"
+
+  Scenario: A hosted node starts without the code that its build compiled
+    Given the bundle of the hosted node
+    And its code cache is cut short
+    When the bundle starts as it is deployed
+    Then it says that its code cache is "not used"
--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import {setLogSink} from '@verbenabeam/core';
+import {logger, setLogSink} from '@verbenabeam/core';
 import {HostedNode, reportFailure} from '@verbenabeam/node';
 import {
   KvStore,
@@ -19,6 +19,10 @@
 /** Nodes that share the rate at least, while a node knows few of them. */
 const leastNodes = 12;
 
+/** Set where the program runs as a bundle. */
+declare const codeCache: string | undefined;
+const log = logger('program');
+
 const cli = cac('verbenabeam-hosted-node');
 cli.option('--config <file>', `Settings file; default $${SETTINGS_VARIABLE}`);
 cli.option('--metrics-port <port>', 'Port for metrics; default none');
@@ -53,6 +57,9 @@
   const settings = file.current;
   const sink = createLogSink(settings.nodeId);
   setLogSink(sink.write);
+  log('Program starts.', {
+    codeCache: typeof codeCache === 'undefined' ? 'none' : codeCache,
+  });
   const stopped = new Promise<void>(resolve => {
     process.once('SIGTERM', () => resolve());
     process.once('SIGINT', () => resolve());
