--- a/packages/node/src/calls/accept-watch.ts
+++ b/packages/node/src/calls/accept-watch.ts
@@ -2,7 +2,7 @@
 import {logger} from '@verbenabeam/core';
 import {every} from '../every.js';
 
-const defaultEveryMs = 250;
+const defaultEveryMs = 1_000;
 /** Longer waits are logged, in ms. */
 const longMs = 100;
 const log = logger('accept');
@@ -11,7 +11,7 @@
 export interface AcceptWatchOptions {
   /** Clock in ms; default `performance.now`. */
   readonly now?: () => number;
-  /** Time between two measurements, in ms; default 250. */
+  /** Time between two measurements, in ms; default 1,000. */
   readonly everyMs?: number;
 }
 
