Bodies that arrive count as calls that wait for a slot

At 24 s one node is left beside an upstream of uploads; it takes 21.5 MB/s while 23 uploads/s run (6.4 MB/s) and is busy for 98%.

Cause: at their heads uploads found a short queue, since those whose bodies were on their way were not counted; when the bodies were whole, after more than 100 ms on a busy loop, no slot was free in time.

Now an announced call counts as waiting until it enters, is refused or is cancelled, but only against other announced calls: calls without a body do not wait for it.

Test: of 50 calls that announce bodies to 11 slots in use, at most 12 may send them (80 ms to wait at 11 slots of 80 ms); without the count all 50 may.

--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -7,7 +7,7 @@
 import {WAIT_PLACES} from './call-waits.js';
 import type {WaitPlace} from './call-waits.js';
 import {ServingBody} from './serving-body.js';
-import {fingerprintOfCall, slotRequest} from './serving-head.js';
+import {errorOf, fingerprintOfCall, slotRequest} from './serving-head.js';
 import {logCancelled, logFailed} from './serving-log.js';
 import type {ServingTimes} from './serving-log.js';
 import type {ServingContext} from './serving-context.js';
@@ -57,10 +57,10 @@
       this.#enterSoon();
       return;
     }
+    const {admission} = this.#context.ports;
     const code = this.#refusalNow();
-    const refusal = this.#context.ports.admission.refusalOf(this.#asked);
-    if (code) this.#refuse(code);
-    else if (refusal) this.#reset(refusal, false);
+    const refusal = code ? errorOf(code) : admission.announce(this.#asked);
+    if (refusal) this.#reset(refusal, false);
     else this.#stream.allow(this.#body.aheadBytes);
   }
 
@@ -146,7 +146,10 @@
       return;
     }
     const {callId} = this.#head;
-    const lostRequest = {callId, fingerprint: this.#fingerprint()};
+    const lostRequest = {
+      callId,
+      fingerprint: fingerprintOfCall(this.#head, this.#body),
+    };
     // Only a request that may have killed the upstream must not be repeated.
     void crashes.onLost(lostRequest, this.#upstream).then(died => {
       if (!this.#over) this.#reset(lost, died);
@@ -182,7 +185,7 @@
     const {callId} = this.#head;
     const {quarantine, admission} = this.#context.ports;
     const blocked = quarantine.active
-      ? quarantine.admit(callId, this.#fingerprint())
+      ? quarantine.admit(callId, fingerprintOfCall(this.#head, this.#body))
       : null;
     if (blocked) {
       this.#refuse(blocked.code);
@@ -277,7 +280,7 @@
       !code.notRun || !sent || saidByUpstream,
       {callId: this.#head.callId, code: code.code},
     );
-    this.#reset(new MeshError(code, code.text), false);
+    this.#reset(errorOf(code), false);
   }
 
   /** Reports a failure with the load and the retries that are left. */
@@ -303,15 +306,12 @@
     this.#context.ports.waits?.note(place, this.#head.callId, waitedMs);
   }
 
-  #fingerprint(): string {
-    return fingerprintOfCall(this.#head, this.#body);
-  }
-
   /** Frees the slot; for an answer with the time until its head. */
   #end(serviceMs: number | null): void {
     if (this.#over) return;
     this.#over = true;
     this.#ticket?.leave(serviceMs === null ? null : this.#headMs);
+    this.#context.ports.admission.withdraw(this.#head.callId);
     this.#body.destroy();
     const {running, ports} = this.#context;
     const {quarantine, ledger} = ports;
--- a/packages/node/src/calls/serving-head.ts
+++ b/packages/node/src/calls/serving-head.ts
@@ -1,3 +1,5 @@
+import {MeshError} from '@verbenabeam/core';
+import type {ResultCode} from '@verbenabeam/core';
 import {fingerprintOf} from '@verbenabeam/routing';
 import type {CallHead} from './call-head.js';
 import type {ServingBody} from './serving-body.js';
@@ -26,3 +28,8 @@
 ): string {
   return fingerprintOf({service, method, path, body: body.known});
 }
+
+/** The refusal that a code stands for. @internal */
+export function errorOf(code: ResultCode): MeshError {
+  return new MeshError(code, code.text);
+}
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -70,8 +70,12 @@
 /** Slots and queue of the own upstream. @public */
 export interface AdmissionPort {
   enter(call: AdmissionRequest): AdmissionDecision;
-  /** The refusal that the call would get now; null if it would enter. */
-  refusalOf(call: AdmissionRequest): MeshError | null;
+  /**
+   * Tells of a call that enters once its body has arrived. Returns the refusal
+   * that it would get by now, or null; then `enter` or `withdraw` must follow.
+   */
+  announce(call: AdmissionRequest): MeshError | null;
+  withdraw(callId: string): void;
   load(): LoadReport;
 }
 
--- a/packages/node/src/calls/test/test-ports.ts
+++ b/packages/node/src/calls/test/test-ports.ts
@@ -100,7 +100,7 @@
     if (this.#used < this.slots) {
       return {kind: 'admitted', ticket: this.#ticket()};
     }
-    const err = this.refusalOf();
+    const err = this.announce();
     if (err) return {kind: 'refused', err};
     let granted: (ticket: Ticket) => void = () => undefined;
     const decided = new Promise<Result<Ticket, MeshError>>(resolve => {
@@ -116,7 +116,11 @@
     return {kind: 'queued', decided, cancel};
   }
 
-  refusalOf(): MeshError | null {
+  withdraw(): void {
+    // Announced calls are not counted.
+  }
+
+  announce(): MeshError | null {
     if (this.#used < this.slots) return null;
     if (this.#queue.length < this.queueLimit) return null;
     return new MeshError(CALL_CODES.queueFull, 'full');
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -85,9 +85,13 @@
     };
   }
 
-  refusalOf(req: AdmissionRequest): MeshError | null {
+  withdraw(callId: string): void {
+    this.#admission.withdraw(callId);
+  }
+
+  announce(req: AdmissionRequest): MeshError | null {
     const call = this.#callOf(req);
-    const decision = this.#admission.refusalOf(call, this.#clock.now());
+    const decision = this.#admission.announce(call, this.#clock.now());
     return decision?.kind === 'refused' ? refusal(decision) : null;
   }
 
--- a/packages/routing/src/admission-types.ts
+++ b/packages/routing/src/admission-types.ts
@@ -42,8 +42,13 @@
   /** Time at which `expire` is due; null with no queue. */
   readonly nextExpiry: number | null;
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision;
-  /** The refusal that the call would get now; null if it would enter. */
-  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null;
+  /**
+   * Tells of a call that enters once its body has arrived. Returns the refusal
+   * that it would get by now, or null; then `tryEnter` or `withdraw` must follow.
+   */
+  announce(call: AdmissionCall, now: number): AdmissionDecision | null;
+  /** Forgets an announced call that will not enter. */
+  withdraw(callId: string): void;
   finish(
     callId: string,
     now: number,
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -71,14 +71,15 @@
    * the expected wait exceeds the limit.
    */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
-    const refusal = this.refusalOf(call, now);
+    const refusal = this.announce(call, now);
     if (refusal) return refusal;
     if (this.#isIdle) return this.#admit(call, now);
     this.#queue.push({...call, since: now});
     return {kind: 'queued', callId: call.id};
   }
 
-  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null {
+  /** Calls whose bodies arrive are not counted here. */
+  announce(call: AdmissionCall, now: number): AdmissionDecision | null {
     if (this.#draining) return refused(call, CALL_CODES.draining);
     const isIdle = this.#isIdle;
     const waitMs = isIdle ? 0 : this.#expectedWait();
@@ -198,6 +199,10 @@
     return {kind: 'admitted', callId: call.id};
   }
 
+  withdraw(): void {
+    // Nothing is kept of an announced call.
+  }
+
   /** Whether a call gets a slot at once. */
   get #isIdle(): boolean {
     return this.#hasRoom() && this.#queue.length === 0;
--- a/packages/routing/src/slot-queue.feature
+++ b/packages/routing/src/slot-queue.feature
@@ -45,3 +45,11 @@
     Given a slot queue with 1 slot whose calls take 100 ms and 3 calls in it
     When a call with 150 ms left enters the slot queue
     Then the slot queue refuses it and names a time to return
+
+  Scenario: Bodies that arrive count as calls that wait
+    Guards against more bodies on their way to a node than its upstream can serve
+    in time: they fill the link and the event loop for nothing.
+    Given a slot queue with 11 slots whose calls take 80 ms and all run
+    When 50 calls with a target of 200 ms announce their bodies to it
+    Then at most 12 of the announced calls may send their bodies
+    And once these are withdrawn as many others may
--- a/packages/routing/src/slot-queue.test.ts
+++ b/packages/routing/src/slot-queue.test.ts
@@ -172,3 +172,48 @@
   assert.equal(last.kind, 'refused');
   assert.ok(last.kind === 'refused' && (last.retryAfterMs ?? 0) >= 100);
 });
+
+let announcing = {targetMs: 0, allowed: [] as string[]};
+
+/** Ids of the calls that may send their bodies. */
+function announceCalls(count: number, prefix: string): string[] {
+  const ids = Array.from({length: count}, (_, i) => `${prefix}-${i}`);
+  const targetAt = announcing.targetMs;
+  const deadline = new Deadline(2 * targetAt);
+  return ids.filter(
+    id => !queue.announce({id, deadline, targetAt, route: 'upload'}, 0),
+  );
+}
+
+Given(
+  'a slot queue with {int} slots whose calls take {int} ms and all run',
+  (slots: number, ms: number) => {
+    queue = new SlotQueue({slots, initialServiceMs: ms});
+    const deadline = new Deadline(Infinity);
+    for (let i = 0; i < slots; i++) {
+      queue.tryEnter({id: `running-${i}`, deadline}, 0);
+    }
+  },
+);
+
+When(
+  '{int} calls with a target of {int} ms announce their bodies to it',
+  (count: number, targetMs: number) => {
+    announcing = {targetMs, allowed: []};
+    announcing.allowed = announceCalls(count, 'first');
+  },
+);
+
+Then(
+  'at most {int} of the announced calls may send their bodies',
+  (most: number) => {
+    const {length} = announcing.allowed;
+    assert.ok(length > 0 && length <= most, `${length}`);
+  },
+);
+
+Then('once these are withdrawn as many others may', () => {
+  const {allowed} = announcing;
+  for (const id of allowed) queue.withdraw(id);
+  assert.equal(announceCalls(allowed.length, 'next').length, allowed.length);
+});
--- a/packages/routing/src/slot-queue.ts
+++ b/packages/routing/src/slot-queue.ts
@@ -64,6 +64,8 @@
   readonly #initialMs: number;
   readonly #running = new Map<string, Running>();
   readonly #queue: AdmissionCall[] = [];
+  /** Ids of the calls whose bodies arrive. */
+  readonly #announced = new Set<string>();
   readonly #serviceMs = new Map<string, Smoothed>();
   readonly #meanMs: Smoothed;
   #draining = false;
@@ -93,19 +95,37 @@
 
   /** Refusals: 1605 while draining, 1604 if the wait would be of no use. */
   tryEnter(call: AdmissionCall, now: number): AdmissionDecision {
-    const refusal = this.refusalOf(call, now);
+    this.#announced.delete(call.id);
+    if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
+    const isFree = this.#running.size < this.#slots;
+    if (isFree && this.#queue.length === 0) return this.#admit(call, now);
+    const refusal = this.#refusalFor(call, this.#expectedWait(call, now), now);
     if (refusal) return refusal;
-    if (this.#isIdle) return this.#admit(call, now);
     this.#queue.push(call);
     return {kind: 'queued', callId: call.id};
   }
 
-  refusalOf(call: AdmissionCall, now: number): AdmissionDecision | null {
+  /**
+   * Calls whose bodies arrive count as waiting here, since each of them will want
+   * a slot: more bodies than can be served would only fill the link.
+   */
+  announce(call: AdmissionCall, now: number): AdmissionDecision | null {
     if (this.#draining) return this.#refused(call, CALL_CODES.draining, 0);
-    if (this.#isIdle) return null;
-    const waitMs = this.#expectedWait(call, now);
-    if (now + waitMs <= this.#lastUsefulStart(call, now)) return null;
-    return this.#refused(call, CALL_CODES.queueFull, waitMs);
+    const free = Math.max(0, this.#slots - this.#running.size);
+    const ahead = this.#announced.size;
+    if (this.#queue.length > 0 || ahead >= free) {
+      const aheadMs = Math.max(0, ahead - free) * this.#estimate(call);
+      const waitMs =
+        this.#expectedWait(call, now) + aheadMs / Math.max(1, this.#slots);
+      const refusal = this.#refusalFor(call, waitMs, now);
+      if (refusal) return refusal;
+    }
+    this.#announced.add(call.id);
+    return null;
+  }
+
+  withdraw(callId: string): void {
+    this.#announced.delete(callId);
   }
 
   /**
@@ -172,9 +192,13 @@
     };
   }
 
-  /** Whether a call gets a slot at once. */
-  get #isIdle(): boolean {
-    return this.#running.size < this.#slots && this.#queue.length === 0;
+  #refusalFor(
+    call: AdmissionCall,
+    waitMs: number,
+    now: number,
+  ): AdmissionDecision | null {
+    if (now + waitMs <= this.#lastUsefulStart(call, now)) return null;
+    return this.#refused(call, CALL_CODES.queueFull, waitMs);
   }
 
   #fill(now: number): AdmissionDecision[] {
