--- a/packages/node/src/calls/serving-body.ts
+++ b/packages/node/src/calls/serving-body.ts
@@ -3,8 +3,6 @@
 import {UpstreamBody} from './upstream-body.js';
 
 const noBody = Buffer.alloc(0);
-/** What may wait here while the upstream reads a body that is passed on. */
-const passedAheadBytes = 196_608;
 
 /**
  * Request body on the serving side. A small one is collected before the call
@@ -16,7 +14,7 @@
 export class ServingBody {
   readonly #passed: UpstreamBody | null;
   readonly #isEmpty: boolean;
-  /** Bytes that the entry side may send once the call is not refused. */
+  /** Bytes of a collected body that the entry side may send once allowed. */
   readonly aheadBytes: number;
   #pieces: Uint8Array[] = [];
   #whole: Buffer | null = null;
@@ -33,10 +31,7 @@
     const isLarge = bodyBytes === null || bodyBytes > collectBytes;
     this.#passed = isLarge ? new UpstreamBody(stream) : null;
     this.#isEmpty = bodyBytes === 0;
-    const restBytes = Math.max(0, (bodyBytes ?? Infinity) - FIRST_STREAM_BYTES);
-    this.aheadBytes = isLarge
-      ? Math.min(restBytes, passedAheadBytes)
-      : restBytes;
+    this.aheadBytes = Math.max(0, (bodyBytes ?? 0) - FIRST_STREAM_BYTES);
   }
 
   /** Whether the call enters only at the end of the body. */
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -267,8 +267,7 @@
       pool.resets,
     );
     const upstreamPool = pool.get(upstream.address);
-    const {content, isCollected, aheadBytes} = this.#body;
-    if (!isCollected) this.#stream.allow(aheadBytes);
+    const {content} = this.#body;
     this.#request.dispatch(upstreamPool, upstream, content, remainingMs);
   }
 
--- a/packages/node/src/calls/upstream-body.ts
+++ b/packages/node/src/calls/upstream-body.ts
@@ -1,9 +1,13 @@
 import {Readable} from 'node:stream';
 import type {ByteStream} from '@verbenabeam/wire';
 
+/** Bytes beyond the first ones that may wait here for the upstream. */
+const aheadBytes = 196_608;
+
 /** A request body that is passed to the upstream while it arrives. @internal */
 export class UpstreamBody extends Readable {
   readonly #stream: ByteStream;
+  #isRead = false;
 
   constructor(stream: ByteStream) {
     super();
@@ -21,6 +25,8 @@
   }
 
   override _read(): void {
+    if (!this.#isRead) this.#stream.allow(aheadBytes);
+    this.#isRead = true;
     this.#stream.resume();
   }
 }
