Test of a drain: it begins when the upstream runs the call

Beside load the first call takes over 10 ms to start, so that the gate held the next start for one more poll, and a drain refuses calls that no upstream has.

--- a/packages/node/src/calls/calls-levels.test.ts
+++ b/packages/node/src/calls/calls-levels.test.ts
@@ -21,6 +21,8 @@
 /** Refusals that the deepest service still makes. */
 let refusals = 0;
 let beforeSubCall: Promise<void>;
+/** Calls that upstreams run and that have not made their sub-call. */
+let held = 0;
 let results: {answer: Answer; reached: number; left: string}[] = [];
 let running: Promise<Answer>;
 let drained: Promise<void>;
@@ -48,7 +50,9 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  held++;
   await beforeSubCall;
+  held--;
   const names = Object.keys(req.headers).filter(n => n.startsWith('vb-'));
   const headers = Object.fromEntries(names.map(n => [n, req.headers[n]]));
   const sub = await request(node.url + req.url!, {
@@ -151,7 +155,7 @@
   first.sendTo(first);
   // Without retries, so that another node does not hide a refusal.
   running = client.call(first, '/read', {[CALL_HEADERS.retriesLeft]: '0'});
-  await until(() => first.serving.inFlight === 1);
+  await until(() => held === 1);
   first.sendTo(second);
   drained = drainCalls(first.entry, first.serving);
   setTimeout(release, 50);
