A body that is passed on is allowed more bytes when its request is sent

Only bodies that are not collected are concerned (of unknown length, or over 64 KB in the native product); nothing was broken by it, and no more came than before.

--- a/packages/node/src/calls/calls-uploads.test.ts
+++ b/packages/node/src/calls/calls-uploads.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {Agent} from 'undici';
+import {localStreamPair} from './local-stream.js';
+import {ServingBody} from './serving-body.js';
 import {TestClient, until} from './test/test-client.js';
 import {TestNode} from './test/test-node.js';
 
@@ -44,3 +46,31 @@
     assert.deepEqual(broken, []);
   },
 );
+
+let body: ServingBody;
+let allowed: number[];
+
+Given(
+  'a data path body of unknown length whose first {int} bytes have come',
+  (bytes: number) => {
+    const [stream] = localStreamPair();
+    allowed = [];
+    stream.allow = more => void allowed.push(more);
+    body = new ServingBody(null, stream, 0);
+    body.accept(Buffer.alloc(bytes));
+  },
+);
+
+Then('no more bytes of it are allowed', async () => {
+  await new Promise(resolve => setImmediate(resolve));
+  assert.deepEqual(allowed, []);
+});
+
+Then(
+  'once its request is sent {int} more bytes are allowed',
+  (more: number) => {
+    body.take();
+    assert.deepEqual(allowed, [more]);
+    body.destroy();
+  },
+);
--- a/packages/node/src/calls/serving-body.ts
+++ b/packages/node/src/calls/serving-body.ts
@@ -39,8 +39,9 @@
     return !this.#isEmpty && !this.#passed;
   }
 
-  /** What the upstream request gets. */
-  get content(): Buffer | UpstreamBody | null {
+  /** What the upstream request gets; called once, when it is sent. */
+  take(): Buffer | UpstreamBody | null {
+    this.#passed?.allowMore();
     return this.#passed ?? this.#whole;
   }
 
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -267,7 +267,7 @@
       pool.resets,
     );
     const upstreamPool = pool.get(upstream.address);
-    const {content} = this.#body;
+    const content = this.#body.take();
     this.#request.dispatch(upstreamPool, upstream, content, remainingMs);
   }
 
--- a/packages/node/src/calls/upstream-body.ts
+++ b/packages/node/src/calls/upstream-body.ts
@@ -7,13 +7,17 @@
 /** A request body that is passed to the upstream while it arrives. @internal */
 export class UpstreamBody extends Readable {
   readonly #stream: ByteStream;
-  #isRead = false;
 
   constructor(stream: ByteStream) {
     super();
     this.#stream = stream;
   }
 
+  /** Lets the entry side send more than the first bytes. */
+  allowMore(): void {
+    this.#stream.allow(aheadBytes);
+  }
+
   /** Accepts bytes from the entry side, which waits if too many are held. */
   accept(chunk: Uint8Array): void {
     if (!this.push(chunk)) this.#stream.pause();
@@ -25,8 +29,6 @@
   }
 
   override _read(): void {
-    if (!this.#isRead) this.#stream.allow(aheadBytes);
-    this.#isRead = true;
     this.#stream.resume();
   }
 }
