--- a/packages/node/src/calls/call-waits.ts
+++ b/packages/node/src/calls/call-waits.ts
@@ -1,4 +1,5 @@
 import {logger} from '@verbenabeam/core';
+import {TimeTotals} from './time-totals.js';
 
 /** Places where a call waits before its upstream gets it. @public */
 export const WAIT_PLACES = {
@@ -8,6 +9,8 @@
   wire: 'wire',
   /** Between its reading and its start at the serving node. */
   serving: 'serving',
+  /** For a slot of the upstream. */
+  queue: 'queue',
   /** For a connection to the upstream, after it got a slot. */
   connection: 'connection',
 } as const;
@@ -19,8 +22,10 @@
 const longMs = 100;
 const log = logger('waits');
 
-/** Notes the calls that wait for long in a place that no result code shows. @public */
+/** Sums the waits of calls by place, and notes the long ones. @public */
 export class CallWaits {
+  /** All waits since they were last taken. */
+  readonly totals = new TimeTotals();
   readonly #counts = new Map<WaitPlace, number>();
 
   /** Calls that waited for long, by place. */
@@ -29,6 +34,7 @@
   }
 
   note(place: WaitPlace, callId: string, waitedMs: number): void {
+    this.totals.add(place, waitedMs);
     if (waitedMs < longMs) return;
     this.#counts.set(place, (this.#counts.get(place) ?? 0) + 1);
     log('Call waited.', {requestId: callId, place, ms: Math.round(waitedMs)});
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -24,6 +24,8 @@
 } from './call-protocol.js';
 export type {AttemptRecord, CallRecord} from './call-record.js';
 export {CallWaits, WAIT_PLACES} from './call-waits.js';
+export {TimeTotals} from './time-totals.js';
+export type {TimeTotal} from './time-totals.js';
 export type {WaitPlace} from './call-waits.js';
 export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -7,7 +7,12 @@
 import {WAIT_PLACES} from './call-waits.js';
 import type {WaitPlace} from './call-waits.js';
 import {ServingBody} from './serving-body.js';
-import {errorOf, fingerprintOfCall, slotRequest} from './serving-head.js';
+import {
+  errorOf,
+  fingerprintOfCall,
+  refusalBy,
+  slotRequest,
+} from './serving-head.js';
 import {logCancelled, logFailed} from './serving-log.js';
 import type {ServingTimes} from './serving-log.js';
 import type {ServingContext} from './serving-context.js';
@@ -28,6 +33,7 @@
   #request: UpstreamRequest | null = null;
   #upstream: OwnUpstream | null = null;
   #enterAt = 0;
+  #queuedAt = 0;
   #dispatchAt = 0;
   #headMs: number | null = null;
   #bytes = 0;
@@ -191,6 +197,7 @@
       this.#refuse(blocked.code);
       return;
     }
+    this.#queuedAt = performance.now();
     const decision = admission.enter(this.#asked);
     if (decision.kind === 'admitted') this.#dispatch(decision.ticket);
     else if (decision.kind === 'refused') this.#reset(decision.err, false);
@@ -206,22 +213,9 @@
 
   /** What refuses the call at this moment; asked again after the queue. */
   #refusalNow(): ResultCode | null {
-    const upstream = this.#context.ports.upstream.current();
-    const {service, version} = this.#head;
     if (this.#context.isDraining()) return CALL_CODES.draining;
-    if (upstream?.state === UPSTREAM_STATES.draining) {
-      return CALL_CODES.draining;
-    }
-    if (upstream?.state !== UPSTREAM_STATES.ready) {
-      return CALL_CODES.upstreamDown;
-    }
-    if (upstream.service !== service || upstream.version !== version) {
-      return CALL_CODES.noInstance;
-    }
-    if (performance.now() >= this.#times.deadlineAt) {
-      return CALL_CODES.deadlineTooClose;
-    }
-    return null;
+    const upstream = this.#context.ports.upstream.current();
+    return refusalBy(upstream, this.#head, this.#times);
   }
 
   /** Dispatches after the queue, in which the move may have been stopped. */
@@ -259,6 +253,7 @@
     running.add(this.#head.callId);
     ports.ledger.open(this.#head.callId, this.#head.retriesLeft);
     this.#dispatchAt = performance.now();
+    this.#noteWait(WAIT_PLACES.queue, this.#dispatchAt - this.#queuedAt);
     const remainingMs = this.#times.deadlineAt - this.#dispatchAt;
     this.#request = new UpstreamRequest(
       this.#head,
--- /dev/null
+++ b/packages/node/src/calls/time-totals.ts
@@ -0,0 +1,36 @@
+/** Number of calls and the sum of their times in ms. @public */
+export interface TimeTotal {
+  calls: number;
+  ms: number;
+}
+
+/**
+ * Sums times by name until they are taken.
+ *
+ * @public
+ */
+export class TimeTotals {
+  #totals = new Map<string, TimeTotal>();
+
+  /** Whether nothing was added since the totals were last taken. */
+  get isEmpty(): boolean {
+    return this.#totals.size === 0;
+  }
+
+  add(name: string, ms: number): void {
+    const total = this.#totals.get(name);
+    if (!total) {
+      this.#totals.set(name, {calls: 1, ms});
+      return;
+    }
+    total.calls++;
+    total.ms += ms;
+  }
+
+  /** Returns the totals and begins anew. */
+  take(): ReadonlyMap<string, TimeTotal> {
+    const totals = this.#totals;
+    this.#totals = new Map();
+    return totals;
+  }
+}
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -152,6 +152,7 @@
       load: () => this.#admission.load(),
       callBytes: () => callBytesOf(bus),
       waiting: () => gate.waiting,
+      waits: () => this.#waits.totals.take(),
     });
     this.#quarantine = new QuarantineAdapter(shared);
     this.#instances = new InstanceAdapter(shared);
--- a/packages/node/src/hosted/load-watch.feature
+++ b/packages/node/src/hosted/load-watch.feature
@@ -12,6 +12,10 @@
     And its line says "calls" is 3
     And its line says "refused" is 1
     And its line says "held" is "orders 2 calls 60 ms"
+    And its line says "answered" is "orders 2 calls 90 ms"
+    And its line says "waits" is "queue 4 calls 15 ms"
+    And its line says "turns" is 430
+    And its line says "lateMs" is 62
 
   Scenario: A second without calls has no line
     Given a load watch of a node whose loop is busy for 0.02 of the time
--- a/packages/node/src/hosted/load-watch.test.ts
+++ b/packages/node/src/hosted/load-watch.test.ts
@@ -20,6 +20,8 @@
       load: () => ({inFlight: 11, queued: 4, slots: 11, serviceMs: 60}),
       callBytes: () => 0,
       waiting: () => 0,
+      waits: () => new Map([['queue', {calls: 4, ms: 60}]]),
+      turns: () => ({turns: 430, events: 780, lateMs: 62}),
       utilization: () => ({active: 0, idle: 0, utilization: busy}),
     });
   },
@@ -31,7 +33,9 @@
     const codes = Array.from({length: calls}, (_, i) =>
       i < refused ? CALL_CODES.queueFull : CALL_CODES.ok,
     );
-    for (const code of codes) watch?.noteCall({code});
+    for (const code of codes) {
+      watch?.noteCall({code, route: 'orders', durationMs: 90});
+    }
   },
 );
 
--- a/packages/node/src/hosted/load-watch.ts
+++ b/packages/node/src/hosted/load-watch.ts
@@ -1,14 +1,18 @@
 import {performance} from 'node:perf_hooks';
 import type {EventLoopUtilization} from 'node:perf_hooks';
-import {logger} from '@verbenabeam/core';
+import {CALL_CODES, logger} from '@verbenabeam/core';
 import type {LoadReport} from '@verbenabeam/routing';
-import type {CallRecord} from '../calls/index.js';
+import {TimeTotals} from '../calls/index.js';
+import type {CallRecord, TimeTotal} from '../calls/index.js';
 import {every} from '../every.js';
+import {LoopTurns} from './loop-turns.js';
+import type {TurnsOfWindow} from './loop-turns.js';
 
 const log = logger('load');
 const windowMs = 1_000;
 const percent = 100;
 const bytesPerKb = 1_024;
+const noTotals: ReadonlyMap<string, TimeTotal> = new Map();
 
 /** What a {@link LoadWatch} reads at the end of each window. @internal */
 export interface LoadWatchSources {
@@ -18,16 +22,14 @@
   readonly callBytes: () => number;
   /** Calls that were read and have not been started. */
   readonly waiting: () => number;
+  /** Waits of calls by place since the last question; default none. */
+  readonly waits?: () => ReadonlyMap<string, TimeTotal>;
+  /** Turns of the event loop since the last question; default measured. */
+  readonly turns?: () => TurnsOfWindow;
   /** How busy the event loop has been; default that of this thread. */
   readonly utilization?: (since?: EventLoopUtilization) => EventLoopUtilization;
 }
 
-/** Slots of the own upstream that calls of one route have left. */
-interface HeldSlots {
-  calls: number;
-  ms: number;
-}
-
 /**
  * Tells how busy the event loop is and what it does, in windows of one second.
  * Calls that are answered have no line of their own, so that the lines of refused
@@ -43,7 +45,9 @@
   #connections = 0;
   #calls = 0;
   #refused = 0;
-  #held = new Map<string, HeldSlots>();
+  readonly #held = new TimeTotals();
+  readonly #answered = new TimeTotals();
+  readonly #loopTurns = new LoopTurns();
   #busyRatio = 0;
 
   constructor(sources: LoadWatchSources) {
@@ -60,6 +64,7 @@
 
   /** Measures until the signal aborts. */
   start(signal: AbortSignal): void {
+    this.#loopTurns.start(signal);
     every(windowMs, signal, () => this.endWindow());
   }
 
@@ -69,17 +74,19 @@
   }
 
   /** A call of this entry node has ended. */
-  noteCall({code}: Pick<CallRecord, 'code'>): void {
+  noteCall({
+    code,
+    route,
+    durationMs,
+  }: Pick<CallRecord, 'code' | 'route' | 'durationMs'>): void {
     this.#calls++;
     if (code.notRun) this.#refused++;
+    if (code === CALL_CODES.ok) this.#answered.add(route ?? '', durationMs);
   }
 
   /** A call has left its slot of the own upstream. */
   noteHeld(route: string, heldMs: number): void {
-    const held = this.#held.get(route) ?? {calls: 0, ms: 0};
-    held.calls++;
-    held.ms += heldMs;
-    this.#held.set(route, held);
+    this.#held.add(route, heldMs);
   }
 
   /** Logs the window that ends now, unless no call came in it. */
@@ -89,10 +96,15 @@
     this.#busyRatio = this.#utilization(this.#since).utilization;
     this.#since = now;
     const bytes = callBytes();
-    if (this.#calls > 0 || this.#held.size > 0) {
+    const turns = this.#sources.turns?.() ?? this.#loopTurns.take();
+    const waits = this.#sources.waits?.() ?? noTotals;
+    const held = this.#held.take();
+    const answered = this.#answered.take();
+    if (this.#calls > 0 || held.size > 0) {
       const {inFlight, queued, slots} = load();
       log('Load of the last second.', {
         busyPercent: Math.round(this.#busyRatio * percent),
+        ...turns,
         connections: this.#connections,
         calls: this.#calls,
         refused: this.#refused,
@@ -101,16 +113,22 @@
         inFlight,
         queued,
         slots,
-        held: [...this.#held].map(
-          ([route, {calls, ms}]) =>
-            `${route} ${calls} calls ${Math.round(ms / calls)} ms`,
-        ),
+        answered: textsOf(answered),
+        waits: textsOf(waits),
+        held: textsOf(held),
       });
     }
     this.#bytes = bytes;
     this.#connections = 0;
     this.#calls = 0;
     this.#refused = 0;
-    this.#held = new Map();
   }
 }
+
+/** Calls by name with their mean time. */
+function textsOf(totals: ReadonlyMap<string, TimeTotal>): string[] {
+  return [...totals].map(
+    ([name, {calls, ms}]) =>
+      `${name} ${calls} calls ${Math.round(ms / calls)} ms`,
+  );
+}
