--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -5,6 +5,7 @@
   KvStore,
   operatorFormat,
   platformProtocol,
+  platformSample,
   readBootSettings,
   SETTINGS_VARIABLE,
   upstreamFormat,
@@ -76,6 +77,7 @@
     protocol: platformProtocol({service: () => file.current.service}),
     operatorFormat,
     upstreamFormat,
+    sample: platformSample,
     store: new KvStore({address, budget}),
   });
   if (node.isErr) return reportFailure(node.error);
--- a/packages/node/src/entry/instance-adapter.ts
+++ b/packages/node/src/entry/instance-adapter.ts
@@ -1,4 +1,5 @@
 import type {Clock, RandomSource} from '@verbenabeam/core';
+import type {InstanceRecord} from '@verbenabeam/membership';
 import {CALL_OUTCOMES, InstancePicker} from '@verbenabeam/routing';
 import type {CallOutcome, Candidate, PickLimits} from '@verbenabeam/routing';
 import type {
@@ -7,7 +8,6 @@
   Outcome,
   Target,
 } from '../calls/index.js';
-import type {MembershipService} from '../membership/membership-service.js';
 
 const outcomes: Readonly<Record<Outcome, CallOutcome>> = {
   ok: CALL_OUTCOMES.ok,
@@ -20,9 +20,21 @@
   cancelled: CALL_OUTCOMES.cancelled,
 };
 
+/** What an {@link InstanceAdapter} asks of the membership. @internal */
+export interface InstanceMembers {
+  readonly own: Pick<InstanceRecord, 'nodeId' | 'dataCentre' | 'region'>;
+  candidates(
+    service: string,
+    version: string,
+    region?: string,
+  ): readonly Candidate[];
+  addressOf(nodeId: string): string | undefined;
+  live(): readonly Pick<InstanceRecord, 'nodeId'>[];
+}
+
 /** Parts of an {@link InstanceAdapter}. @internal */
 export interface InstanceAdapterOptions {
-  readonly membership: MembershipService;
+  readonly membership: InstanceMembers;
   readonly clock: Clock;
   readonly random: RandomSource;
 }
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -17,6 +17,8 @@
 import {AcceptWatch} from '../calls/index.js';
 import type {CallProtocol} from '../calls/index.js';
 import {listen} from '../listen.js';
+import {WarmUp} from '../warm-up/index.js';
+import type {CallSample} from '../warm-up/index.js';
 import {callerBacklog, CallerConnections} from './caller-connections.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
@@ -61,6 +63,8 @@
   readonly protocol: CallProtocol;
   readonly operatorFormat: OperatorFormat;
   readonly upstreamFormat: UpstreamFormat;
+  /** What a usual call looks like; without it no code is warmed up. */
+  readonly sample?: CallSample;
   /** The platform's store; the node closes it. */
   readonly store: Store & {close(): Promise<void>};
 }
@@ -153,6 +157,7 @@
     }
     node.#parts.start();
     node.#watchAccepting();
+    void node.#warmUp();
     const {nodeId, service, listen: addresses} = settings;
     log('Node started.', {nodeId, service, ...addresses, pid: process.pid});
     return Result.ok(node);
@@ -238,6 +243,24 @@
     return null;
   }
 
+  /** Runs the code of the call path while there are no calls yet. */
+  async #warmUp(): Promise<void> {
+    const {sample, protocol} = this.#options;
+    if (!sample) return;
+    const {entry, serving} = this.#parts;
+    const warmUp = new WarmUp({
+      protocol,
+      sample,
+      isIdle: () => entry.inFlight + serving.inFlight === 0,
+      signal: this.#end.signal,
+    });
+    try {
+      await warmUp.run();
+    } catch (err) {
+      log('Warm-up failed.', {err: String(err)});
+    }
+  }
+
   #watchAccepting(): void {
     const watch = new AcceptWatch(this.#callers);
     watch.start(this.#end.signal);
