--- a/packages/node/src/calls/crash-detector.ts
+++ b/packages/node/src/calls/crash-detector.ts
@@ -57,6 +57,7 @@
     };
     socket.once('connect', () => decide(false));
     socket.once('error', () => decide(true));
-    socket.once('timeout', () => decide(true));
+    // Timers come before the poll: a late node has not read the connect yet.
+    socket.once('timeout', () => setImmediate(() => decide(true)));
   });
 }
