--- a/packages/wire/src/connection-pool.ts
+++ b/packages/wire/src/connection-pool.ts
@@ -56,6 +56,11 @@
     return found;
   }
 
+  /** Connections that were opened here. */
+  get connections(): readonly Connection[] {
+    return [...this.#all];
+  }
+
   /** Closes connections that are idle or silent. */
   sweep(idleMs: number): void {
     for (const connection of [...this.#all]) this.sweepOne(connection, idleMs);
@@ -73,11 +78,11 @@
       }
       // Notices have no answer, so a ping must show that they arrive.
       if (!connection.unheard) {
-        connection.lastIdleAt = now;
+        connection.excusedAt = now;
         return;
       }
     }
-    const since = Math.max(connection.lastReadAt, connection.lastIdleAt);
+    const since = Math.max(connection.lastReadAt, connection.excusedAt);
     if (now - since > silenceLimitMs) {
       connection.close(lost(`Nothing was received for ${silenceLimitMs} ms`));
     } else if (now - since > pingAfterMs) {
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -51,8 +51,8 @@
   readonly #ended = new AbortController();
   readonly #server: RequestServer;
   readonly #delay = new OneWayDelay();
-  /** Time at which a sweep last found the connection idle. */
-  lastIdleAt = performance.now();
+  /** Time until which silence says nothing about the peer. */
+  excusedAt = performance.now();
   #nextId = 1;
   #goingAway = false;
   #lastUseAt = performance.now();
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -29,6 +29,8 @@
 /** Time in which refusals reach peers that sent before they saw the close. */
 const closeGraceMs = 50;
 const sweepMs = 1000;
+/** A sweep that comes later after the last one was held up by its own node, in ms. */
+const lateSweepMs = 1.5 * sweepMs;
 const log = logger('wire');
 
 /** {@link PeerBus} over TCP, optionally with TLS. @public */
@@ -44,6 +46,7 @@
   readonly #acceptor: ConnectionAcceptor;
   #server: Server | null = null;
   #sweeper: NodeJS.Timeout | null = null;
+  #sweptAt = 0;
   #unknownResponses = 0;
   #closed = false;
 
@@ -93,6 +96,7 @@
     server.on('error', err => {
       log('Listener failed', {err: err.message});
     });
+    this.#sweptAt = performance.now();
     this.#sweeper = setInterval(() => {
       this.#sweep();
     }, sweepMs).unref();
@@ -231,9 +235,22 @@
 
   /** Closes idle and silent connections. The opener closes idle ones first. */
   #sweep(): void {
+    const now = performance.now();
+    const isLate = now - this.#sweptAt > lateSweepMs;
+    this.#sweptAt = now;
+    const opened = this.#pool.connections;
+    const accepted = this.#acceptor.connections;
+    if (isLate) {
+      // This node has read nothing meanwhile, whatever its peers have sent.
+      for (const connection of [...opened, ...accepted]) {
+        connection.excusedAt = now;
+        connection.ping();
+      }
+      return;
+    }
     const {idleMs} = this.#settings;
     this.#pool.sweep(idleMs);
-    for (const connection of this.#acceptor.connections) {
+    for (const connection of accepted) {
       this.#pool.sweepOne(connection, 2 * idleMs);
     }
   }
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -17,6 +17,15 @@
     When the wire link falls silent
     Then the waiting request on the wire link fails with "wire.connectionLost"
 
+  Scenario: A wire link outlives a standstill of its own node
+    Guards against calls that are cut because the node itself has read nothing.
+    Given a wire link between two buses that allow 1500 ms of silence
+    And a request on the wire link that waits for its response
+    When the node of the wire link stands still for 2500 ms
+    Then the request on the wire link is still open after 1000 ms
+    When the wire link falls silent
+    Then the waiting request on the wire link fails with "wire.connectionLost"
+
   Scenario: A dead wire link that only carries notices is replaced
     Guards against notices that are lost for good after a host was replaced at its
     address without closing its connections.
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -53,6 +53,11 @@
   await link.start();
 }
 
+When('the node of the wire link stands still for {int} ms', (ms: number) => {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+});
+
 After({tags: '@wire-links'}, async () => {
   release();
   await Promise.all([client.close(), server.close()]);
