--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -79,8 +79,10 @@
     const startAt = readAt - this.#gate.lostMs;
     this.#inFlight.enter();
     const isDraining = this.#draining;
+    const isFirst = this.#links.noteCall(req.socket);
     this.#gate.run({
-      mayBeOld: this.#links.noteCall(req.socket),
+      mayBeOld: isFirst,
+      isPrompt: !isFirst,
       isOver: () => this.#links.hasLeft(req.socket),
       start: () => this.#begin(req, res, {readAt, startAt}, isDraining),
       drop: () => this.#inFlight.leave(),
--- a/packages/node/src/calls/start-gate.feature
+++ b/packages/node/src/calls/start-gate.feature
@@ -28,6 +28,21 @@
     Then all start gate calls were started in their order
     And no turn spent more than 12 ms with start gate calls
 
+  Scenario: Calls that were read in time do not wait at a busy node
+    Guards against slots that are held while the calls of running calls wait for
+    more polls and behind new callers.
+    Given a start gate whose calls take 2 ms to start
+    When the start gate reads 200 calls in one poll that do not end
+    And a call that was read in time comes with each of the next 20 polls of 5 calls
+    Then each start gate call that was read in time was started in the poll that read it
+    And no turn spent more than 12 ms with start gate calls
+
+  Scenario: Calls that were read in time are bounded as well
+    Given a start gate whose calls take 2 ms to start
+    When the start gate reads 200 calls that were read in time in one poll
+    Then all start gate calls were started in their order
+    And no turn spent more than 12 ms with start gate calls
+
   Scenario: Calls from other nodes do not wait behind connections of callers
     Guards against a node beside a scarce upstream that reads calls for it in time
     and starts them after the connections and calls of its own callers.
--- a/packages/node/src/calls/start-gate.test.ts
+++ b/packages/node/src/calls/start-gate.test.ts
@@ -4,6 +4,7 @@
 
 interface ReadCall {
   readonly readIn: number;
+  readonly isPrompt: boolean;
   startedIn: number | null;
   isOver: boolean;
 }
@@ -35,26 +36,29 @@
   }
 
   /** A poll that reads calls, or the ends of those of the poll before. */
-  poll(count: number, endsBefore: boolean): void {
+  poll(count: number, endsBefore: boolean, prompt = 0): void {
     this.#poll++;
     this.#now += pollMs;
     const from = this.#now;
     if (endsBefore) for (const call of this.calls) call.isOver = true;
-    for (let i = 0; i < count; i++) this.#read();
+    for (let i = 0; i < count; i++) this.#read(false);
+    for (let i = 0; i < prompt; i++) this.#read(true);
     const steps = this.#steps;
     this.#steps = [];
     for (const step of steps) step();
     this.longestTurnMs = Math.max(this.longestTurnMs, this.#now - from);
   }
 
-  #read(): void {
+  #read(isPrompt: boolean): void {
     const call: ReadCall = {
       readIn: this.#poll,
+      isPrompt,
       startedIn: null,
       isOver: false,
     };
     this.calls.push(call);
     this.#gate.run({
+      ...(isPrompt ? {isPrompt} : {}),
       isOver: () => call.isOver,
       start: () => {
         this.#now += this.#startMs;
@@ -196,6 +200,32 @@
   },
 );
 
+When(
+  'a call that was read in time comes with each of the next {int} polls of {int} calls',
+  (polls: number, count: number) => {
+    for (let i = 0; i < polls; i++) model.poll(count, false, 1);
+    while (model.waiting > 0) model.poll(0, false);
+  },
+);
+
+When(
+  'the start gate reads {int} calls that were read in time in one poll',
+  (count: number) => {
+    model.poll(0, false, count);
+    while (model.waiting > 0) model.poll(0, false);
+  },
+);
+
+Then(
+  'each start gate call that was read in time was started in the poll that read it',
+  () => {
+    const prompt = model.calls.filter(call => call.isPrompt);
+    const later = prompt.filter(call => call.startedIn !== call.readIn);
+    assert.ok(prompt.length > 0);
+    assert.equal(later.length, 0);
+  },
+);
+
 Then('each start gate call was started in the poll that read it', () => {
   const later = model.calls.filter(call => call.startedIn !== call.readIn);
   assert.equal(later.length, 0);
--- a/packages/node/src/calls/start-gate.ts
+++ b/packages/node/src/calls/start-gate.ts
@@ -35,6 +35,12 @@
    * connections: work has been done for them, and only this node can take them.
    */
   readonly fromNode?: boolean;
+  /**
+   * Whether it was read in the turn in which it came, as the later calls of a
+   * connection are. It goes with the calls from other nodes: it may be made for a
+   * running call, which holds a slot meanwhile.
+   */
+  readonly isPrompt?: boolean;
   /** Whether its end has been read. */
   isOver(): boolean;
   start(): void;
@@ -68,9 +74,12 @@
   readonly #budgetMs: number;
   readonly #now: () => number;
   readonly #afterPoll: (step: () => void) => void;
-  readonly #fromNodes: Lane = {queue: [], polled: 0};
+  /** Calls that are known to be recent. */
+  readonly #recent: Lane = {queue: [], polled: 0};
   readonly #fromCallers: Lane = {queue: [], polled: 0};
   #spentMs = 0;
+  /** Time for starts in the last check phase, in ms. */
+  #checkMs = 0;
   #busyUntil = -Infinity;
   #accepted = false;
   /** Turns in a row that accepted a connection, and the time of the first. */
@@ -91,7 +100,7 @@
 
   /** Calls that wait to be started. */
   get waiting(): number {
-    return this.#fromNodes.queue.length + this.#fromCallers.queue.length;
+    return this.#recent.queue.length + this.#fromCallers.queue.length;
   }
 
   /** Starts a call, now or later, unless it is over by then. */
@@ -110,19 +119,24 @@
   }
 
   #take(call: GateCall): void {
-    const isFromNode = call.fromNode === true;
-    const {queue} = isFromNode ? this.#fromNodes : this.#fromCallers;
+    const isRecent = call.fromNode === true || call.isPrompt === true;
+    const {queue} = isRecent ? this.#recent : this.#fromCallers;
     const waits =
       call.mayBeOld === true ||
-      (!isFromNode && this.#accepting.turns >= backlogPolls) ||
       queue.length > 0 ||
       this.#spentMs >= this.#budgetMs ||
-      this.#now() < this.#busyUntil;
+      (!isRecent && this.#isBehind);
     if (waits) queue.push(call);
     else this.#start(call);
     this.#arm();
   }
 
+  /** Whether connections wait to be accepted, or starts used up a turn of late. */
+  get #isBehind(): boolean {
+    if (this.#accepting.turns >= backlogPolls) return true;
+    return this.#now() < this.#busyUntil;
+  }
+
   #start(call: GateCall): void {
     if (call.isOver()) {
       call.drop();
@@ -144,13 +158,16 @@
     if (this.#spentMs >= this.#budgetMs) {
       this.#busyUntil = this.#now() + busyMs;
     }
-    this.#spentMs = 0;
+    // What this turn spent before its check phase is not available any more.
+    const beforeMs = this.#spentMs - this.#checkMs;
+    this.#spentMs = beforeMs;
     const isAccepting = this.#isAccepting();
-    this.#startPolled(this.#fromNodes, 0);
+    this.#recent.polled = this.#recent.queue.length;
+    this.#startPolled(this.#recent, 0);
     if (!isAccepting) this.#startPolled(this.#fromCallers, 1);
-    for (const lane of [this.#fromNodes, this.#fromCallers]) {
-      lane.polled = lane.queue.length;
-    }
+    this.#fromCallers.polled = this.#fromCallers.queue.length;
+    this.#checkMs = this.#spentMs - beforeMs;
+    this.#spentMs = this.#checkMs;
     if (this.waiting > 0 || this.#spentMs > 0) this.#arm();
   }
 
