--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -12,6 +12,7 @@
 import {TcpPeerBus} from '@verbenabeam/wire';
 import {CALL_STREAM} from '../call-head.js';
 import {CallLog} from '../call-log.js';
+import type {CallProtocol} from '../call-protocol.js';
 import {EntryHandler} from '../entry-handler.js';
 import {nativeProtocol} from '../native-protocol.js';
 import {ServingHandler} from '../serving-handler.js';
@@ -52,6 +53,7 @@
     readonly nodeId: string,
     readonly broken: string[],
     throttle?: AdaptiveThrottle,
+    protocol: CallProtocol = nativeProtocol,
   ) {
     const {config, instances, admission, quarantine} = this;
     const ledger = new RetryLedger();
@@ -64,7 +66,7 @@
       quarantine,
       stopped: this.versions,
       ledger,
-      protocol: nativeProtocol,
+      protocol,
       gate,
       invariants,
     });
@@ -82,7 +84,7 @@
       bus: this.bus,
       serving: this.serving,
       observer: this.log,
-      protocol: nativeProtocol,
+      protocol,
       gate,
       ...(throttle ? {throttle} : {}),
       random: seededRandom(1),
