--- a/packages/node/src/calls/local-stream.ts
+++ b/packages/node/src/calls/local-stream.ts
@@ -10,15 +10,17 @@
  * @internal
  */
 export function localStreamPair(): [ByteStream, ByteStream] {
-  const a = new LocalStream();
-  const b = new LocalStream();
-  a.connect(b);
-  b.connect(a);
-  return [a, b];
+  const opening = new LocalStream(false);
+  const answering = new LocalStream(true);
+  opening.connect(answering);
+  answering.connect(opening);
+  return [opening, answering];
 }
 
 class LocalStream implements ByteStream {
   readonly ageMs = 0;
+  /** Whether the other end opened the stream. */
+  readonly #isAnswering: boolean;
   #other: LocalStream | null = null;
   #listener: StreamListener | null = null;
   #paused = false;
@@ -29,6 +31,10 @@
   #wantsDrain = false;
   #closed = false;
 
+  constructor(isAnswering: boolean) {
+    this.#isAnswering = isAnswering;
+  }
+
   connect(other: LocalStream): void {
     this.#other = other;
   }
@@ -101,7 +107,8 @@
   takeReset(err: MeshError): void {
     if (this.#closed) return;
     this.#closed = true;
-    if (!this.#gotEnd) {
+    // To the answering side a reset says that nobody waits for its answer.
+    if (!this.#gotEnd || this.#isAnswering) {
       this.#backlog = [];
       this.#paused = false;
     }
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -11,6 +11,18 @@
   forget(streamId: number): void;
 }
 
+/** How a stream begins. @internal */
+export interface StreamStart {
+  /** Whether the other side opened the stream. */
+  readonly isAnswering: boolean;
+  /** Bytes that the other side may send. */
+  readonly windowBytes: number;
+  /** Bytes that this side may send. */
+  readonly creditBytes: number;
+  /** Time for which the first frame was on its way or unread, in ms. */
+  readonly ageMs: number;
+}
+
 type StreamEvent = (listener: StreamListener) => void;
 
 /**
@@ -35,6 +47,7 @@
   readonly id: number;
   readonly ageMs: number;
   readonly #link: StreamLink;
+  readonly #isAnswering: boolean;
   readonly #creditStep: number;
   #listener: StreamListener | null = null;
   #paused = false;
@@ -52,20 +65,12 @@
   #gotEnd = false;
   #closed = false;
 
-  /**
-   * @param windowBytes - Bytes that the other side may send.
-   * @param creditBytes - Bytes that this side may send.
-   */
-  constructor(
-    id: number,
-    link: StreamLink,
-    windowBytes: number,
-    creditBytes: number,
-    ageMs: number,
-  ) {
+  constructor(id: number, link: StreamLink, start: StreamStart) {
+    const {isAnswering, windowBytes, creditBytes, ageMs} = start;
     this.id = id;
     this.ageMs = ageMs;
     this.#link = link;
+    this.#isAnswering = isAnswering;
     this.#window = windowBytes;
     this.#credit = creditBytes;
     this.#creditStep = windowBytes * creditStepShare;
@@ -153,13 +158,14 @@
   }
 
   /**
-   * Takes a reset, or the loss of the connection. What arrived before the other
-   * side's end is whole, so it is still delivered first.
+   * Takes a reset, or the loss of the connection. An answer whose end has arrived
+   * is whole, so it is still delivered first; the answering side learns at once
+   * that nobody waits for it.
    */
   takeReset(err: MeshError): void {
     if (this.#closed) return;
     this.#close();
-    if (!this.#gotEnd) {
+    if (!this.#gotEnd || this.#isAnswering) {
       this.#backlog = [];
       this.#paused = false;
     }
--- a/packages/wire/src/stream-table.ts
+++ b/packages/wire/src/stream-table.ts
@@ -1,6 +1,6 @@
 import type {MeshError} from '@verbenabeam/core';
 import {FIRST_STREAM_BYTES, MuxStream} from './mux-stream.js';
-import type {StreamLink} from './mux-stream.js';
+import type {StreamLink, StreamStart} from './mux-stream.js';
 import {cancelled, notSent} from './wire-errors.js';
 
 /** A stream that this side opened. */
@@ -37,7 +37,8 @@
 
   /** Adds a stream that the peer opened and that was `ageMs` on its way. */
   accept(id: number, ageMs = 0): MuxStream {
-    return this.#add(id, this.#creditBytes, ageMs);
+    const creditBytes = this.#creditBytes;
+    return this.#add(id, {isAnswering: true, creditBytes, ageMs});
   }
 
   /**
@@ -50,8 +51,8 @@
     frameNumber: number,
     signal: AbortSignal | undefined,
   ): MuxStream {
-    const firstBytes = Math.min(FIRST_STREAM_BYTES, this.#creditBytes);
-    const stream = this.#add(id, firstBytes, 0);
+    const creditBytes = Math.min(FIRST_STREAM_BYTES, this.#creditBytes);
+    const stream = this.#add(id, {isAnswering: false, creditBytes, ageMs: 0});
     const abort = () => {
       stream.reset(cancelled());
     };
@@ -82,10 +83,9 @@
     }
   }
 
-  #add(id: number, firstBytes: number, ageMs: number): MuxStream {
-    const link = this.#link;
-    const window = this.#creditBytes;
-    const stream = new MuxStream(id, link, window, firstBytes, ageMs);
+  #add(id: number, start: Omit<StreamStart, 'windowBytes'>): MuxStream {
+    const windowBytes = this.#creditBytes;
+    const stream = new MuxStream(id, this.#link, {...start, windowBytes});
     this.#streams.set(id, stream);
     return stream;
   }
