--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -68,7 +68,7 @@
     let more = true;
     for (const chunk of this.#kept ?? []) more = target.write(chunk);
     if (this.#ended) target.end();
-    else if (more) this.#req.resume();
+    else if (more || this.#readsOn) this.#req.resume();
     else this.#req.pause();
   }
 
@@ -93,6 +93,14 @@
     if (!this.#ended) this.#req.resume();
   }
 
+  /**
+   * Whether bytes are read that no attempt takes yet. The end of the caller's
+   * connection lies behind the body, so a kept one is read to its end.
+   */
+  get #readsOn(): boolean {
+    return this.replayable && this.#size <= this.#limits.keptBytes;
+  }
+
   #take(chunk: Buffer): void {
     if (this.#discarded) return;
     this.#size += chunk.length;
@@ -104,8 +112,8 @@
     const isLong = this.#size > keptBytes;
     if (isLong && this.#target) this.#kept = null;
     else this.#kept?.push(chunk);
-    const isFull = isLong && !this.#target;
-    if (this.#target?.write(chunk) === false || isFull) this.#req.pause();
+    const isTaken = this.#target?.write(chunk) ?? !isLong;
+    if (!isTaken && !this.#readsOn) this.#req.pause();
   }
 
   #end(): void {
