--- a/packages/store/src/fakes/index.ts
+++ b/packages/store/src/fakes/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export {EndlessServer} from './endless-server.js';
 export {ManualClock} from './manual-clock.js';
 export {maxValueBytes, MemoryState} from './memory-state.js';
 export type {Rejection, StateImage, Subscription} from './memory-state.js';
