--- a/packages/store/src/http-store.test.ts
+++ b/packages/store/src/http-store.test.ts
@@ -2,8 +2,11 @@
 import {createServer} from 'node:http';
 import type {RequestListener, Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {After, Given, Then} from '@cucumber/cucumber';
+import {After, Given, Then, When} from '@cucumber/cucumber';
 import {STORE_CODES} from '@verbenabeam/core';
+import type {MeshError} from '@verbenabeam/core';
+import type {Result} from 'true-myth';
+import {EndlessServer} from './fakes/endless-server.js';
 import {HttpStore} from './http-store.js';
 
 interface Gateway {
@@ -14,6 +17,9 @@
 
 let gateways: Gateway[] = [];
 let stores: HttpStore[] = [];
+let endless: EndlessServer | null = null;
+let failedWith: MeshError | null = null;
+let leftMs = 0;
 const key = '/verbenabeam/test';
 const txn = {compares: [], puts: [{key, value: Buffer.from('v')}]};
 
@@ -50,6 +56,8 @@
     server.closeAllConnections();
     server.close();
   }
+  endless?.stop();
+  endless = null;
   stores = [];
   gateways = [];
 });
@@ -121,3 +129,105 @@
   assert.ok((await store.get(key)).isErr);
   assert.equal(gateways[0]!.calls, before);
 });
+
+/** Calls of the client to a gateway that may never end its answer. */
+const calls: Readonly<
+  Record<
+    string,
+    (
+      store: HttpStore,
+      signal: AbortSignal,
+    ) => Promise<Result<unknown, MeshError>>
+  >
+> = {
+  list: store => store.list(key),
+  txn: store => store.txn(txn),
+  watch: (store, signal) =>
+    store.watch({key, fromRevision: 1, signal, onEvent: () => undefined}),
+};
+
+Given('a store gateway that answers without an end', async () => {
+  endless = new EndlessServer();
+  await endless.start();
+});
+
+When(
+  /^the http store makes the call (\w+) within (\d+) ms$/,
+  {timeout: 30_000},
+  async (name: string, withinMs: string) => {
+    const limitMs = Number(withinMs);
+    const endpoints = [`http://${endless?.address ?? ''}`];
+    const store = new HttpStore({endpoints, timeoutMs: limitMs});
+    stores.push(store);
+    const startAt = performance.now();
+    // The stream of a watch has no time limit.
+    const res = await calls[name]?.(store, AbortSignal.timeout(limitMs));
+    leftMs = limitMs - (performance.now() - startAt);
+    failedWith = res?.isErr ? res.error : null;
+  },
+);
+
+Then(
+  'the http store call fails with {int} before its time limit',
+  (code: number) => {
+    assert.equal(failedWith?.code.code, code);
+    assert.ok(leftMs > 0, `${leftMs} ms left`);
+  },
+);
+
+Then(
+  'the endless store gateway has sent at most {int} bytes',
+  (most: number) => {
+    const bytes = endless?.bytes ?? 0;
+    assert.ok(bytes > 0 && bytes <= most, `${bytes} bytes`);
+  },
+);
+
+Given(
+  'a store gateway whose watch line of {int} bytes comes in pieces of {int}',
+  async (bytes: number, pieceBytes: number) => {
+    await startGateway((_req, res) => {
+      const created = {header: {revision: '7'}, created: true};
+      res.write(`${JSON.stringify({result: created})}\n`);
+      const kv = {key: 'aw==', value: 'A'.repeat(bytes), mod_revision: '8'};
+      const result = {header: {revision: '8'}, events: [{kv}]};
+      const line = `${JSON.stringify({result})}\n`;
+      let sent = 0;
+      // Each piece is written in a turn of its own, so that reads stay small.
+      const sendPiece = () => {
+        if (sent >= line.length || res.destroyed) return;
+        res.write(line.slice(sent, sent + pieceBytes));
+        sent += pieceBytes;
+        setImmediate(sendPiece);
+      };
+      sendPiece();
+    });
+  },
+);
+
+Then(
+  'the http store watch takes the line in less than {int} ms of processor time',
+  {timeout: 60_000},
+  async (most: number) => {
+    const end = new AbortController();
+    let valueBytes = 0;
+    const before = process.cpuUsage();
+    const endpoints = gateways.map(g => g.url);
+    const store = new HttpStore({endpoints, timeoutMs: 30_000});
+    stores.push(store);
+    const watched = await store.watch({
+      key,
+      fromRevision: 8,
+      signal: end.signal,
+      onEvent: event => {
+        if (event.type === 'put') valueBytes = event.entry.value.length;
+        end.abort();
+      },
+    });
+    const {user, system} = process.cpuUsage(before);
+    if (watched.isErr) throw watched.error;
+    assert.equal(valueBytes, 3_000_000);
+    const usedMs = (user + system) / 1_000;
+    assert.ok(usedMs < most, `${usedMs} ms`);
+  },
+);
--- a/packages/store/src/store.feature
+++ b/packages/store/src/store.feature
@@ -56,6 +56,21 @@
     And the http store write is unknown within 400 ms
     And the http store breaker opens and refuses without a call
 
+  Scenario Outline: A gateway that answers without an end is cut off: <call>
+    Guards against a node that keeps a reply until its memory is used up.
+    Given a store gateway that answers without an end
+    When the http store makes the call <call> within 15000 ms
+    Then the http store call fails with <code> before its time limit
+    And the endless store gateway has sent at most <bytes> bytes
+
+    Examples:
+      | call  | code | bytes     |
+      | watch | 1301 | 33000000  |
+
+  Scenario: A long watch line is read in time that grows with its length
+    Given a store gateway whose watch line of 4000000 bytes comes in pieces of 1000
+    Then the http store watch takes the line in less than 2000 ms of processor time
+
   Scenario: A store that was restored to an older state is noticed
     Given store revisions that have seen revision 100
     Then an overtaken response does not make the store revisions go back
--- a/packages/store/src/watch-stream.ts
+++ b/packages/store/src/watch-stream.ts
@@ -5,6 +5,7 @@
 import type {MeshError} from '@verbenabeam/core';
 import {decodeEvent, keyRange, watchMessage} from './etcd-codec.js';
 import {failureOfTransport} from './etcd-errors.js';
+import {readLines} from './read-lines.js';
 import type {WatchOptions} from './store.js';
 import {unavailable} from './store-errors.js';
 
@@ -129,14 +130,3 @@
   if (position.next === 0) position.next = revision + 1;
   return null;
 }
-
-/** Splits a body into lines; unlike `readline` it ends when the body fails. */
-async function* readLines(body: AsyncIterable<Buffer>): AsyncGenerator<string> {
-  const decoder = new TextDecoder();
-  let rest = '';
-  for await (const chunk of body) {
-    const lines = (rest + decoder.decode(chunk, {stream: true})).split('\n');
-    rest = lines.pop() ?? '';
-    yield* lines.filter(line => line !== '');
-  }
-}
