--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -58,6 +58,8 @@
 const defaultConnectTimeoutMs = 300;
 const defaultConnections = 8;
 const defaultWatchIdleMs = 30_000;
+/** Largest reply in bytes: lists are not paged, and a value has at most 1 MB. */
+const maxReplyBytes = 67_108_864;
 
 interface Call {
   readonly kind: CallKind;
@@ -80,6 +82,8 @@
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #agent: Agent;
+  /** The reply of a watch has no end; its lines have a largest size. */
+  readonly #watchAgent: Agent;
   readonly #revisions: StoreRevisions;
   #preferred = 0;
 
@@ -95,11 +99,13 @@
     this.#clock = options.clock ?? systemClock;
     this.#random = options.random ?? processRandom();
     this.#revisions = options.revisions ?? new StoreRevisions();
-    this.#agent = new Agent({
+    const agentOptions = {
       connections: options.connections ?? defaultConnections,
       pipelining: 1,
       connect: {timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs},
-    });
+    };
+    this.#agent = new Agent({...agentOptions, maxResponseSize: maxReplyBytes});
+    this.#watchAgent = new Agent(agentOptions);
   }
 
   /** State of the circuit breaker, for status pages. */
@@ -164,7 +170,7 @@
     const refusal = this.#refusal();
     if (refusal) return Result.err(refusal);
     const ended = await runWatch(options, {
-      dispatcher: this.#agent,
+      dispatcher: this.#watchAgent,
       endpoint: this.#endpoints[this.#preferred] as string,
       connectTimeoutMs: this.#timeoutMs,
       idleMs: this.#watchIdleMs,
@@ -177,7 +183,7 @@
 
   /** Closes all connections. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await Promise.all([this.#agent.destroy(), this.#watchAgent.destroy()]);
   }
 
   async #range(
--- a/packages/store/src/store.feature
+++ b/packages/store/src/store.feature
@@ -65,6 +65,8 @@
 
     Examples:
       | call  | code | bytes     |
+      | list  | 1301 | 100000000 |
+      | txn   | 1302 | 100000000 |
       | watch | 1301 | 33000000  |
 
   Scenario: A long watch line is read in time that grows with its length
