--- a/packages/node/src/hosted/packed-record.ts
+++ b/packages/node/src/hosted/packed-record.ts
@@ -4,6 +4,8 @@
 
 /** Above the largest value of the store, in bytes. */
 const maxValueBytes = 4_194_304;
+/** All values of an answer in bytes: sixteen of the largest that the store takes. */
+const maxAnswerBytes = 16_777_216;
 /** Values are text that repeats itself; more effort saves a few per cent. */
 const level = 1;
 
@@ -31,12 +33,28 @@
   return packed;
 }
 
+/**
+ * Throws if a value cannot be unpacked, or if one or all together are too long.
+ *
+ * @internal
+ */
+export function unpackRecords(
+  rows: readonly PackedRecord[],
+): readonly OperatorRecord[] {
+  let left = maxAnswerBytes;
+  return rows.map(row => {
+    const record = unpackRecord(row, left);
+    left -= record.value.length;
+    return record;
+  });
+}
+
 /** Throws if the value cannot be unpacked or is too long. @internal */
-export function unpackRecord({
-  key,
-  revision,
-  packed,
-}: PackedRecord): OperatorRecord {
-  const value = inflateRawSync(packed, {maxOutputLength: maxValueBytes});
-  return {key, revision, value};
+export function unpackRecord(
+  {key, revision, packed}: PackedRecord,
+  mostBytes = maxValueBytes,
+): OperatorRecord {
+  // zlib takes no limit of 0; one byte too many is refused at the next record.
+  const maxOutputLength = Math.max(1, Math.min(mostBytes, maxValueBytes));
+  return {key, revision, value: inflateRawSync(packed, {maxOutputLength})};
 }
--- a/packages/node/src/hosted/peer-records.feature
+++ b/packages/node/src/hosted/peer-records.feature
@@ -19,3 +19,10 @@
     When peer "b" tells of revision 5 and sends bytes that cannot be unpacked
     Then the node asked 3 peers and the store once
     And the node holds revision 0
+
+  Scenario: Records of a peer that grow too large together change nothing
+    Guards against a short answer of a peer that unpacks to more than a node holds.
+    Given a node that asks its peers for records
+    When peer "b" tells of revision 5 and sends 5 records of 4000000 bytes
+    Then the node asked 3 peers and the store once
+    And the node holds revision 0
--- a/packages/node/src/hosted/peer-records.test.ts
+++ b/packages/node/src/hosted/peer-records.test.ts
@@ -124,6 +124,19 @@
   },
 );
 
+When(
+  'peer {string} tells of revision {int} and sends {int} records of {int} bytes',
+  async (peer: string, revision: number, count: number, bytes: number) => {
+    const value = Buffer.alloc(bytes, 'x');
+    const rows = Array.from({length: count}, (_, i) =>
+      packRecord({key: `order/${i}`, revision, value}),
+    );
+    answer = () => Promise.resolve(Result.ok(rows));
+    hear(revision, {nodeId: peer});
+    await settle();
+  },
+);
+
 Then(
   'the node holds revision {int} after it asked {string}',
   (revision: number, peers: string) => {
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -6,7 +6,7 @@
 import * as z from 'zod';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecord, OperatorRecords} from './operator-records.js';
-import {packedRecords, packRecord, unpackRecord} from './packed-record.js';
+import {packedRecords, packRecord, unpackRecords} from './packed-record.js';
 import {RECORD_SOURCES} from './record-progress.js';
 import type {RecordProgress} from './record-progress.js';
 
@@ -163,7 +163,7 @@
   const parsed = packedRecords.safeParse(answer);
   if (!parsed.success) return null;
   try {
-    return parsed.data.map(unpackRecord);
+    return unpackRecords(parsed.data);
   } catch (err) {
     log('Records of a peer cannot be unpacked.', {err: String(err)});
     return null;
