--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -63,8 +63,14 @@
     [FRAME_TYPES.failure]: f => this.#settle(f, Result.err(errorFromFrame(f))),
     [FRAME_TYPES.notice]: f => this.#takeNotice(f),
     [FRAME_TYPES.open]: f => this.#takeOpen(f),
-    [FRAME_TYPES.head]: f => this.#streams.get(f[1])?.takeHead(f[2]),
-    [FRAME_TYPES.end]: f => this.#streams.get(f[1])?.takeEnd(f[2]),
+    [FRAME_TYPES.head]: f => {
+      const stream = this.#streams.get(f[1]);
+      if (stream?.takeHead(f[2]) === false) this.#refuseRepeated('head', f);
+    },
+    [FRAME_TYPES.end]: f => {
+      const stream = this.#streams.get(f[1]);
+      if (stream?.takeEnd(f[2]) === false) this.#refuseRepeated('end', f);
+    },
     [FRAME_TYPES.reset]: f =>
       this.#streams.get(f[1])?.takeReset(errorFromFrame(f)),
     [FRAME_TYPES.credit]: f => this.#takeCredit(f),
@@ -284,6 +290,10 @@
     else this.#refuseFrame('Credit is not a positive number');
   }
 
+  #refuseRepeated(what: string, [, id]: Frame): void {
+    this.#refuseFrame(`Stream ${String(id)} has a further ${what}`);
+  }
+
   #refuseFrame(message: string): void {
     this.close(new MeshError(WIRE_CODES.unexpectedFrame, message));
   }
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -49,6 +49,7 @@
   #wantsDrain = false;
   #ending: {trailer: unknown} | null = null;
   #sentEnd = false;
+  #gotHead = false;
   #gotEnd = false;
   #closed = false;
 
@@ -118,9 +119,12 @@
     this.#deliverBacklog();
   }
 
-  /** Takes the head that the other side sent. */
-  takeHead(head: unknown): void {
+  /** Takes the head that the other side sent; false if it sent one before. */
+  takeHead(head: unknown): boolean {
+    if (this.#gotHead || this.#gotEnd) return false;
+    this.#gotHead = true;
     this.#deliver(l => l.onHead?.(head));
+    return true;
   }
 
   /** Takes bytes; false if the other side exceeded its credit. */
@@ -134,13 +138,15 @@
     return true;
   }
 
-  /** Takes the end of the other side. */
-  takeEnd(trailer: unknown): void {
+  /** Takes the end of the other side; false if it ended before. */
+  takeEnd(trailer: unknown): boolean {
+    if (this.#gotEnd) return false;
     this.#gotEnd = true;
     this.#deliver(l => {
       l.onEnd(trailer);
     });
     this.#closeIfEnded();
+    return true;
   }
 
   /** Takes more credit for this side. */
--- a/packages/wire/src/test/test-peers.ts
+++ b/packages/wire/src/test/test-peers.ts
@@ -9,11 +9,12 @@
 /** A test client that writes raw bytes on an authenticated socket. @internal */
 export class RawPeer {
   readonly socket: net.Socket;
+  /** Settles when the connection has closed, by an end or a reset. */
   readonly closed: Promise<unknown>;
 
   constructor(address: string) {
     this.socket = net.connect(parseAddress(address));
-    this.closed = once(this.socket, 'close');
+    this.closed = new Promise(resolve => this.socket.on('close', resolve));
   }
 
   /** Authenticates with the key. */
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -35,6 +35,17 @@
     And at most 262144 of its bytes were taken beside the wire link
     And the waiting request on the wire link gets its response
 
+  Scenario Outline: A wire link peer that repeats a frame of a stream is disconnected: <frame>
+    Guards against a peer whose frames are kept without an end.
+    Given a wire link between two buses
+    When another peer sends 50 frames "<frame>" of 1000000 bytes on a stream that is not read beside the wire link
+    Then the other peer beside the wire link is disconnected
+
+    Examples:
+      | frame |
+      | head  |
+      | end   |
+
   Scenario: A stream tells how long it was on a slow wire link
     Guards against work for callers that left while their calls were unread.
     Given a wire link between two buses
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -145,6 +145,17 @@
   },
 );
 
+When(
+  'another peer sends {int} frames {string} of {int} bytes on a stream that is not read beside the wire link',
+  async (count: number, frame: 'head' | 'end', size: number) => {
+    raw = new RawPeer(serverAddress);
+    await raw.authenticate(nodeKey);
+    raw.socket.write(encodeFrame([FRAME_TYPES.open, 1, 'count', null]));
+    const bytes = encodeFrame([FRAME_TYPES[frame], 1, Buffer.alloc(size)]);
+    for (let i = 0; i < count; i++) raw.socket.write(bytes);
+  },
+);
+
 Then('the other peer beside the wire link is disconnected', async () => {
   const limitMs = 2000;
   const late = sleep(limitMs, 'late', {ref: false});
