--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -18,7 +18,7 @@
 import {PendingRequests} from './pending-requests.js';
 import {RequestServer} from './request-server.js';
 import {StreamTable} from './stream-table.js';
-import {asLost, errorFromFrame, refused} from './wire-errors.js';
+import {asLost, errorFromFrame, refused, unread} from './wire-errors.js';
 
 /** What a connection needs besides its socket. @internal */
 export interface ConnectionOptions {
@@ -95,7 +95,11 @@
       notify: (kind, body) => this.notify(kind, body).isOk,
     };
     this.#count('handshake', socket.queuedBytes);
-    this.#server = new RequestServer(this, options.handlers, this.#context);
+    this.#server = new RequestServer(
+      {send: frame => this.#respond(frame)},
+      options.handlers,
+      this.#context,
+    );
     socket.sink = this;
     socket.allowLargeFrames();
   }
@@ -221,7 +225,7 @@
   #sendFirst(frame: Frame, kind: string): Result<number, MeshError> {
     if (!this.usable) return refused('The connection is closed');
     if (this.#socket.pendingBytes > maxPendingBytes) {
-      return refused('The peer does not read what was sent');
+      return Result.err(unread());
     }
     const bytes = encodeFrame(frame);
     if (bytes.length - LENGTH_BYTES > MAX_FRAME_BYTES) {
@@ -244,6 +248,12 @@
     sentByKind.add(kind, bytes);
   }
 
+  /** A peer that asks and does not read the responses is given up. */
+  #respond(frame: Frame): void {
+    if (this.#socket.pendingBytes <= maxPendingBytes) this.send(frame);
+    else this.close(asLost(unread()));
+  }
+
   #settle(frame: Frame, outcome: Result<unknown, MeshError>): void {
     if (this.#pending.settle(Number(frame[1]), outcome)) return;
     this.#options.onUnknownResponse();
--- a/packages/wire/src/wire-errors.ts
+++ b/packages/wire/src/wire-errors.ts
@@ -35,6 +35,12 @@
   return Result.err(new MeshError(WIRE_CODES.unreachable, message));
 }
 
+/** The error of a peer that leaves too much unread. @internal */
+export function unread(): MeshError {
+  const message = 'The peer does not read what was sent';
+  return new MeshError(WIRE_CODES.unreachable, message);
+}
+
 /**
  * The error of what was sent on a connection that ended: whatever the cause,
  * it may have been processed.
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -46,6 +46,12 @@
       | head  |
       | end   |
 
+  Scenario: A wire link peer that reads no responses is disconnected
+    Guards against responses that are kept without an end.
+    Given a wire link between two buses
+    When another peer sends 60 requests of 1000000 bytes beside the wire link and reads no responses
+    Then the other peer beside the wire link is disconnected
+
   Scenario: A stream tells how long it was on a slow wire link
     Guards against work for callers that left while their calls were unread.
     Given a wire link between two buses
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -14,6 +14,8 @@
 const nodeKey = Buffer.from('a node key for the tests');
 const timeoutMs = 15_000;
 const noticeGapMs = 50;
+/** Time for which a peer reads nothing, in ms. */
+const unreadMs = 1_000;
 
 /** State of one scenario. */
 let client: TcpPeerBus;
@@ -156,6 +158,24 @@
   },
 );
 
+When(
+  'another peer sends {int} requests of {int} bytes beside the wire link and reads no responses',
+  async (count: number, size: number) => {
+    raw = new RawPeer(serverAddress);
+    await raw.authenticate(nodeKey);
+    // Its own end of the handshake would close the connection at a response.
+    raw.socket.removeAllListeners('data');
+    raw.socket.pause();
+    const body = Buffer.alloc(size);
+    for (let id = 1; id <= count; id++) {
+      raw.socket.write(encodeFrame([FRAME_TYPES.request, id, 'echo', body]));
+    }
+    await sleep(unreadMs);
+    // A socket that is not read does not notice its end.
+    raw.socket.resume();
+  },
+);
+
 Then('the other peer beside the wire link is disconnected', async () => {
   const limitMs = 2000;
   const late = sleep(limitMs, 'late', {ref: false});
