--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -9,6 +9,7 @@
   encodeHead,
 } from './call-head.js';
 import type {AnswerHead, AnswerTrailer, CallHead} from './call-head.js';
+import {headerValue} from './call-headers.js';
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome, Target} from './entry-ports.js';
 import {isUnreachable} from './final-codes.js';
@@ -38,6 +39,8 @@
   #opening: AbortController | null = null;
   #status = 0;
   #bytes = 0;
+  /** Length that the head announces; infinite if it does not. */
+  #announcedBytes = Infinity;
   #over = false;
 
   constructor(
@@ -94,6 +97,8 @@
       return;
     }
     this.#status = head.status;
+    const length = headerValue(head.headers, 'content-length');
+    if (length !== null) this.#announcedBytes = Number(length);
     this.latencyMs = performance.now() - this.startAt;
     this.#listener.onHead(head);
   }
@@ -101,6 +106,12 @@
   onChunk(chunk: Uint8Array): void {
     if (this.#over) return;
     this.#bytes += chunk.length;
+    if (this.#bytes > this.#announcedBytes) {
+      const err = lost('The answer exceeds its announced length');
+      this.#stream?.reset(err);
+      this.#fail(err);
+      return;
+    }
     this.#listener.onChunk(chunk);
   }
 
--- /dev/null
+++ b/packages/node/src/calls/calls-endless.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import type {ByteStream} from '@verbenabeam/wire';
+import {CALL_STREAM, encodeAnswerHead, encodeHead} from './call-head.js';
+import {TestClient, until} from './test/test-client.js';
+import type {Answer} from './test/test-client.js';
+import {TestNode} from './test/test-node.js';
+
+const pieceBytes = 65_536;
+/** The sender stops here, so that a failing test is bounded. */
+const mostBytes = 64_000_000;
+const limitMs = 5_000;
+
+let client: TestClient;
+let entry: TestNode;
+let far: TestNode;
+let answer: Answer | null;
+let sentBytes: number;
+let isReset: boolean;
+
+async function startNodes(): Promise<void> {
+  sentBytes = 0;
+  isReset = false;
+  client = new TestClient();
+  entry = new TestNode('entry', []);
+  far = new TestNode('far', []);
+  await entry.start({});
+  await far.start({});
+  entry.sendTo(far);
+}
+
+/** Writes until the other side resets the stream. */
+function sendOn(stream: ByteStream): void {
+  const piece = Buffer.alloc(pieceBytes, 'x');
+  const write = () => {
+    while (!isReset && sentBytes < mostBytes) {
+      sentBytes += pieceBytes;
+      if (!stream.write(piece)) return;
+    }
+  };
+  stream.listen({
+    onChunk: () => undefined,
+    onEnd: () => undefined,
+    onReset: () => {
+      isReset = true;
+    },
+    onDrain: write,
+  });
+  write();
+}
+
+After({tags: '@calls'}, async () => {
+  await Promise.all([entry, far].filter(Boolean).map(node => node.stop()));
+  await client?.close();
+});
+
+Given(
+  'a data path node whose instance answers {int} bytes and sends on without an end',
+  async (bytes: number) => {
+    await startNodes();
+    const headers = ['content-length', String(bytes)];
+    far.bus.onStream(CALL_STREAM, (_head, stream) => {
+      stream.sendHead(encodeAnswerHead({status: 200, headers}));
+      sendOn(stream);
+    });
+  },
+);
+
+When('a data path caller reads from it', async () => {
+  answer = await client.call(entry, '/write').catch(() => null);
+});
+
+Then('the data path caller gets no whole answer', () => {
+  assert.equal(answer, null);
+});
+
+Given('a data path node that takes calls from another node', startNodes);
+
+When(
+  'another node announces a body of {int} bytes and sends on without an end',
+  async (bytes: number) => {
+    const head = encodeHead({
+      callId: 'endless',
+      service: 'files',
+      version: 'v1',
+      method: 'POST',
+      path: '/write',
+      remainingMs: limitMs,
+      depth: 0,
+      retriesLeft: 0,
+      routeName: 'write',
+      priority: 0,
+      targetMs: limitMs,
+      callerClass: '',
+      bodyBytes: bytes,
+      headers: [],
+    });
+    const opened = await entry.bus.openStream(
+      far.wireAddress,
+      CALL_STREAM,
+      () => head,
+      {timeoutMs: limitMs},
+    );
+    assert.ok(opened.isOk);
+    sendOn(opened.value);
+  },
+);
+
+Then(
+  /^the endless data path (?:answer|body) is reset after at most (\d+) bytes$/,
+  async (most: string) => {
+    await until(() => isReset, limitMs);
+    assert.ok(sentBytes <= Number(most), `${sentBytes} bytes`);
+  },
+);
--- a/packages/node/src/calls/serving-body.ts
+++ b/packages/node/src/calls/serving-body.ts
@@ -16,6 +16,8 @@
   readonly #isEmpty: boolean;
   /** Bytes of a collected body that the entry side may send once allowed. */
   readonly aheadBytes: number;
+  /** Bytes that a collected body may still bring. */
+  #collectable: number;
   #pieces: Uint8Array[] = [];
   #whole: Buffer | null = null;
 
@@ -31,6 +33,7 @@
     const isLarge = bodyBytes === null || bodyBytes > collectBytes;
     this.#passed = isLarge ? new UpstreamBody(stream) : null;
     this.#isEmpty = bodyBytes === 0;
+    this.#collectable = isLarge ? Infinity : bodyBytes;
     this.aheadBytes = Math.max(0, (bodyBytes ?? 0) - FIRST_STREAM_BYTES);
   }
 
@@ -50,9 +53,14 @@
     return this.#whole ?? noBody;
   }
 
-  accept(chunk: Uint8Array): void {
+  /** False if the body exceeds its announced length. */
+  accept(chunk: Uint8Array): boolean {
+    if (this.#isEmpty) return true;
+    this.#collectable -= chunk.length;
+    if (this.#collectable < 0) return false;
     if (this.#passed) this.#passed.accept(chunk);
-    else if (!this.#isEmpty) this.#pieces.push(chunk);
+    else this.#pieces.push(chunk);
+    return true;
   }
 
   finish(): void {
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -65,7 +65,8 @@
   }
 
   onChunk(chunk: Uint8Array): void {
-    if (!this.#over) this.#body.accept(chunk);
+    if (this.#over || this.#body.accept(chunk)) return;
+    this.#refuse(CALL_CODES.bodyGrewTooLarge);
   }
 
   onEnd(): void {
@@ -122,8 +123,7 @@
   onUpstreamNotRun(otherUpstream: boolean): void {
     if (this.#over) return;
     if (otherUpstream) {
-      const {upstream} = this.#context.ports;
-      upstream.markDown('Another upstream has its address');
+      this.#context.ports.upstream.markDown('Another upstream has its address');
     }
     this.#refuse(CALL_CODES.upstreamShed, true);
   }
