--- /dev/null
+++ b/packages/node/src/hosted/near-records.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {testSeed} from '@verbenabeam/testing';
+import {RecordFleet} from './test/record-fleet.js';
+
+const percent = 100;
+/** Nodes are watched this long after the last revision was written. */
+const watchMs = 2_000;
+const names = ['a', 'b', 'c'];
+
+let fleet: RecordFleet | null = null;
+const writtenAt = new Map<number, number>();
+
+After({tags: '@hosted'}, () => {
+  fleet?.stop();
+  fleet = null;
+});
+
+function currentFleet(): RecordFleet {
+  assert.ok(fleet, 'no fleet runs');
+  return fleet;
+}
+
+Given(
+  '{int} nodes in {int} data centres, of which {int} in each of {string} follow the store',
+  (count: number, places: number, followers: number, followed: string) => {
+    fleet = new RecordFleet(testSeed());
+    for (let i = 0; i < count; i++) {
+      const dataCentre = names[i % places] ?? '';
+      const isFollowed = followed.split(', ').includes(dataCentre);
+      fleet.add(dataCentre, isFollowed && i < followers * places);
+    }
+    fleet.start();
+  },
+);
+
+When(
+  'the store brings the followers {int} revisions, one each {int} ms',
+  async (count: number, gapMs: number) => {
+    writtenAt.clear();
+    for (let revision = 1; revision <= count; revision++) {
+      writtenAt.set(revision, performance.now());
+      currentFleet().write(revision);
+      await sleep(gapMs);
+    }
+    await sleep(watchMs);
+  },
+);
+
+Then(
+  'each node held each revision or a newer one within {int} ms',
+  (withinMs: number) => {
+    for (const {nodeId, heldAt} of currentFleet().nodes) {
+      for (const [revision, at] of writtenAt) {
+        const times = [...heldAt].filter(([r]) => r >= revision);
+        const ms = Math.min(Infinity, ...times.map(([, t]) => t)) - at;
+        assert.ok(ms <= withinMs, `${nodeId}, revision ${revision}: ${ms} ms`);
+      }
+    }
+  },
+);
+
+Then(
+  'at most {int}% of the records that peers gave came from another data centre',
+  (mostPercent: number) => {
+    const {near, far} = currentFleet().given;
+    const share = (far / (near + far)) * percent;
+    assert.ok(share <= mostPercent, `${far} of ${near + far}: ${share}%`);
+  },
+);
--- a/packages/node/src/hosted/peer-records.test.ts
+++ b/packages/node/src/hosted/peer-records.test.ts
@@ -72,7 +72,6 @@
     signal: new AbortController().signal,
     progress: new RecordProgress(systemClock),
     isFollowing: () => false,
-    onNewer: () => undefined,
     onMissing: () => {
       storeReads++;
     },
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -1,5 +1,6 @@
 import {logger} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
+import type {InstanceRecord} from '@verbenabeam/membership';
 import {systemSleep} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {Result} from 'true-myth';
@@ -17,8 +18,14 @@
 const maxPulls = 3;
 /** The own watch usually brings a change within this time. */
 const watchLeadMs = 150;
+/** Peers of the own data centre usually have a change within this time. */
+const nearLeadMs = 100;
+/** Spreads the nodes of a data centre in which no peer has it, in ms. */
+const nearSpreadMs = 100;
 /** Peers that a node tells of a change; each tells as many again. */
 const fanOut = 3;
+/** Peers of other data centres that a node with records of the store tells. */
+const farFanOut = 1;
 
 const pullSchema = z.object({since: z.number().nonnegative()});
 
@@ -32,8 +39,6 @@
   readonly progress: RecordProgress;
   /** Whether this node follows the store itself. */
   readonly isFollowing: () => boolean;
-  /** Called when a peer's records were taken over. */
-  readonly onNewer: () => void;
   /** Called when a peer did not give the records that one told of. */
   readonly onMissing: () => void;
 }
@@ -48,9 +53,11 @@
  */
 export class PeerRecords {
   readonly #options: PeerRecordsOptions;
-  /** Highest revision that a peer told of, and that peer. */
-  #heard = {revision: 0, nodeId: ''};
+  /** Highest revision that peers told of, and those peers. */
+  #heard = {revision: 0, tellers: new Set<string>()};
   #isPulling = false;
+  /** Ends the wait for a peer of the own data centre. */
+  #nearWait = new AbortController();
 
   constructor(options: PeerRecordsOptions) {
     this.#options = options;
@@ -71,22 +78,47 @@
     });
   }
 
-  /** Tells some peers which revision this node has. */
+  /** Tells some peers of records that came from the store. */
   announce(): void {
+    this.#tell(farFanOut);
+  }
+
+  /** Tells peers of the own data centre, and some of others. */
+  #tell(leastFar: number): void {
     const {bus, membership, records, random} = this.#options;
     membership.gossip.setConfig(records.revision, '');
-    const own = membership.own.nodeId;
-    const peers = membership.live().filter(({nodeId}) => nodeId !== own);
-    for (const {address} of random.shuffle(peers).slice(0, fanOut)) {
+    const peers = random.shuffle(this.#peers());
+    const near = peers.filter(row => this.#isNear(row)).slice(0, fanOut);
+    const far = peers.filter(row => !this.#isNear(row));
+    const farCount = Math.max(leastFar, fanOut - near.length);
+    for (const {address} of [...near, ...far.slice(0, farCount)]) {
       bus.notify(address, newerKind, records.revision);
     }
   }
 
+  #peers(): InstanceRecord[] {
+    const {membership} = this.#options;
+    const own = membership.own.nodeId;
+    return membership.live().filter(({nodeId}) => nodeId !== own);
+  }
+
+  #isNear({dataCentre}: InstanceRecord): boolean {
+    return dataCentre === this.#options.membership.own.dataCentre;
+  }
+
   #onSeen(nodeId: string, revision: number): void {
     const {progress, records} = this.#options;
     progress.heard(revision, records.revision);
-    if (revision > this.#heard.revision) this.#heard = {revision, nodeId};
-    if (!this.#isMissing || this.#isPulling) return;
+    if (revision > this.#heard.revision) {
+      this.#heard = {revision, tellers: new Set()};
+    }
+    if (!this.#isMissing) return;
+    if (revision === this.#heard.revision) this.#heard.tellers.add(nodeId);
+    if (this.#isPulling) {
+      if (this.#holders().some(row => this.#isNear(row)))
+        this.#nearWait.abort();
+      return;
+    }
     this.#isPulling = true;
     void this.#pullAll();
   }
@@ -101,6 +133,8 @@
     if (isFollowing()) await systemSleep(watchLeadMs, signal);
     const failed = new Set<string>();
     while (this.#isMissing && failed.size < maxPulls && !signal.aborted) {
+      if (failed.size === 0) await this.#awaitNear();
+      if (!this.#isMissing) break;
       const nodeId = this.#source(failed);
       if (nodeId === null) break;
       if (await this.#pull(nodeId)) failed.clear();
@@ -112,23 +146,40 @@
     this.#isPulling = false;
   }
 
-  /** The peer that told of the revision, then others, first those that hold it. */
+  /** Waits a little for a peer of the own data centre that has the revision. */
+  async #awaitNear(): Promise<void> {
+    const {isFollowing, random, signal} = this.#options;
+    const hasNear = this.#holders().some(row => this.#isNear(row));
+    const canBeNear = this.#peers().some(row => this.#isNear(row));
+    if (isFollowing() || hasNear || !canBeNear) return;
+    this.#nearWait = new AbortController();
+    const wait = AbortSignal.any([signal, this.#nearWait.signal]);
+    const waitMs = nearLeadMs + random.float() * nearSpreadMs;
+    await systemSleep(waitMs, wait);
+  }
+
+  /** Peers that are known to hold the revision that was told of. */
+  #holders(): InstanceRecord[] {
+    const {revision, tellers} = this.#heard;
+    return this.#peers().filter(
+      ({nodeId, configVersion}) =>
+        tellers.has(nodeId) || configVersion >= revision,
+    );
+  }
+
+  /** A peer that holds the revision, of the own data centre if there is one. */
   #source(failed: ReadonlySet<string>): string | null {
-    const {nodeId, revision} = this.#heard;
-    if (!failed.has(nodeId)) return nodeId;
-    const {membership, random} = this.#options;
-    const own = membership.own.nodeId;
-    const others = membership
-      .live()
-      .filter(row => row.nodeId !== own && !failed.has(row.nodeId));
-    const holders = others.filter(row => row.configVersion >= revision);
-    const sources = holders.length > 0 ? holders : others;
-    return sources.length > 0 ? random.pick(sources).nodeId : null;
+    const isLeft = ({nodeId}: InstanceRecord) => !failed.has(nodeId);
+    const holders = this.#holders().filter(isLeft);
+    const near = holders.filter(row => this.#isNear(row));
+    const others = this.#peers().filter(isLeft);
+    const sources = [near, holders, others].find(({length}) => length > 0);
+    return sources ? this.#options.random.pick(sources).nodeId : null;
   }
 
   /** Returns whether the peer had something new. */
   async #pull(nodeId: string): Promise<boolean> {
-    const {bus, membership, records, progress, onNewer} = this.#options;
+    const {bus, membership, records, progress} = this.#options;
     const startAt = performance.now();
     const since = records.revision;
     const address = membership.addressOf(nodeId);
@@ -143,7 +194,7 @@
     const found = unpackAll(got.unwrapOr(null));
     if (found) progress.came(RECORD_SOURCES.peer, found, ms);
     const isNew = found !== null && records.offer(found);
-    if (isNew) onNewer();
+    if (isNew) this.#tell(0);
     else if (records.revision <= since) {
       const {revision} = this.#heard;
       log('Peer gave no records.', {
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -58,7 +58,6 @@
       ...options,
       progress: this.progress,
       isFollowing: () => membership.own.relay,
-      onNewer: () => this.#peers.announce(),
       onMissing: () => this.#feed.readNow(),
     });
   }
--- /dev/null
+++ b/packages/node/src/hosted/test/record-fleet.ts
@@ -0,0 +1,204 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  Invariants,
+  MeshError,
+  seededRandom,
+  systemClock,
+  WIRE_CODES,
+} from '@verbenabeam/core';
+import type {RandomSource} from '@verbenabeam/core';
+import {Result} from 'true-myth';
+import type {OperatorFormat} from '../operator-documents.js';
+import {OperatorRecords} from '../operator-records.js';
+import {PeerRecords} from '../peer-records.js';
+import type {PeerRecordsOptions} from '../peer-records.js';
+import {RecordProgress} from '../record-progress.js';
+
+type RequestHandler = (body: unknown) => Result<unknown, MeshError>;
+type NoticeHandler = (body: unknown, peer: {nodeId: string}) => void;
+type ConfigListener = (
+  peer: {nodeId: string},
+  config: {version: number},
+) => void;
+
+/** One way between nodes, in ms. */
+const nearMs = 0.5;
+const farMs = 1.5;
+/** Time in which a link carries the records. */
+const transferMs = 20;
+/** The store's watch reaches the followers within this time. */
+const watchMs = 60;
+/** Each node hears of the revision of one other node that often. */
+const probeMs = 300;
+
+const format = {
+  parse: () => Result.ok(null),
+} as unknown as OperatorFormat;
+
+/** A node of the fleet. */
+export interface FleetNode {
+  readonly nodeId: string;
+  readonly dataCentre: string;
+  readonly follows: boolean;
+  readonly records: OperatorRecords;
+  /** Time at which the node first held each revision. */
+  readonly heldAt: Map<number, number>;
+}
+
+interface Member extends FleetNode {
+  readonly peers: PeerRecords;
+  readonly known: Map<string, number>;
+  onPull: RequestHandler;
+  onNotice: NoticeHandler;
+  onConfig: ConfigListener;
+}
+
+/** Nodes that pass records on over links of the test. */
+export class RecordFleet {
+  /** Records that peers gave: of the own data centre, and of others. */
+  readonly given = {near: 0, far: 0};
+  readonly #members = new Map<string, Member>();
+  readonly #random: RandomSource;
+  readonly #end = new AbortController();
+
+  constructor(seed: number) {
+    this.#random = seededRandom(seed);
+  }
+
+  get nodes(): readonly FleetNode[] {
+    return [...this.#members.values()];
+  }
+
+  add(dataCentre: string, follows: boolean): void {
+    const nodeId = `${dataCentre}-${this.#members.size}`;
+    const heldAt = new Map<number, number>();
+    const records = new OperatorRecords(format, new Invariants(), {
+      onConfig: () => undefined,
+      onOrder: () => undefined,
+      onRevision: revision => {
+        heldAt.set(revision, performance.now());
+      },
+    });
+    const member: Member = {
+      nodeId,
+      dataCentre,
+      follows,
+      records,
+      heldAt,
+      known: new Map(),
+      peers: new PeerRecords(
+        this.#options(() => member, records, dataCentre, nodeId, follows),
+      ),
+      onPull: () => Result.ok([]),
+      onNotice: () => undefined,
+      onConfig: () => undefined,
+    };
+    this.#members.set(nodeId, member);
+    member.peers.start();
+  }
+
+  /** Starts the probes. */
+  start(): void {
+    for (const member of this.#members.values()) void this.#probe(member);
+  }
+
+  stop(): void {
+    this.#end.abort();
+  }
+
+  /** The store has a new revision. */
+  write(revision: number): void {
+    const value = Buffer.from(`text ${revision}`);
+    for (const member of this.#members.values()) {
+      if (!member.follows) continue;
+      setTimeout(() => {
+        const isNew = member.records.offer([{key: 'config', revision, value}]);
+        if (isNew) member.peers.announce();
+      }, this.#random.float() * watchMs);
+    }
+  }
+
+  async #probe(member: Member): Promise<void> {
+    const {signal} = this.#end;
+    await sleep(this.#random.float() * probeMs);
+    while (!signal.aborted) {
+      const other = this.#random.pick([...this.#members.values()]);
+      const version = other.records.revision;
+      member.known.set(other.nodeId, version);
+      if (other !== member) member.onConfig(other, {version});
+      await sleep(probeMs);
+    }
+  }
+
+  #wayMs(from: Member, to: Member): number {
+    return from.dataCentre === to.dataCentre ? nearMs : farMs;
+  }
+
+  #live(member: Member) {
+    return this.nodes.map(({nodeId, dataCentre}) => ({
+      nodeId,
+      dataCentre,
+      address: nodeId,
+      configVersion: member.known.get(nodeId) ?? 0,
+    }));
+  }
+
+  async #request(from: Member, address: string, body: unknown) {
+    const to = this.#members.get(address);
+    if (!to) {
+      return Result.err(new MeshError(WIRE_CODES.unreachable, 'unknown'));
+    }
+    await sleep(this.#wayMs(from, to));
+    const answer = to.onPull(body);
+    await sleep(this.#wayMs(from, to) + transferMs);
+    if (from.dataCentre === to.dataCentre) this.given.near++;
+    else this.given.far++;
+    return answer;
+  }
+
+  #notify(from: Member, address: string, body: unknown): void {
+    const to = this.#members.get(address);
+    if (!to) return;
+    setTimeout(() => to.onNotice(body, from), this.#wayMs(from, to));
+  }
+
+  #options(
+    self: () => Member,
+    records: OperatorRecords,
+    dataCentre: string,
+    nodeId: string,
+    follows: boolean,
+  ): PeerRecordsOptions {
+    return {
+      bus: {
+        onRequest: (_kind: string, handler: RequestHandler) => {
+          self().onPull = handler;
+        },
+        onNotice: (_kind: string, handler: NoticeHandler) => {
+          self().onNotice = handler;
+        },
+        notify: (address: string, _kind: string, body: unknown) =>
+          this.#notify(self(), address, body),
+        request: (address: string, _kind: string, body: unknown) =>
+          this.#request(self(), address, body),
+      },
+      membership: {
+        own: {nodeId, dataCentre},
+        live: () => this.#live(self()),
+        addressOf: (id: string) => id,
+        gossip: {
+          onPeerConfig: (listener: ConfigListener) => {
+            self().onConfig = listener;
+          },
+          setConfig: () => undefined,
+        },
+      },
+      records,
+      random: this.#random,
+      signal: this.#end.signal,
+      progress: new RecordProgress(systemClock),
+      isFollowing: () => follows,
+      onMissing: () => undefined,
+    } as unknown as PeerRecordsOptions;
+  }
+}
