--- a/packages/node/src/hosted/near-records.feature
+++ b/packages/node/src/hosted/near-records.feature
@@ -13,3 +13,8 @@
       | followed  |
       | "a, b, c" |
       | "a, b"    |
+
+  Scenario: In a small data centre each node is told of a change by each other one
+    Given 5 nodes in 1 data centres, of which 1 in each of "a" follow the store
+    When the store brings the followers 1 revisions, one each 100 ms
+    Then each node of that fleet told each other one
--- a/packages/node/src/hosted/near-records.test.ts
+++ b/packages/node/src/hosted/near-records.test.ts
@@ -69,3 +69,10 @@
     assert.ok(share <= mostPercent, `${far} of ${near + far}: ${share}%`);
   },
 );
+
+Then('each node of that fleet told each other one', () => {
+  const {nodes, told} = currentFleet();
+  for (const {nodeId} of nodes) {
+    assert.equal(told.get(nodeId)?.size, nodes.length - 1, nodeId);
+  }
+});
--- a/packages/node/src/hosted/peer-records.ts
+++ b/packages/node/src/hosted/peer-records.ts
@@ -23,7 +23,7 @@
 /** Spreads the nodes of a data centre in which no peer has it, in ms. */
 const nearSpreadMs = 100;
 /** Peers that a node tells of a change; each tells as many again. */
-const fanOut = 3;
+const fanOut = 4;
 /** Peers of other data centres that a node with records of the store tells. */
 const farFanOut = 1;
 
--- a/packages/node/src/hosted/test/record-fleet.ts
+++ b/packages/node/src/hosted/test/record-fleet.ts
@@ -57,6 +57,8 @@
 export class RecordFleet {
   /** Records that peers gave: of the own data centre, and of others. */
   readonly given = {near: 0, far: 0};
+  /** For each node, those that it told of a change. */
+  readonly told = new Map<string, Set<string>>();
   readonly #members = new Map<string, Member>();
   readonly #random: RandomSource;
   readonly #end = new AbortController();
@@ -159,6 +161,8 @@
   #notify(from: Member, address: string, body: unknown): void {
     const to = this.#members.get(address);
     if (!to) return;
+    const told = this.told.get(from.nodeId) ?? new Set<string>();
+    this.told.set(from.nodeId, told.add(to.nodeId));
     setTimeout(() => to.onNotice(body, from), this.#wayMs(from, to));
   }
 
