--- a/packages/node/src/hosted/caller-connections.ts
+++ b/packages/node/src/hosted/caller-connections.ts
@@ -8,13 +8,14 @@
 const refuseShare = 0.8;
 
 /**
- * Connections of callers that may wait to be accepted. An overloaded node accepts
- * about 200 a second; behind more than this its callers have left before their
- * turn, and to accept what they left takes the time of those who still wait.
+ * Connections of callers that may wait to be accepted. A turn of the event loop
+ * accepts one and takes up to 20 ms after a restart; behind more than this its
+ * callers have left before their turn, and to accept what they left takes the time
+ * of those who still wait.
  *
  * @internal
  */
-export const callerBacklog = 64;
+export const callerBacklog = 16;
 
 /**
  * Bounds the connections of callers by the descriptors that the process may use.
