--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -23,6 +23,8 @@
 
 /** More of a refusal's body is not read: the connection is closed. */
 const maxRefusalBytes = 65_536;
+/** An upstream has read a body of at most this many bytes with the head, we assume. */
+const readWithHeadBytes = 16_384;
 /** An upstream sends one or two; more are a fault of its own. */
 const maxInformationalHeads = 16;
 /** Status from which an answer is final. */
@@ -108,6 +110,7 @@
     } else if (this.#kind === ANSWER_KINDS.foreign) {
       this.#abort?.(new Error('The answer belongs to another request'));
     } else {
+      this.#leaveUnreadBody();
       this.#reportNotRun();
     }
     return true;
@@ -155,6 +158,16 @@
     this.#abort?.(new Error('The upstream sends only informational heads'));
   }
 
+  /**
+   * An upstream may refuse a long request before it has read its body, and read
+   * on later: the next call on the connection would wait behind that body.
+   */
+  #leaveUnreadBody(): void {
+    const {bodyBytes} = this.#head;
+    if (bodyBytes !== null && bodyBytes <= readWithHeadBytes) return;
+    this.#abort?.(new Error('The body of a refused request may be unread'));
+  }
+
   #reportNotRun(): void {
     const isOther = this.#kind === ANSWER_KINDS.otherUpstream;
     this.#listener.onUpstreamNotRun(isOther);
