--- a/packages/node/src/calls/serving-head.ts
+++ b/packages/node/src/calls/serving-head.ts
@@ -1,4 +1,4 @@
-import {MeshError} from '@verbenabeam/core';
+import {CALL_CODES, MeshError} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import {fingerprintOf} from '@verbenabeam/routing';
 import type {CallHead} from './call-head.js';
@@ -6,6 +6,12 @@
 import type {ServingTimes} from './serving-log.js';
 import type {AdmissionRequest} from './serving-ports.js';
 
+/**
+ * Time after which a caller returns whose request an upstream with room refused,
+ * in ms: nothing has to be cleared there first.
+ */
+const shedReturnMs = 20;
+
 /** What a call asks admission for. @internal */
 export function slotRequest(
   {callId, routeName, priority, targetMs, callerClass}: CallHead,
@@ -31,5 +37,7 @@
 
 /** The refusal that a code stands for. @internal */
 export function errorOf(code: ResultCode): MeshError {
-  return new MeshError(code, code.text);
+  const isShed = code === CALL_CODES.upstreamShed;
+  const details = isShed ? {retryAfterMs: shedReturnMs} : {};
+  return new MeshError(code, code.text, details);
 }
