--- a/packages/node/src/calls/serving-head.ts
+++ b/packages/node/src/calls/serving-head.ts
@@ -7,6 +7,12 @@
 import type {ServingTimes} from './serving-log.js';
 import type {AdmissionRequest, OwnUpstream} from './serving-ports.js';
 
+/**
+ * Time after which a caller returns whose request an upstream with room refused,
+ * in ms: nothing has to be cleared there first.
+ */
+const shedReturnMs = 20;
+
 /** What a call asks admission for. @internal */
 export function slotRequest(
   {callId, routeName, priority, targetMs, callerClass}: CallHead,
@@ -47,5 +53,7 @@
 
 /** The refusal that a code stands for. @internal */
 export function errorOf(code: ResultCode): MeshError {
-  return new MeshError(code, code.text);
+  const isShed = code === CALL_CODES.upstreamShed;
+  const details = isShed ? {retryAfterMs: shedReturnMs} : {};
+  return new MeshError(code, code.text, details);
 }
