--- /dev/null
+++ b/packages/node/src/hosted/announcements.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then, When} from '@cucumber/cucumber';
+import {Result} from 'true-myth';
+import {createAnnouncementServer} from './listeners.js';
+
+const pieceBytes = 65_536;
+const limitMs = 3_000;
+const piece = `${pieceBytes.toString(16)}\r\n${'x'.repeat(pieceBytes)}\r\n`;
+
+let server: Server | null = null;
+let socket: net.Socket;
+let answer = '';
+let sentBytes = 0;
+let closed: Promise<unknown>;
+
+After({tags: '@hosted'}, () => {
+  socket?.destroy();
+  server?.close();
+  server = null;
+});
+
+Given(
+  'a listener of announcements of at most {int} bytes',
+  async (maxBodyBytes: number) => {
+    const parse = () => Result.ok(null);
+    const format = {readinessPath: '/ready', maxBodyBytes, parse};
+    server = createAnnouncementServer(format, () => Result.ok(true));
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+  },
+);
+
+When('an announcement of {int} bytes is sent to it', async (bytes: number) => {
+  const {port} = server?.address() as AddressInfo;
+  socket = net.connect({host: '127.0.0.1', port});
+  closed = new Promise(resolve => socket.on('close', resolve));
+  // A reset is one way in which the listener may close the connection.
+  socket.on('error', () => undefined);
+  answer = '';
+  sentBytes = 0;
+  const answered = new Promise(resolve => {
+    socket.on('data', data => {
+      answer += data.toString('latin1');
+      resolve(true);
+    });
+  });
+  const head = ['PUT /instances/a HTTP/1.1', 'Host: a'];
+  head.push('Transfer-Encoding: chunked', '\r\n');
+  socket.write(head.join('\r\n'));
+  const send = () => {
+    if (socket.destroyed) return;
+    if (sentBytes >= bytes) {
+      socket.write('0\r\n\r\n');
+      return;
+    }
+    sentBytes += pieceBytes;
+    if (socket.write(piece)) setImmediate(send);
+    else socket.once('drain', send);
+  };
+  send();
+  await Promise.race([answered, closed, sleep(limitMs)]);
+});
+
+Then('the announcement is refused with {int}', (status: number) => {
+  assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `));
+});
+
+Then(
+  'its connection is closed after at most {int} bytes',
+  async (most: number) => {
+    const late = sleep(limitMs, 'late', {ref: false});
+    assert.notEqual(await Promise.race([closed, late]), 'late');
+    assert.ok(sentBytes <= most, `${sentBytes} bytes`);
+  },
+);
--- a/packages/node/src/hosted/listeners.ts
+++ b/packages/node/src/hosted/listeners.ts
@@ -12,6 +12,8 @@
 const tooLarge = 413;
 /** Callers of these listeners are on the same machine or the platform. */
 const keepAliveTimeoutMs = 30_000;
+/** Read beyond the limit, so that the sender gets its refusal; in bytes. */
+const maxDroppedBytes = 1_048_576;
 const log = logger('upstream');
 
 /** Serves the question whether the node takes calls. @internal */
@@ -35,6 +37,8 @@
     void readBody(req, format.maxBodyBytes).then(body => {
       if (body === null) {
         log('Heartbeat is too long.', {path: req.url});
+        // A rest that is not read makes the connection useless.
+        res.shouldKeepAlive = req.complete;
         send(res, tooLarge);
         return;
       }
@@ -74,6 +78,7 @@
     req.on('data', (piece: Buffer) => {
       bytes += piece.length;
       if (bytes <= maxBytes) pieces.push(piece);
+      else if (bytes > maxBytes + maxDroppedBytes) resolve(null);
     });
     req.on('end', () =>
       resolve(bytes > maxBytes ? null : Buffer.concat(pieces)),
