--- a/packages/node/src/hosted/caller-connections.ts
+++ b/packages/node/src/hosted/caller-connections.ts
@@ -15,7 +15,7 @@
  *
  * @internal
  */
-export const callerBacklog = 16;
+export const callerBacklog = 32;
 
 /**
  * Bounds the connections of callers by the descriptors that the process may use.
