--- a/packages/node/src/warm-up/warm-up.test.ts
+++ b/packages/node/src/warm-up/warm-up.test.ts
@@ -5,6 +5,8 @@
 import {WarmUp} from './warm-up.js';
 
 const settleMs = 100;
+/** Longer than a warm-up waits for calls. */
+const quietMs = 2_000;
 const stepTimeoutMs = 20_000;
 const socketKinds: ReadonlySet<string> = new Set([
   'TCPSocketWrap',
@@ -46,6 +48,25 @@
   (ms: number) => endAfter(ms, () => end.abort()),
 );
 
+When(
+  'the node of the warm-up has a call from {int} to {int} ms',
+  {timeout: stepTimeoutMs},
+  async (fromMs: number, toMs: number) => {
+    const running = warmUp?.run();
+    await sleep(fromMs);
+    isIdle = false;
+    await sleep(toMs - fromMs);
+    isIdle = true;
+    await Promise.race([running, sleep(quietMs)]);
+    end.abort();
+    await running;
+  },
+);
+
+Then('the warm-up made {int} calls', (calls: number) => {
+  assert.equal(warmUp?.calls, calls);
+});
+
 Then('the warm-up made at least {int} calls', (least: number) => {
   assert.ok(warmUp && warmUp.calls >= least, `${warmUp?.calls} calls`);
 });
--- a/packages/node/src/warm-up/warm-up.ts
+++ b/packages/node/src/warm-up/warm-up.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {logger, seededRandom} from '@verbenabeam/core';
 import type {CallProtocol} from '../calls/index.js';
 import type {CallSample} from './call-sample.js';
@@ -21,6 +22,10 @@
 }
 
 const defaults = {maxCalls: 4_000, maxMs: 8_000};
+/** A node without calls for this time after its start has time to spare, in ms. */
+const quietMs = 1_000;
+/** Time between two looks for calls meanwhile, in ms. */
+const lookMs = 50;
 /** Connections at once; more than the slots of both nodes. */
 const lanes = 8;
 /** Calls on a connection: most callers that return make one. */
@@ -55,8 +60,12 @@
     return this.#calls;
   }
 
-  /** Resolves when the code is warm, time is up or the node has calls. */
+  /**
+   * Resolves when the code is warm, time is up or the node has calls. A node that
+   * has calls soon after its start makes none here: it restarts under load.
+   */
   async run(): Promise<void> {
+    if (!(await this.#staysQuiet())) return;
     const {protocol, sample} = this.#options;
     this.#startAt = performance.now();
     const random = seededRandom(seed);
@@ -83,6 +92,16 @@
     log('Code has been warmed up.', {calls: this.#calls, ms, idle: isIdle()});
   }
 
+  async #staysQuiet(): Promise<boolean> {
+    const {isIdle, signal} = this.#options;
+    const until = performance.now() + quietMs;
+    while (performance.now() < until) {
+      if (!isIdle() || signal.aborted) return false;
+      await sleep(lookMs);
+    }
+    return isIdle();
+  }
+
   get #goesOn(): boolean {
     const {maxCalls, maxMs, isIdle, signal} = this.#options;
     return (
