--- a/packages/node/src/warm-up/warm-up.ts
+++ b/packages/node/src/warm-up/warm-up.ts
@@ -48,6 +48,8 @@
 export class WarmUp {
   readonly #options: Required<WarmUpOptions>;
   #connections = 0;
+  /** Calls that were asked of the lanes. */
+  #asked = 0;
   #calls = 0;
   #startAt = 0;
 
@@ -55,7 +57,7 @@
     this.#options = {...defaults, ...options};
   }
 
-  /** Calls that were answered or refused. */
+  /** Calls that ended, known when the warm-up is over; 0 before. */
   get calls(): number {
     return this.#calls;
   }
@@ -105,7 +107,7 @@
   get #goesOn(): boolean {
     const {maxCalls, maxMs, isIdle, signal} = this.#options;
     return (
-      this.#calls < maxCalls &&
+      this.#asked < maxCalls &&
       performance.now() - this.#startAt < maxMs &&
       !signal.aborted &&
       isIdle()
@@ -117,7 +119,7 @@
       const at = this.#connections++;
       const count = callsPerConnection[at % callsPerConnection.length] ?? 1;
       const port = ports[at % ports.length] ?? 0;
-      this.#calls += count;
+      this.#asked += count;
       const {sample} = this.#options;
       await callInTurn({port, kind: kindOf(at), count, sample});
     }
