Uploads: read on while a call waits, so that the end of its caller is seen

Cause: a body beyond what a node keeps for a retry (2 MB hosted, 64 KB native) was not read any further while its call waited for a slot. Node.js reports the end of a connection only after what lies before it, so the upload of a caller that had left kept its place and was run once a slot was free.

Ruled out: a larger replay limit, which only moves the size; interim responses as a probe of the connection, which callers of our own pages may count as an answer; /proc/net/tcp, which is no interface of Node.js.

--- a/packages/node/src/calls/abandoned-uploads.feature
+++ b/packages/node/src/calls/abandoned-uploads.feature
@@ -20,6 +20,7 @@
       | 40000   | other |
       | 200000  | own   |
       | 200000  | other |
+      | 3000000 | own   |
       | 3000000 | other |
 
   Scenario Outline: A chunked upload of <bytes> bytes to the <place> node runs in full if its caller stays connected
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -14,7 +14,6 @@
 import {CallClaim} from './call-claim.js';
 import type {ResponseHead, ResponseTrailer} from './call-head.js';
 import {callTimeoutMs} from './call-timeout.js';
-import type {CallerConnections} from './caller-connections.js';
 import type {CallRecord} from './call-record.js';
 import {chooseService, maxRetriesOf} from './choose-service.js';
 import {buildCallRecord} from './build-call-record.js';
@@ -25,6 +24,7 @@
 import type {EntryPorts, Outcome} from './entry-ports.js';
 import {ReplayBody} from './replay-body.js';
 import {withRetryJitter} from './retry-jitter.js';
+import type {SharedByCalls} from './shared-by-calls.js';
 
 /** Called when a call ends, with its record and the refusal if it was refused. */
 export type OnCallEnd = (record: CallRecord, refusal: MeshError | null) => void;
@@ -51,7 +51,7 @@
   constructor(
     call: RoutedCall,
     ports: EntryPorts,
-    connections: CallerConnections,
+    {connections, readAhead}: SharedByCalls,
     onEnd: OnCallEnd,
   ) {
     const {headers, req, res, route, snapshot, callId, startAt} = call;
@@ -61,9 +61,9 @@
     this.#log = new AttemptLog(callId, startAt);
     const service = chooseService(route, ports.random);
     this.#service = service;
-    const {deadlineMarginMs} = ports.protocol;
+    const {protocol} = ports;
     this.#deadlineAt =
-      startAt + callTimeoutMs(headers, route, deadlineMarginMs);
+      startAt + callTimeoutMs(headers, route, protocol.deadlineMarginMs);
     this.#retries = new CallRetries(ports, {
       service: service.name,
       idempotent: route.idempotent,
@@ -78,11 +78,11 @@
       },
       Math.max(0, this.#deadlineAt - performance.now()),
     );
-    const {protocol} = ports;
     const hasBody = headers.bodyBytes !== 0;
     this.#body = new ReplayBody(req, hasBody, {
       maxKeptBytes: protocol.maxReplayBytes,
       maxBytes: snapshot.document.callerLimits?.maxBodyBytes ?? Infinity,
+      readAhead,
       onTooLarge: () => this.#rejectBody(),
     });
     this.#attempts = new AttemptFactory(call, service, ports, this.#body);
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -26,6 +26,7 @@
 import {buildCallRecord} from './build-call-record.js';
 import {InFlightCounter} from './in-flight-counter.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
+import {ReadAheadBudget} from './read-ahead-budget.js';
 import {withRetryJitter} from './retry-jitter.js';
 import {CallScheduler} from './call-scheduler.js';
 
@@ -55,6 +56,7 @@
   readonly #inFlight = new InFlightCounter();
   readonly #scheduler: CallScheduler;
   readonly #connections = new CallerConnections();
+  readonly #readAhead = new ReadAheadBudget();
   readonly #returningCallers = new RetryingCallers();
   #draining = false;
   /** Time at which a stopping node ends its calls in flight. */
@@ -221,7 +223,8 @@
       }
       this.#ports.observer.onCall(record);
     };
-    new EntryCall(call, this.#ports, this.#connections, onEnd).start();
+    const shared = {connections: this.#connections, readAhead: this.#readAhead};
+    new EntryCall(call, this.#ports, shared, onEnd).start();
   }
 
   #recordFailure({req, startAt, headers, waitedMs}: RoutedCall): void {
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import type {ReadAheadBudget} from './read-ahead-budget.js';
 
 /** Default size of the largest body that is kept for retries. @internal */
 export const REPLAY_LIMIT_BYTES = 65_536;
@@ -9,6 +10,8 @@
   readonly maxKeptBytes: number;
   /** Largest body that is allowed. */
   readonly maxBytes: number;
+  /** Bytes that may be read before the attempt takes them. */
+  readonly readAhead: ReadAheadBudget;
   /** Called when the body exceeds `maxBytes`. */
   readonly onTooLarge: () => void;
 }
@@ -24,12 +27,19 @@
  * The body of a request. A body up to `maxKeptBytes` (64 KB by default) is kept,
  * so that a retry can send the same bytes. A larger body is sent by one attempt only.
  *
+ * The end of the caller's connection can only be read after the body, so reading
+ * goes on while an attempt takes no bytes, as far as `readAhead` allows.
+ *
  * @internal
  */
 export class ReplayBody {
   readonly #req: IncomingMessage;
   readonly #limits: BodyLimits;
   #kept: Buffer[] | null = [];
+  /** Chunks of a body that is no longer kept, not taken by the attempt yet. */
+  readonly #ahead: Buffer[] = [];
+  /** Whether the attempt takes no bytes until `resume`. */
+  #isBlocked = false;
   #size = 0;
   #ended = false;
   #discarded = false;
@@ -65,11 +75,10 @@
   /** Writes the kept bytes, and all that follow, to an attempt. */
   attach(sink: BodySink): void {
     this.#sink = sink;
-    let more = true;
-    for (const chunk of this.#kept ?? []) more = sink.write(chunk);
+    this.#isBlocked = false;
+    for (const chunk of this.#kept ?? []) this.#isBlocked = !sink.write(chunk);
     if (this.#ended) sink.end();
-    else if (more || this.#readsAhead) this.#req.resume();
-    else this.#req.pause();
+    else this.#pauseOrResume();
   }
 
   /** Stops writing to an attempt that has ended. */
@@ -77,9 +86,16 @@
     this.#sink = null;
   }
 
-  /** Resumes reading when the attempt can take bytes again. */
+  /** Writes what was read ahead and resumes reading when the attempt can take bytes. */
   resume(): void {
-    this.#req.resume();
+    this.#isBlocked = false;
+    while (!this.#isBlocked && this.#ahead.length > 0) {
+      const chunk = this.#ahead.shift() as Buffer;
+      this.#limits.readAhead.release(chunk.length);
+      this.#isBlocked = !this.#sink?.write(chunk);
+    }
+    if (this.#ended && this.#ahead.length === 0) this.#sink?.end();
+    else this.#pauseOrResume();
   }
 
   /**
@@ -90,16 +106,21 @@
     this.#discarded = true;
     this.#kept = null;
     this.#sink = null;
+    for (const {length} of this.#ahead) this.#limits.readAhead.release(length);
+    this.#ahead.length = 0;
     if (!this.#ended) this.#req.resume();
   }
 
-  /**
-   * Whether reading continues while no attempt takes bytes. The node sees the end
-   * of the caller's connection only after the body, so a kept body is read to its
-   * end.
-   */
+  /** Whether reading continues while no attempt takes bytes. */
   get #readsAhead(): boolean {
-    return this.replayable && this.#size <= this.#limits.maxKeptBytes;
+    if (this.replayable && this.#size <= this.#limits.maxKeptBytes) return true;
+    return this.#sink !== null && this.#limits.readAhead.hasRoom;
+  }
+
+  #pauseOrResume(): void {
+    const isTaken = this.#sink !== null && !this.#isBlocked;
+    if (isTaken || this.#readsAhead) this.#req.resume();
+    else this.#req.pause();
   }
 
   #onData(chunk: Buffer): void {
@@ -110,16 +131,20 @@
       onTooLarge();
       return;
     }
-    const exceedsLimit = this.#size > maxKeptBytes;
-    if (exceedsLimit && this.#sink) this.#kept = null;
-    else this.#kept?.push(chunk);
-    const isTaken = this.#sink?.write(chunk) ?? !exceedsLimit;
-    if (!isTaken && !this.#readsAhead) this.#req.pause();
+    if (this.#size > maxKeptBytes && this.#sink) this.#kept = null;
+    this.#kept?.push(chunk);
+    if (this.#kept || !this.#isBlocked) {
+      if (this.#sink) this.#isBlocked = !this.#sink.write(chunk);
+    } else {
+      this.#ahead.push(chunk);
+      this.#limits.readAhead.take(chunk.length);
+    }
+    this.#pauseOrResume();
   }
 
   #onEnd(): void {
     this.#ended = true;
-    this.#sink?.end();
+    if (this.#ahead.length === 0) this.#sink?.end();
     this.#onComplete?.();
   }
 }
