--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -13,10 +13,13 @@
 import {StoreBudget} from '@verbenabeam/store';
 import {cac} from 'cac';
 import {createLogSink} from './log-sink.js';
+import {ProcessGuard} from './process-guard.js';
 import {SettingsFile} from './settings-file.js';
 
 /** Share of the store's rate that the nodes use; operators use it too. */
 const storeShare = 0.9;
+/** Exit status after too many unexpected errors: an internal error of the program. */
+const tooManyErrorsStatus = 70;
 /** Nodes that share the rate at least, while a node knows few of them. */
 const leastNodes = 12;
 
@@ -67,6 +70,14 @@
   });
   const {address, readsPerSecond} = settings.store;
   let countNodes = () => leastNodes;
+  let countError: () => void = () => undefined;
+  new ProcessGuard({
+    onError: () => countError(),
+    onTooMany: () => {
+      sink.flush();
+      process.exit(tooManyErrorsStatus);
+    },
+  }).install();
   const budget = new StoreBudget({
     role: 'node',
     callsPerSecond: () =>
@@ -82,6 +93,7 @@
   });
   if (node.isErr) return reportFailure(node.error);
   countNodes = () => node.value.liveNodes;
+  countError = () => node.value.recordUnexpectedError();
   const end = new AbortController();
   file.follow(changed => node.value.reload(changed), end.signal);
   await stopped;
--- a/packages/node/src/metrics/node-metrics.ts
+++ b/packages/node/src/metrics/node-metrics.ts
@@ -80,6 +80,11 @@
     labelNames: ['code'],
     registers: [this.#registry],
   });
+  readonly #unexpectedErrors = new Counter({
+    name: 'verbenabeam_unexpected_errors_total',
+    help: 'Errors that no handler has caught.',
+    registers: [this.#registry],
+  });
   readonly #storeCalls = new Counter({
     name: 'verbenabeam_store_calls_total',
     help: 'Calls to the store by role.',
@@ -121,6 +126,10 @@
     this.#broken.labels(String(code.code)).inc();
   }
 
+  recordUnexpectedError(): void {
+    this.#unexpectedErrors.inc();
+  }
+
   recordStoreCall(role: string): void {
     this.#storeCalls.labels(role).inc();
   }
