Membership: urgent news and digests mostly within the data centre

Cause: with probes near, urgent updates (to five random members each) and digest exchanges still crossed to other data centres for four of five.

Change: where probes prefer the data centre, an urgent update goes to one member elsewhere and otherwise to near ones, a digest to another data centre as rarely as a probe. Without that setting nothing changes.

--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -60,6 +60,34 @@
     return this.#queue.take(max, sendLimit(this.#table.live().length));
   }
 
+  /** A random live member other than this node, mostly of its data centre. */
+  digestPeer(remoteShare: number): InstanceRecord | undefined {
+    const isNear = remoteShare < 1 && this.#rng.float() >= remoteShare;
+    const own = this.#own.value;
+    const local = this.#table
+      .live()
+      .filter(r => r.dataCentre === own.dataCentre && r.nodeId !== own.nodeId);
+    if (isNear && local.length > 0) return this.#rng.pick(local);
+    return this.peers(1)[0];
+  }
+
+  /**
+   * Up to `count` distinct random live members other than this node, as many of
+   * them in other data centres as the share of remote probes says, at least one.
+   */
+  spreadPeers(count: number, remoteShare: number): InstanceRecord[] {
+    const own = this.#own.value;
+    const others = this.#table.live().filter(r => r.nodeId !== own.nodeId);
+    const local = others.filter(r => r.dataCentre === own.dataCentre);
+    if (remoteShare >= 1 || local.length < count) return this.peers(count);
+    const remote = others.filter(r => r.dataCentre !== own.dataCentre);
+    const remoteCount = Math.max(1, Math.round(count * remoteShare));
+    return [
+      ...this.#rng.shuffle(remote).slice(0, remoteCount),
+      ...this.#rng.shuffle(local),
+    ].slice(0, count);
+  }
+
   /** Up to `count` distinct random live members other than this node. */
   peers(count: number, except = ''): InstanceRecord[] {
     const live = this.#table.live();
--- a/packages/membership/src/gossip.ts
+++ b/packages/membership/src/gossip.ts
@@ -188,7 +188,8 @@
 
   #sendUrgent(updates: Update[], fanOut: number): void {
     if (updates.length === 0) return;
-    for (const peer of this.#dissemination.peers(fanOut)) {
+    const {remoteShare} = this.#options;
+    for (const peer of this.#dissemination.spreadPeers(fanOut, remoteShare)) {
       this.#out.send(peer.address, {k: 'updates', u: updates, urgent: true});
     }
   }
--- a/packages/membership/src/table-exchange.ts
+++ b/packages/membership/src/table-exchange.ts
@@ -152,7 +152,7 @@
     const isActive = now < this.#activeUntil;
     const everyMs = isActive ? activeDigestMs : options.digestMs;
     this.#digestAt = now + everyMs * (0.5 + rng.float());
-    const [peer] = dissemination.peers(1);
+    const peer = dissemination.digestPeer(options.remoteShare);
     if (peer) this.#reconciler.sendDigest(peer.address);
     else this.#joinClient.restart(now);
   }
