Hosted node: errors before the node has started end its process

The guard was installed before the start, so a process whose start had thrown would have gone on without a node.

--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -70,14 +70,6 @@
   });
   const {address, readsPerSecond} = settings.store;
   let countNodes = () => leastNodes;
-  let countError: () => void = () => undefined;
-  new ProcessGuard({
-    onError: () => countError(),
-    onTooMany: () => {
-      sink.flush();
-      process.exit(tooManyErrorsStatus);
-    },
-  }).install();
   const budget = new StoreBudget({
     role: 'node',
     callsPerSecond: () =>
@@ -93,7 +85,14 @@
   });
   if (node.isErr) return reportFailure(node.error);
   countNodes = () => node.value.liveNodes;
-  countError = () => node.value.recordUnexpectedError();
+  // An error before this ends the process: without a node it would serve nobody.
+  new ProcessGuard({
+    onError: () => node.value.recordUnexpectedError(),
+    onTooMany: () => {
+      sink.flush();
+      process.exit(tooManyErrorsStatus);
+    },
+  }).install();
   const end = new AbortController();
   file.follow(changed => node.value.reload(changed), end.signal);
   await stopped;
