--- a/apps/bench/src/bench.test.ts
+++ b/apps/bench/src/bench.test.ts
@@ -34,7 +34,7 @@
 function pageOf(world: World): string {
   const measured = measuredOf(world);
   const figures = computeFigures(measured, FULL_SIZE);
-  return renderPage(measured, figures, FULL_SIZE);
+  return renderPage(measured, figures, FULL_SIZE, null);
 }
 
 Given(
--- a/apps/bench/src/capacity/page.ts
+++ b/apps/bench/src/capacity/page.ts
@@ -6,6 +6,9 @@
 import {lostCentre, lostRack, splitRegions} from './losses.js';
 import type {Measured} from './measured.js';
 import {roleLines} from './roles.js';
+import type {Sweep} from './sweep.js';
+import {renderSweep} from './sweep-section.js';
+import {table} from './table.js';
 
 const growth = 10;
 const parts = [
@@ -18,13 +21,6 @@
   'claims',
 ];
 
-function table(head: readonly string[], rows: readonly (readonly string[])[]) {
-  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
-  return [line(head), line(head.map(() => '---')), ...rows.map(line)].join(
-    '\n',
-  );
-}
-
 function targetTable(f: CapacityFigures): string {
   const line = (
     name: string,
@@ -151,13 +147,17 @@
   measured: Measured,
   f: CapacityFigures,
   size: FleetSize,
+  sweep: Sweep | null,
 ): string {
   const limits = fleetLimits(f);
   return (
     [
       '# Capacity',
-      'Written by `npm run capacity` from `bench-results/*.json`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes of a change are the largest that was measured at any size, those of a joining or leaving node the larger of that and of the gossip model at full size. Memory is the used heap, which follows the number of nodes, and the largest rest of a process. Bytes and processor time at rest are measured when the traffic of a fleet no longer falls after its start. "not measured" means that no run has produced the figure.',
+      'Written by `npm run capacity` from `bench-results/*.json` and the sweeps in `journal/`; do not edit. Figures at full size are computed from slopes that were measured on one machine over loopback, with at most 80 nodes; they are extrapolations. A line through fewer than four sizes, or through sizes under 40 nodes, mostly carries noise to the full size; the table of slopes shows which. Bytes of a change are the largest that was measured at any size, those of a joining or leaving node the larger of that and of the gossip model at full size. Memory is the used heap, which follows the number of nodes, and the largest rest of a process. Bytes and processor time at rest are measured when the traffic of a fleet no longer falls after its start. "not measured" means that no run has produced the figure.',
       `Size: ${size.servers.toLocaleString('en-US')} servers, ${size.services} services, ${size.callsPerSecond.toLocaleString('en-US')} calls/s (${cell(f.callsPerNode, '')} per node), ${size.dataCentres} data centres, ${size.changesPerDay.toLocaleString('en-US')} changes and ${size.restartsPerDay + size.failuresPerDay} restarts a day. A document of ${cell(size.documentBytes, 'B')} is assumed.`,
+      '## The deployed program, by a sweep',
+      renderSweep(sweep),
+      'The figures below are those of the native product; where both name one, the sweep is what is deployed.',
       '## Targets',
       targetTable(f),
       'Control bytes are those between nodes, in the direction "sent"; calls to the store and announcements of upstreams are not in them. What nodes tell each other about the revision of the store is in them. Claims and moves are in none of the figures.',
