--- a/packages/node/src/calls/replay-body.test.ts
+++ b/packages/node/src/calls/replay-body.test.ts
@@ -13,7 +13,7 @@
 /** Turns of the event loop in which a stream delivers all that it has. */
 const turns = 20;
 
-/** A request body with an instance that takes nothing until it is told to. */
+/** A request body whose instance takes no bytes until `take` is called. */
 class WaitingBody {
   readonly req = new PassThrough({highWaterMark: chunkBytes});
   readonly body: ReplayBody;
