Hosted node: nodes follow the store as soon as they have a peer's table

Cause: since a node that is not the first waits 1.5 s after its start before it may follow the store.

Change: the wait ends with the table of a peer, which shows who follows the store; 1.5 s is only the longest wait.

--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -12,7 +12,10 @@
 import {RecordProgress} from './record-progress.js';
 
 const policyTickMs = 250;
-/** Time after its start in which a node learns which others watch the store, in ms. */
+/**
+ * Longest time after its start in which a node waits for the table of a peer, which
+ * shows the nodes that watch the store, in ms.
+ */
 const settleMs = 1_500;
 
 /** Dependencies of a {@link RecordSync}. @internal */
@@ -69,13 +72,14 @@
   }
 
   start(): void {
-    const {clock, signal, isPlaced, isFirst} = this.#options;
+    const {clock, signal, isPlaced, isFirst, membership} = this.#options;
     const settledAt = clock.now() + settleMs;
     this.#exchange.start();
     this.#feed.shouldWatch = false;
     runPeriodically(policyTickMs, signal, () => {
       if (!isPlaced()) return;
-      if (clock.now() < settledAt && !isFirst()) return;
+      const isSettled = isFirst() || membership.gossip.joined;
+      if (!isSettled && clock.now() < settledAt) return;
       this.#feed.shouldWatch = this.#policy.next(
         this.#otherWatchers(),
         clock.now(),
