--- a/apps/hosted-node/src/bundle-restart.test.ts
+++ b/apps/hosted-node/src/bundle-restart.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import http from 'node:http';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -10,7 +9,6 @@
   configText,
   KvStandin,
   ServerStandin,
-  testHost,
   testPorts,
   waitUntil,
 } from '@verbenabeam/platform/fakes';
@@ -21,6 +19,7 @@
   stopProcess,
 } from '../../../scripts/lib/environment.mjs';
 import type {Started} from '../../../scripts/lib/environment.mjs';
+import {askNode} from './test/ask-node.js';
 
 const service = 'shop';
 const ageMs = 60_000;
@@ -42,18 +41,6 @@
   started = server = store = folder = null;
 });
 
-function ask(address: string): Promise<number> {
-  const headers = {host: testHost, 'request-id': 'q', 'deadline-ms': '1000'};
-  return new Promise(resolve => {
-    const req = http.get(`http://${address}/a`, {headers, agent: false});
-    req.on('error', () => resolve(0));
-    req.on('response', res => {
-      res.resume();
-      res.on('end', () => resolve(res.statusCode ?? 0));
-    });
-  });
-}
-
 Given(
   'the bundle runs as it is deployed beside a server that has run for a minute',
   {timeout: stepTimeoutMs},
@@ -83,7 +70,7 @@
     // The node knows its configuration once it refuses for want of an instance.
     await waitUntil(() => store!.calls.has('GET /kv-range'), 5_000, 'read');
     server!.beatTo(control, heartbeatMs);
-    const isAnswered = async () => (await ask(callers)) === 200;
+    const isAnswered = async () => (await askNode(callers, 'q')) === 200;
     await waitUntil(isAnswered, withinMs, 'answered');
     assert.equal(server!.runs.length, 1);
   },
--- a/apps/hosted-node/src/odd-entries.test.ts
+++ b/apps/hosted-node/src/odd-entries.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import http from 'node:http';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -10,13 +9,13 @@
   configText,
   KvStandin,
   ServerStandin,
-  testHost,
   testPorts,
   waitUntil,
 } from '@verbenabeam/platform/fakes';
 import type {TestPorts} from '@verbenabeam/platform/fakes';
 import {startProcess, stopProcess} from '../../../scripts/lib/environment.mjs';
 import type {Started} from '../../../scripts/lib/environment.mjs';
+import {askNode} from './test/ask-node.js';
 
 const program = 'apps/hosted-node/dist/main.js';
 const service = 'shop';
@@ -56,19 +55,6 @@
   return value;
 }
 
-/** Status of a request at the node; 0 if the connection ended without one. */
-function ask(address: string): Promise<number> {
-  const headers = {host: testHost, 'request-id': 'odd', 'deadline-ms': '1000'};
-  return new Promise(resolve => {
-    const req = http.get(`http://${address}/a`, {headers, agent: false});
-    req.on('error', () => resolve(0));
-    req.on('response', res => {
-      res.resume();
-      res.on('end', () => resolve(res.statusCode ?? 0));
-    });
-  });
-}
-
 let store: KvStandin | null = null;
 let server: ServerStandin | null = null;
 let ports: TestPorts | null = null;
@@ -141,8 +127,8 @@
   async () => {
     const {callers} = ports!;
     // The first tries may meet what the odd heartbeat named.
-    for (let i = 0; i < 3; i++) await ask(callers);
-    const answered = async () => (await ask(callers)) === 200;
+    for (let i = 0; i < 3; i++) await askNode(callers, 'odd');
+    const answered = async () => (await askNode(callers, 'odd')) === 200;
     await waitUntil(answered, heartbeatMs * 3, 'answered');
   },
 );
--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -63,10 +63,7 @@
   /** A random live member other than this node, mostly of its data centre. */
   digestPeer(remoteShare: number): InstanceRecord | undefined {
     const isNear = remoteShare < 1 && this.#rng.float() >= remoteShare;
-    const own = this.#own.value;
-    const local = this.#table
-      .live()
-      .filter(r => r.dataCentre === own.dataCentre && r.nodeId !== own.nodeId);
+    const [local] = this.#othersByPlace();
     if (isNear && local.length > 0) return this.#rng.pick(local);
     return this.peers(1)[0];
   }
@@ -76,11 +73,9 @@
    * them in other data centres as the share of remote probes says, at least one.
    */
   spreadPeers(count: number, remoteShare: number): InstanceRecord[] {
-    const own = this.#own.value;
-    const others = this.#table.live().filter(r => r.nodeId !== own.nodeId);
-    const local = others.filter(r => r.dataCentre === own.dataCentre);
-    if (remoteShare >= 1 || local.length < count) return this.peers(count);
-    const remote = others.filter(r => r.dataCentre !== own.dataCentre);
+    if (remoteShare >= 1) return this.peers(count);
+    const [local, remote] = this.#othersByPlace();
+    if (local.length < count) return this.peers(count);
     const remoteCount = Math.max(1, Math.round(count * remoteShare));
     return [
       ...this.#rng.shuffle(remote).slice(0, remoteCount),
@@ -139,6 +134,16 @@
     return !known || compareKeys(keyOf(known), key) < 0;
   }
 
+  /** Other live members in this data centre, and in other ones. */
+  #othersByPlace(): [InstanceRecord[], InstanceRecord[]] {
+    const own = this.#own.value;
+    const others = this.#table.live().filter(r => r.nodeId !== own.nodeId);
+    return [
+      others.filter(r => r.dataCentre === own.dataCentre),
+      others.filter(r => r.dataCentre !== own.dataCentre),
+    ];
+  }
+
   #applyOne(update: Update, now: number): boolean {
     if (update[0] === this.#own.value.nodeId) {
       this.#checkOwnUpdate(update, now);
