--- a/review/lib/scene.mjs
+++ b/review/lib/scene.mjs
@@ -5,6 +5,7 @@
   existsSync,
   mkdtempSync,
   readFileSync,
+  renameSync,
   rmSync,
   writeFileSync,
 } from 'node:fs';
@@ -26,6 +27,7 @@
   graceS: 6,
   lossSlackMs: 200,
   configApplyMs: 2_000,
+  addrReuseMs: 2_000,
 };
 export const host = 'shop.example';
 export const isTrouble = process.env.TROUBLE !== '0';
@@ -153,18 +155,37 @@
     return performance.now();
   }
 
-  /** Number of machines whose process runs. */
-  get running() {
-    return this.machines.filter(({exit}) => exit === null).length;
+  /**
+   * Gives the address of a machine's server, which has ended, to a server of
+   * another service: changes the settings file, without a signal, and starts it.
+   */
+  async reuseAddress(machine, options) {
+    const {settingsFile, server, zone, address, control} = machine;
+    const settings = readFileSync(settingsFile, 'utf8').replace(
+      `service = "${server.service}"`,
+      `service = "${options.service}"`,
+    );
+    writeFileSync(`${settingsFile}.new`, settings);
+    renameSync(`${settingsFile}.new`, settingsFile);
+    this.record(`${machine.nodeId}: its settings name ${options.service}`);
+    machine.formerServers.push(server);
+    machine.server = new AppServer({
+      id: `${server.id}-reused`,
+      zone,
+      ...options,
+    });
+    await machine.server.start(address, 8628, control);
   }
 
   /** All arrivals at servers, by request id. */
   arrivals() {
     const found = new Map();
-    for (const {server} of this.machines) {
-      for (const row of server.arrivals) {
-        found.set(row.id, [...(found.get(row.id) ?? []), row]);
-      }
+    const servers = this.machines.flatMap(({server, formerServers}) => [
+      server,
+      ...formerServers,
+    ]);
+    for (const row of servers.flatMap(({arrivals}) => arrivals)) {
+      found.set(row.id, [...(found.get(row.id) ?? []), row]);
     }
     return found;
   }
@@ -204,6 +225,7 @@
       control: `${address}:8620`,
       settingsFile: join(this.#folder, `${nodeId}.toml`),
       server: new AppServer({id: `i-${i + 1}`, zone, ...serverOptions}),
+      formerServers: [],
       child: null,
     };
     writeFileSync(machine.settingsFile, this.#settings(machine));
