--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -8,7 +8,7 @@
 
 const machines = 3;
 const consumers = 20;
-const timeoutMs = 500;
+const timeoutMs = 200;
 const graceMs = 500;
 const deadlineMs = 1_500;
 const runMs = 2_000;
@@ -20,10 +20,10 @@
 await runCase(import.meta.url, async scene => {
   const server = {
     service: 'portal',
-    workMs: () => 60,
+    workMs: () => 30,
     spoils: path => path.endsWith('/spoiled') && isTrouble,
   };
-  const sound = {service: 'other', workMs: () => 60};
+  const sound = {service: 'other', workMs: () => 30};
   await scene.start([server, ...Array(machines - 1).fill(sound)]);
   scene.configure([
     {prefix: '/balance/', service: 'portal', timeoutMs},
