--- /dev/null
+++ b/apps/hosted-node/src/test/process-scene.ts
@@ -0,0 +1,124 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {
+  bootText,
+  configKey,
+  configText,
+  KvStandin,
+  ServerStandin,
+  testPorts,
+  waitUntil,
+} from '@verbenabeam/platform/fakes';
+import type {TestPorts, TestRule} from '@verbenabeam/platform/fakes';
+import {askNode} from './ask-node.js';
+
+const service = 'shop';
+const heartbeatMs = 300;
+const startWithinMs = 15_000;
+
+/** The program before it is bundled. */
+export const unbundledProgram = 'apps/hosted-node/dist/main.js';
+
+/** A process of the hosted node, with what it wrote. */
+export class NodeProcess {
+  log = '';
+  readonly child: ChildProcess;
+
+  /** @param args - The program with its options. */
+  constructor(args: readonly string[]) {
+    this.child = spawn(process.execPath, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    for (const out of [this.child.stdout, this.child.stderr]) {
+      out?.on('data', (piece: Buffer) => {
+        this.log += String(piece);
+      });
+    }
+  }
+
+  get hasEnded(): boolean {
+    const {exitCode, signalCode} = this.child;
+    return exitCode !== null || signalCode !== null;
+  }
+
+  /** How the process ended, for messages. */
+  get end(): string {
+    const {exitCode, signalCode} = this.child;
+    return `status ${exitCode}, signal ${signalCode}\n${this.log}`;
+  }
+
+  async kill(): Promise<void> {
+    if (this.hasEnded) return;
+    const ended = once(this.child, 'exit');
+    this.child.kill('SIGKILL');
+    await ended;
+  }
+}
+
+/** One hosted node as a process, beside stand-ins of its store and its upstream. */
+export class ProcessScene {
+  readonly #folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
+
+  private constructor(
+    readonly store: KvStandin,
+    readonly server: ServerStandin,
+    readonly ports: TestPorts,
+  ) {}
+
+  #node: NodeProcess | null = null;
+
+  get node(): NodeProcess {
+    if (!this.#node) throw new Error('no node was started');
+    return this.#node;
+  }
+
+  /**
+   * Starts a node and resolves once it answers calls.
+   *
+   * @param program - The program with options of Node.js, without its settings.
+   */
+  static async start(
+    program: readonly string[],
+    rule: Partial<TestRule> = {},
+  ): Promise<ProcessScene> {
+    const store = new KvStandin();
+    await store.start();
+    const rules = [{prefix: '/', service, ...rule}];
+    store.put(configKey, configText(1, rules, [service]));
+    const server = new ServerStandin('i-1', service);
+    await server.start();
+    const scene = new ProcessScene(store, server, await testPorts());
+    await scene.#run(program);
+    return scene;
+  }
+
+  async stop(): Promise<void> {
+    await this.#node?.kill();
+    this.server.stop();
+    this.store.stop();
+    rmSync(this.#folder, {recursive: true});
+  }
+
+  async #run(program: readonly string[]): Promise<void> {
+    const {callers, ready, control} = this.ports;
+    const file = path.join(this.#folder, 'boot.toml');
+    const text = bootText(
+      'node-1',
+      this.server,
+      this.ports,
+      this.store.address,
+    );
+    writeFileSync(file, text);
+    this.#node = new NodeProcess([...program, '--config', file]);
+    const isUp = async () =>
+      (await fetch(`http://${ready}/ready`).catch(() => null)) !== null;
+    await waitUntil(isUp, startWithinMs, 'started');
+    this.server.beatTo(control, heartbeatMs);
+    const isAnswered = async () => (await askNode(callers, 'first')) === 200;
+    await waitUntil(isAnswered, startWithinMs, 'answered');
+  }
+}
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -17,6 +17,8 @@
   readonly status: number;
   readonly headers: readonly string[];
   readonly chunks: Uint8Array[];
+  /** Whether the headers show where the body ends. */
+  readonly isFramed: boolean;
 }
 
 /** The response to the caller, and the copy of it that a claim stores. @internal */
@@ -24,6 +26,8 @@
   /** Status that was sent, or that a buffered response will be sent with. */
   status = 0;
   bytes = 0;
+  /** Called when the first part of the response is sent before its end. */
+  onStart: (() => void) | null = null;
   readonly #res: ServerResponse;
   readonly #protocol: CallProtocol;
   readonly #metadata: CallMetadata;
@@ -59,23 +63,37 @@
     );
     this.status = forwarded.status;
     this.#headers = forwardableHeaders(response.headers);
+    const isFramed = this.#isFramed(response);
+    const length = isFramed ? contentLengthOf(response.headers) : 0;
     const limit = this.#protocol.maxBufferedResponseBytes;
-    if (limit > 0 && contentLengthOf(response.headers) <= limit) {
-      this.#buffered = {...forwarded, chunks: []};
-    } else {
-      if (!isFramed(response)) this.#closeAfterResponse();
-      this.#res.writeHead(forwarded.status, [...forwarded.headers]);
-    }
+    this.#buffered = {...forwarded, chunks: [], isFramed};
+    if (limit === 0 || length > limit) this.#startStreaming();
   }
 
   /**
-   * Ends a response of unknown length by closing the connection. Chunked encoding
-   * is not used: a final chunk would tell the caller that the response is
-   * complete, which the node cannot know.
+   * Sends the head and what was buffered. A response that ended with its connection
+   * at the upstream is sent in chunks: if this process is killed, the system closes
+   * the caller's connection as usual, and only the missing last chunk shows that the
+   * response is not complete.
    */
-  #closeAfterResponse(): void {
-    this.#res.useChunkedEncodingByDefault = false;
-    this.#res.shouldKeepAlive = false;
+  #startStreaming(): void {
+    const buffered = this.#buffered;
+    if (!buffered) return;
+    this.#buffered = null;
+    this.onStart?.();
+    this.#res.writeHead(buffered.status, [...buffered.headers]);
+    for (const chunk of buffered.chunks) this.#res.write(chunk);
+  }
+
+  /** Whether the response itself shows where its body ends. */
+  #isFramed({status, headers}: ResponseHead): boolean {
+    if (bodylessStatuses.has(status) || this.#res.req.method === 'HEAD') {
+      return true;
+    }
+    return (
+      headerValue(headers, 'content-length') !== null ||
+      headerValue(headers, 'transfer-encoding') !== null
+    );
   }
 
   /** Returns false if the writer must wait for `drain` before writing more. */
@@ -85,6 +103,10 @@
     this.#bodyCopy?.push(chunk);
     if (!this.#buffered) return this.#res.write(chunk);
     this.#buffered.chunks.push(chunk);
+    if (this.bytes > this.#protocol.maxBufferedResponseBytes) {
+      this.#startStreaming();
+      return !this.#res.writableNeedDrain;
+    }
     return true;
   }
 
@@ -95,8 +117,11 @@
       this.#res.end();
       return;
     }
-    this.#res.writeHead(buffered.status, [...buffered.headers]);
-    this.#res.end(Buffer.concat(buffered.chunks));
+    const body = Buffer.concat(buffered.chunks);
+    const headers = [...buffered.headers];
+    if (!buffered.isFramed) headers.push('content-length', `${body.length}`);
+    this.#res.writeHead(buffered.status, headers);
+    this.#res.end(body);
   }
 
   /** Drops a buffered response, so that a retry can provide another one. */
@@ -122,7 +147,7 @@
 
   /**
    * Resets the connection, so that the caller does not take a truncated response
-   * for a complete one: a normal close also ends a response without a length.
+   * for a complete one: towards a caller of HTTP/1.0, a normal close ends it.
    */
   resetConnection(): void {
     this.#res.socket?.resetAndDestroy();
@@ -152,15 +177,6 @@
 /** Statuses of responses without a body. */
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-/** Whether the response itself shows where its body ends. */
-function isFramed({status, headers}: ResponseHead): boolean {
-  if (bodylessStatuses.has(status)) return true;
-  return (
-    headerValue(headers, 'content-length') !== null ||
-    headerValue(headers, 'transfer-encoding') !== null
-  );
-}
-
 /** Value of `content-length`; infinite without the header. */
 function contentLengthOf(headers: readonly string[]): number {
   const length = headerValue(headers, 'content-length');
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -89,6 +89,8 @@
     const metadata = {callId, configVersion: snapshot.version};
     const isStored = !route.idempotent && headers.idempotencyKey !== null;
     this.#response = new CallerResponse(res, protocol, metadata, isStored);
+    // While the response is buffered, a retry may still replace it.
+    this.#response.onStart = () => clearTimeout(this.#timer);
     this.#unwatch = connections.onceClosed(req.socket, () => this.#cancel());
     res.on('drain', () => this.#attempt?.resume());
   }
@@ -110,8 +112,6 @@
     this.#headMs = performance.now() - this.#call.startAt;
     this.#retries.onResponse(head.retriesLeft);
     this.#response.sendHead(head, CALL_CODES.ok.code, this.#retries.remaining);
-    // While the response is buffered, a retry may still replace it.
-    if (this.#response.started) clearTimeout(this.#timer);
   }
 
   onChunk(chunk: Uint8Array): void {
