--- a/apps/store-standin/src/store-standin.feature
+++ b/apps/store-standin/src/store-standin.feature
@@ -17,6 +17,11 @@
     Then the stand-in watch reported each change once and in order
     And the stand-in watch fails when the stand-in goes back to an older state
 
+  Scenario: A watch whose connection goes silent reports changes within 10 s
+    Guards against changes that wait until a silent stream is opened again.
+    When the stand-in is watched over a connection that goes silent
+    Then the stand-in watch reports a change within 10000 ms
+
   Scenario: Faults of the stand-in reach the client with the right meaning
     Then the stand-in without a leader fails as not applied
     And the stand-in over its write limit fails as not applied
--- a/apps/store-standin/src/store-standin.test.ts
+++ b/apps/store-standin/src/store-standin.test.ts
@@ -4,7 +4,11 @@
 import type {MeshError, ResultCode} from '@verbenabeam/core';
 import {HttpStore, settledPut, systemSleep} from '@verbenabeam/store';
 import type {Store, TxnOutcome, WatchEvent} from '@verbenabeam/store';
-import {maxValueBytes, MemoryStore} from '@verbenabeam/store/fakes';
+import {
+  maxValueBytes,
+  MemoryStore,
+  SilentProxy,
+} from '@verbenabeam/store/fakes';
 import {testSeed} from '@verbenabeam/testing';
 import type {Result} from 'true-myth';
 import {startStoreStandin} from './store-standin.js';
@@ -15,6 +19,10 @@
 let events: WatchEvent[];
 let watchEnd: AbortController;
 let watched: Promise<Result<true, MeshError>>;
+let proxy: SilentProxy | null = null;
+/** Time in which a watch is confirmed. */
+const confirmMs = 500;
+const pollMs = 50;
 const key = '/verbenabeam/a';
 const value = Buffer.from('value');
 const absent = (k: string) => ({
@@ -46,6 +54,8 @@
 
 After({tags: '@store-standin'}, async () => {
   await store.close();
+  proxy?.stop();
+  proxy = null;
   await standin.close();
 });
 
@@ -130,6 +140,38 @@
   },
 );
 
+When('the stand-in is watched over a connection that goes silent', async () => {
+  proxy = new SilentProxy(Number(new URL(standin.url).port));
+  const port = await proxy.start();
+  await store.close();
+  store = new HttpStore({endpoints: [`http://127.0.0.1:${port}`]});
+  events = [];
+  watchEnd = new AbortController();
+  watched = store.watch({
+    key: '/w/',
+    prefix: true,
+    fromRevision: 0,
+    onEvent: e => events.push(e),
+    signal: watchEnd.signal,
+  });
+  await systemSleep(confirmMs);
+  proxy.silence();
+  await store.txn(put('/w/0'));
+});
+
+Then(
+  'the stand-in watch reports a change within {int} ms',
+  {timeout: 15_000},
+  async (withinMs: number) => {
+    const endAt = performance.now() + withinMs;
+    while (events.length === 0 && performance.now() < endAt) {
+      await systemSleep(pollMs);
+    }
+    watchEnd.abort();
+    assert.equal(events.length, 1);
+  },
+);
+
 Then('the stand-in watch reported each change once and in order', () => {
   const seen = events.map(e => (e.type === 'put' ? e.entry.key : e.key));
   assert.deepEqual(seen, [
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -1,6 +1,6 @@
 import {logger} from '@verbenabeam/core';
 import type {MeshError, RandomSource} from '@verbenabeam/core';
-import type {Store} from '@verbenabeam/store';
+import type {Store, WatchLimits, WatchRound} from '@verbenabeam/store';
 import {systemSleep} from '@verbenabeam/store';
 import type {OperatorRecord} from './operator-records.js';
 import {RECORD_SOURCES} from './record-progress.js';
@@ -30,6 +30,11 @@
 const maxRetryDelayMs = 800;
 /** Age of a read after which its revision may have left the store's history, in ms. */
 const maxReadAgeMs = 10_000;
+/**
+ * Finds a silent connection within 2.2 s: changes must be in force in time from 3 s
+ * after it fell silent.
+ */
+const checkingLimits: WatchLimits = {waitMs: 1_500, slackMs: 700};
 const log = logger('config');
 
 interface ReadResult {
@@ -57,6 +62,9 @@
   #mustRead = false;
   /** Ends the current watch or wait; each one gets a new controller. */
   #step = new AbortController();
+  #checksConnection = false;
+  /** Ends the current call of the watch. */
+  #round = new AbortController();
 
   constructor(options: OperatorFeedOptions) {
     this.#options = options;
@@ -69,6 +77,16 @@
     this.#step.abort();
   }
 
+  /**
+   * Whether the watch soon finds out that its connection has gone silent, which
+   * costs calls; initially false. A watch that begins to do so uses a new connection.
+   */
+  set checksConnection(value: boolean) {
+    if (this.#checksConnection === value) return;
+    this.#checksConnection = value;
+    if (value) this.#round.abort();
+  }
+
   /** Reads the records again, unless the feed watches the store. */
   readNow(): void {
     if (this.#shouldWatch) return;
@@ -160,6 +178,7 @@
       prefix: true,
       fromRevision,
       signal,
+      nextRound: () => this.#nextRound(),
       // Nodes keep a record that an operator deletes.
       onEvent: event => {
         if (event.type !== 'put') return;
@@ -175,6 +194,12 @@
     return watched.isOk;
   }
 
+  #nextRound(): WatchRound {
+    this.#round = new AbortController();
+    const {signal} = this.#round;
+    return this.#checksConnection ? {limits: checkingLimits, signal} : {signal};
+  }
+
   /** Waits until the feed must watch or read the store. */
   async #waitForNextStep(): Promise<void> {
     const signal = this.#beginStep();
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -84,10 +84,30 @@
         this.#otherWatchers(),
         clock.now(),
       );
+      this.#feed.checksConnection = this.#isFirstWatcher();
     });
     void this.#feed.run();
   }
 
+  /**
+   * Whether no other live node that watches the store precedes this one. Of all
+   * watchers only the first checks its connection often, since each check is a call
+   * of the store; the others hear of changes from it if their own watch is silent.
+   */
+  #isFirstWatcher(): boolean {
+    const {membership} = this.#options;
+    const {nodeId, relay} = membership.own;
+    return (
+      relay &&
+      !membership
+        .live()
+        .some(
+          row =>
+            row.relay && row.state === NODE_STATES.alive && row.nodeId < nodeId,
+        )
+    );
+  }
+
   /** Other watchers in the same data centre. */
   #otherWatchers(): OtherWatchers {
     const {membership} = this.#options;
--- a/packages/store/src/fakes/index.ts
+++ b/packages/store/src/fakes/index.ts
@@ -13,3 +13,4 @@
   MemoryStoreFaults,
   MemoryStoreOptions,
 } from './memory-store.js';
+export {SilentProxy} from './silent-proxy.js';
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -46,7 +46,7 @@
   readonly connectTimeoutMs?: number;
   /** Connections per endpoint; a waiting watch uses one. Default 8. */
   readonly connections?: number;
-  /** A watch without data for this long is opened again. Default 30 s. */
+  /** A watch without data for this long is opened again. Default 5 s. */
   readonly watchIdleMs?: number;
   readonly clock?: Clock;
   /** Jitter of the breaker. Default: seeded by the process. */
@@ -57,7 +57,8 @@
 const defaultTimeoutMs = 1_000;
 const defaultConnectTimeoutMs = 300;
 const defaultConnections = 8;
-const defaultWatchIdleMs = 30_000;
+/** Half of the time in which changes must be in force: the stream may be silent. */
+const defaultWatchIdleMs = 5_000;
 /** Largest reply in bytes: lists are not paged, and a value has at most 1 MB. */
 const maxReplyBytes = 67_108_864;
 
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -12,7 +12,9 @@
   Txn,
   TxnOutcome,
   WatchEvent,
+  WatchLimits,
   WatchOptions,
+  WatchRound,
 } from './store.js';
 export {Breaker} from './breaker.js';
 export type {BreakerOptions, BreakerState} from './breaker.js';
@@ -30,6 +32,7 @@
 export type {JsonCall, JsonResponse} from './send-json.js';
 export {
   errorOfTransport,
+  isTimeout,
   isUnknownOutcome,
   overBudget,
   rejected,
--- a/packages/store/src/send-json.ts
+++ b/packages/store/src/send-json.ts
@@ -11,6 +11,8 @@
   readonly body?: unknown;
   readonly dispatcher: Dispatcher;
   readonly timeoutMs: number;
+  /** Time limit for the head of the response. Default: only `timeoutMs`. */
+  readonly headMs?: number | undefined;
   /** Time without a byte of the response. Default: only `timeoutMs`. */
   readonly silenceMs?: number | undefined;
   readonly signal?: AbortSignal | undefined;
@@ -26,13 +28,21 @@
 /** Sends one call; rejects if it gets no whole response in time. @public */
 export async function sendJson(call: JsonCall): Promise<JsonResponse> {
   const limit = AbortSignal.timeout(Math.max(1, Math.ceil(call.timeoutMs)));
+  const head = new HeadLimit(call.headMs);
+  const signals = [limit, head.signal, call.signal];
   const res = await request(call.url, {
     method: call.method,
     dispatcher: call.dispatcher,
-    signal: call.signal ? AbortSignal.any([limit, call.signal]) : limit,
+    signal: AbortSignal.any(signals.filter(signal => signal !== undefined)),
     ...(call.silenceMs === undefined
       ? {}
-      : {headersTimeout: call.silenceMs, bodyTimeout: call.silenceMs}),
+      : {
+          // The head has a limit of its own, if any.
+          ...(call.headMs === undefined
+            ? {headersTimeout: call.silenceMs}
+            : {}),
+          bodyTimeout: call.silenceMs,
+        }),
     ...(call.query ? {query: call.query} : {}),
     ...(call.body === undefined
       ? {}
@@ -40,7 +50,27 @@
           body: JSON.stringify(call.body),
           headers: {'content-type': 'application/json'},
         }),
-  });
+  }).finally(() => head.clear());
   const text = await res.body.text();
   return {status: res.statusCode, body: parseJson(text)};
 }
+
+/** Time limit for the head of a response; undefined sets none. */
+class HeadLimit {
+  readonly #end = new AbortController();
+  readonly #timer: NodeJS.Timeout | undefined;
+
+  constructor(headMs: number | undefined) {
+    if (headMs === undefined) return;
+    const reason = new DOMException('No head in time', 'TimeoutError');
+    this.#timer = setTimeout(() => this.#end.abort(reason), headMs);
+  }
+
+  get signal(): AbortSignal {
+    return this.#end.signal;
+  }
+
+  clear(): void {
+    clearTimeout(this.#timer);
+  }
+}
--- a/packages/store/src/store-errors.ts
+++ b/packages/store/src/store-errors.ts
@@ -13,6 +13,13 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Errors of a call whose connection was open and brought nothing in time. */
+const timeoutCodes: ReadonlySet<string> = new Set([
+  'TimeoutError',
+  'UND_ERR_HEADERS_TIMEOUT',
+  'UND_ERR_BODY_TIMEOUT',
+]);
+
 /** The operation is known as not applied. @public */
 export function unavailable(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.unavailable, message, details);
@@ -58,8 +65,15 @@
     : uncertain(kind, message, details);
 }
 
+/** Whether the call ended since nothing arrived in time. @public */
+export function isTimeout({details}: MeshError): boolean {
+  const {reason} = details;
+  return typeof reason === 'string' && timeoutCodes.has(reason);
+}
+
 function describe(err: unknown): {code: string; message: string} {
   if (!(err instanceof Error)) return {code: 'unknown', message: String(err)};
+  // The code of a DOMException is a number, which tells less than its name.
   const code = (err as {code?: unknown}).code;
   return {
     code: typeof code === 'string' ? code : err.name,
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -61,6 +61,22 @@
   readonly deletes?: readonly string[];
 }
 
+/** Time limits of one call of a watch. @public */
+export interface WatchLimits {
+  /** Longest time without a change until the store must respond, in ms. */
+  readonly waitMs: number;
+  /** Time beyond it after which the connection counts as silent, in ms. */
+  readonly slackMs: number;
+}
+
+/** One call of a watch that makes one after the other. @public */
+export interface WatchRound {
+  /** Default: the store's own. */
+  readonly limits?: WatchLimits;
+  /** Ends this call; the watch goes on with the next one on a new connection. */
+  readonly signal: AbortSignal;
+}
+
 /** A watch of one key, or of every key with a prefix. @public */
 export interface WatchOptions {
   readonly key: string;
@@ -75,6 +91,11 @@
    * reports each change by itself does not call it.
    */
   readonly onBehind?: () => void;
+  /**
+   * Called before each call of a watch that consists of many. A store that streams
+   * its watches does not call it.
+   */
+  readonly nextRound?: () => WatchRound;
   /** Ends the watch. */
   readonly signal: AbortSignal;
 }
