--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -29,6 +29,17 @@
   },
 };
 
+/** Replaces assertions of Node.js that parse the bundle when they fail. */
+const assertions = {
+  name: 'assertions',
+  setup({onResolve}) {
+    const replacement = path.resolve('scripts/bundle-assert.cjs');
+    onResolve({filter: /^(node:)?assert(\/strict)?$/}, ({importer}) =>
+      importer === replacement ? undefined : {path: replacement},
+    );
+  },
+};
+
 /**
  * Requires the modules of Node.js in place of importing them: a script, whose
  * compiled code can be cached, has no imports.
@@ -51,7 +62,7 @@
   entryPoints: ['apps/hosted-node/dist/main.js'],
   outfile: bundle,
   bundle: true,
-  plugins: [undiciClient, requiredBuiltins],
+  plugins: [undiciClient, assertions, requiredBuiltins],
   platform: 'node',
   target: 'node20',
   format: 'esm',
