--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -64,27 +64,37 @@
     this.status = forwarded.status;
     this.#headers = forwardableHeaders(response.headers);
     const isFramed = this.#isFramed(response);
+    // A response of unknown length is buffered as long as it fits: if this process is
+    // killed, the system closes its connections, and what was sent looks complete.
     const length = isFramed ? contentLengthOf(response.headers) : 0;
     const limit = this.#protocol.maxBufferedResponseBytes;
     this.#buffered = {...forwarded, chunks: [], isFramed};
     if (limit === 0 || length > limit) this.#startStreaming();
   }
 
-  /**
-   * Sends the head and what was buffered. A response that ended with its connection
-   * at the upstream is sent in chunks: if this process is killed, the system closes
-   * the caller's connection as usual, and only the missing last chunk shows that the
-   * response is not complete.
-   */
+  /** Sends the head and what was buffered. */
   #startStreaming(): void {
     const buffered = this.#buffered;
     if (!buffered) return;
     this.#buffered = null;
     this.onStart?.();
-    this.#res.writeHead(buffered.status, [...buffered.headers]);
+    this.#writeHead(buffered);
     for (const chunk of buffered.chunks) this.#res.write(chunk);
   }
 
+  /**
+   * Writes the head of a response. One of unknown length ends by closing the
+   * connection, as it did at the upstream: a length or a final chunk would tell the
+   * caller that it is complete, which the node cannot know if the upstream crashed.
+   */
+  #writeHead({status, headers, isFramed}: BufferedResponse): void {
+    if (!isFramed) {
+      this.#res.useChunkedEncodingByDefault = false;
+      this.#res.shouldKeepAlive = false;
+    }
+    this.#res.writeHead(status, [...headers]);
+  }
+
   /** Whether the response itself shows where its body ends. */
   #isFramed({status, headers}: ResponseHead): boolean {
     if (bodylessStatuses.has(status) || this.#res.req.method === 'HEAD') {
@@ -117,11 +127,8 @@
       this.#res.end();
       return;
     }
-    const body = Buffer.concat(buffered.chunks);
-    const headers = [...buffered.headers];
-    if (!buffered.isFramed) headers.push('content-length', `${body.length}`);
-    this.#res.writeHead(buffered.status, headers);
-    this.#res.end(body);
+    this.#writeHead(buffered);
+    this.#res.end(Buffer.concat(buffered.chunks));
   }
 
   /** Drops a buffered response, so that a retry can provide another one. */
@@ -147,7 +154,7 @@
 
   /**
    * Resets the connection, so that the caller does not take a truncated response
-   * for a complete one: towards a caller of HTTP/1.0, a normal close ends it.
+   * for a complete one: a normal close also ends a response without a length.
    */
   resetConnection(): void {
     this.#res.socket?.resetAndDestroy();
