Hosted node: one list of other live nodes for both decisions on watchers

The first watcher and the watchers of a data centre filtered the live nodes each by itself. No behaviour changes.

--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -1,5 +1,6 @@
 import type {Clock, RandomSource} from '@verbenabeam/core';
 import {NODE_STATES} from '@verbenabeam/membership';
+import type {InstanceRecord} from '@verbenabeam/membership';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {runPeriodically} from '../run-periodically.js';
@@ -95,28 +96,17 @@
    * of the store; the others hear of changes from it if their own watch is silent.
    */
   #isFirstWatcher(): boolean {
-    const {membership} = this.#options;
-    const {nodeId, relay} = membership.own;
-    return (
-      relay &&
-      !membership
-        .live()
-        .some(
-          row =>
-            row.relay && row.state === NODE_STATES.alive && row.nodeId < nodeId,
-        )
-    );
+    const {nodeId, relay} = this.#options.membership.own;
+    if (!relay) return false;
+    return !this.#otherNodes().some(row => row.relay && row.nodeId < nodeId);
   }
 
   /** Other watchers in the same data centre. */
   #otherWatchers(): OtherWatchers {
-    const {membership} = this.#options;
-    const {nodeId, dataCentre} = membership.own;
-    const others = membership
-      .live()
-      .filter(row => row.dataCentre === dataCentre && row.nodeId !== nodeId)
-      // A suspect is replaced at once: a surplus watcher is harmless.
-      .filter(row => row.state === NODE_STATES.alive);
+    const {nodeId, dataCentre} = this.#options.membership.own;
+    const others = this.#otherNodes().filter(
+      row => row.dataCentre === dataCentre,
+    );
     const before = others.filter(row => row.nodeId < nodeId);
     const rank = before.filter(row => row.relay).length;
     return {
@@ -125,4 +115,13 @@
       candidatesBefore: before.length - rank,
     };
   }
+
+  /** Other live nodes. A suspect is replaced at once: a surplus watcher is harmless. */
+  #otherNodes(): InstanceRecord[] {
+    const {membership} = this.#options;
+    const {nodeId} = membership.own;
+    return membership
+      .live()
+      .filter(row => row.state === NODE_STATES.alive && row.nodeId !== nodeId);
+  }
 }
--- a/packages/store/src/send-json.ts
+++ b/packages/store/src/send-json.ts
@@ -55,7 +55,10 @@
   return {status: res.statusCode, body: parseJson(text)};
 }
 
-/** Time limit for the head of a response; undefined sets none. */
+/**
+ * Time limit for the head of a response; undefined sets none. The limits of undici may
+ * be up to a second late.
+ */
 class HeadLimit {
   readonly #end = new AbortController();
   readonly #timer: NodeJS.Timeout | undefined;
