Tests: a run that breaks off fails

Cause: the outcomes counted only scenarios that had begun, and the exit status of the run was looked at only if nothing had failed. A run that crashed after a known failure passed.

Shown on: the run of "A killed hosted node" and "Large platform configurations", killed by SIGKILL after 8 s: "2 passed, 0 failed", exit 0. Now: "the run broke off: SIGKILL", the scenario that it did not finish counts as failed, exit 1.

Change: scenarios that a run did not finish have failed, and a run without its last message fails.

--- /dev/null
+++ b/scripts/lib/test-outcomes.d.mts
@@ -0,0 +1,7 @@
+export interface TestRun {
+  outcomes: {name: string; passed: boolean}[];
+  /** False if the run broke off. */
+  hasEnded: boolean;
+}
+
+export function readTestRun(lines: readonly string[]): TestRun;
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -7,7 +7,8 @@
  * Usage: node scripts/run-tests.mjs [cucumber arguments]
  */
 import {spawnSync} from 'node:child_process';
-import {existsSync, mkdirSync, readFileSync} from 'node:fs';
+import {existsSync, mkdirSync, readFileSync, rmSync} from 'node:fs';
+import {readTestRun} from './lib/test-outcomes.mjs';
 
 const messagesFile = 'tmp/cucumber.ndjson';
 const knownRedFile = 'KNOWN-RED.txt';
@@ -22,35 +23,8 @@
   return new Set(names);
 }
 
-/** Returns the name and worst status of the last attempt of each scenario. */
-function readOutcomes() {
-  const pickles = new Map();
-  const cases = new Map();
-  const started = new Map();
-  const outcomes = new Map();
-  const lines = readFileSync(messagesFile, 'utf8').split('\n').filter(Boolean);
-  for (const line of lines) {
-    const msg = JSON.parse(line);
-    if (msg.pickle) pickles.set(msg.pickle.id, msg.pickle.name);
-    if (msg.testCase) cases.set(msg.testCase.id, msg.testCase.pickleId);
-    if (msg.testCaseStarted) {
-      const {id, testCaseId} = msg.testCaseStarted;
-      started.set(id, testCaseId);
-      outcomes.set(id, true);
-    }
-    if (msg.testStepFinished) {
-      const {testCaseStartedId, testStepResult} = msg.testStepFinished;
-      if (testStepResult.status !== 'PASSED')
-        outcomes.set(testCaseStartedId, false);
-    }
-  }
-  return [...outcomes].map(([id, passed]) => ({
-    name: pickles.get(cases.get(started.get(id))),
-    passed,
-  }));
-}
-
 mkdirSync('tmp', {recursive: true});
+rmSync(messagesFile, {force: true});
 const tags =
   process.env.VERBENABEAM_LONG === '1' ? [] : ['--tags', 'not @long'];
 const run = spawnSync(
@@ -70,7 +44,8 @@
   },
 );
 if (!existsSync(messagesFile)) process.exit(run.status ?? 1);
-const outcomes = readOutcomes();
+const lines = readFileSync(messagesFile, 'utf8').split('\n').filter(Boolean);
+const {outcomes, hasEnded} = readTestRun(lines);
 const knownRed = readKnownRed();
 const failed = outcomes.filter(o => !o.passed);
 const red = failed.filter(o => knownRed.has(o.name));
@@ -79,7 +54,8 @@
 for (const o of failed.filter(f => !knownRed.has(f.name))) {
   console.log(`failed: ${o.name}`);
 }
+const crashed = !hasEnded || (failed.length === 0 && run.status !== 0);
+if (crashed) console.log(`the run broke off: ${run.signal ?? run.status}`);
 const passedCount = outcomes.length - failed.length;
 console.log(`${passedCount} passed, ${newFailures} failed`);
-const crashed = failed.length === 0 && run.status !== 0;
 process.exit(newFailures > 0 || crashed || outcomes.length === 0 ? 1 : 0);
