--- a/apps/hosted-node/src/killed-node.test.ts
+++ b/apps/hosted-node/src/killed-node.test.ts
@@ -32,7 +32,9 @@
   'a hosted node process whose upstream ends answers with their connection',
   {timeout: stepTimeoutMs},
   async () => {
-    scene = await ProcessScene.start([unbundledProgram], {timeoutMs: pauseMs});
+    scene = await ProcessScene.serving([unbundledProgram], {
+      timeoutMs: pauseMs,
+    });
   },
 );
 
--- a/apps/hosted-node/src/odd-entries.test.ts
+++ b/apps/hosted-node/src/odd-entries.test.ts
@@ -1,24 +1,9 @@
 import assert from 'node:assert/strict';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import {
-  bootText,
-  configKey,
-  configText,
-  KvStandin,
-  ServerStandin,
-  testPorts,
-  waitUntil,
-} from '@verbenabeam/platform/fakes';
-import type {TestPorts} from '@verbenabeam/platform/fakes';
-import {startProcess, stopProcess} from '../../../scripts/lib/environment.mjs';
-import type {Started} from '../../../scripts/lib/environment.mjs';
+import {waitUntil} from '@verbenabeam/platform/fakes';
 import {askNode} from './test/ask-node.js';
+import {ProcessScene, unbundledProgram} from './test/process-scene.js';
 
-const program = 'apps/hosted-node/dist/main.js';
-const service = 'shop';
 const heartbeatMs = 300;
 const stepTimeoutMs = 20_000;
 const depth = 200_000;
@@ -55,18 +40,11 @@
   return value;
 }
 
-let store: KvStandin | null = null;
-let server: ServerStandin | null = null;
-let ports: TestPorts | null = null;
-let started: Started | null = null;
-let folder: string | null = null;
+let scene: ProcessScene | null = null;
 
 After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
-  if (started) await stopProcess(started);
-  server?.stop();
-  store?.stop();
-  if (folder !== null) rmSync(folder, {recursive: true});
-  started = server = store = folder = null;
+  await scene?.stop();
+  scene = null;
 });
 
 Given(
@@ -74,9 +52,8 @@
   async (key: string, what: string) => {
     const value = values[what];
     assert.ok(value !== undefined, what);
-    store = new KvStandin();
-    await store.start();
-    store.put(key, value);
+    scene = await ProcessScene.create();
+    scene.store.put(key, value);
   },
 );
 
@@ -84,14 +61,9 @@
   'a hosted node process runs with that store',
   {timeout: stepTimeoutMs},
   async () => {
-    server = new ServerStandin('i-1', service);
+    const {server, ports} = scene!;
     server.bornAt = Date.now();
-    await server.start();
-    ports = await testPorts();
-    folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
-    const file = path.join(folder, 'boot.toml');
-    writeFileSync(file, bootText('node-1', server, ports, store!.address));
-    started = await startProcess([program, '--config', file]);
+    await scene!.startNode([unbundledProgram]);
     server.beatTo(ports.control, heartbeatMs);
   },
 );
@@ -100,10 +72,10 @@
   'it is ready within {int} ms after a configuration was written',
   {timeout: stepTimeoutMs},
   async (withinMs: number) => {
-    const rules = [{prefix: '/', service}];
-    store!.put(configKey, configText(1, rules, [service]));
+    const {ports} = scene!;
+    scene!.configure();
     const isReady = async () => {
-      const res = await fetch(`http://${ports!.ready}/ready`).catch(() => null);
+      const res = await fetch(`http://${ports.ready}/ready`).catch(() => null);
       return res?.status === 200;
     };
     await waitUntil(isReady, withinMs, 'ready');
@@ -111,21 +83,22 @@
 );
 
 Then('the hosted node process is still the one that was started', () => {
-  const {child, log} = started!;
-  assert.equal(child.exitCode, null, log());
+  const {child, log} = scene!.node;
+  assert.equal(child.exitCode, null, log);
 });
 
 When(/^its upstream's heartbeat has (.+)$/, async (what: string) => {
   const fields = heartbeats[what];
   assert.ok(fields, what);
-  await server!.beat(ports!.control, fields);
+  const {server, ports} = scene!;
+  await server.beat(ports.control, fields);
 });
 
 Then(
   'a request at the hosted node is answered by its upstream',
   {timeout: stepTimeoutMs},
   async () => {
-    const {callers} = ports!;
+    const {callers} = scene!.ports;
     // The first tries may meet what the odd heartbeat named.
     for (let i = 0; i < 3; i++) await askNode(callers, 'odd');
     const answered = async () => (await askNode(callers, 'odd')) === 200;
--- a/apps/hosted-node/src/process-signals.test.ts
+++ b/apps/hosted-node/src/process-signals.test.ts
@@ -48,7 +48,7 @@
   'a hosted node process whose upstream works for {int} ms',
   {timeout: stepTimeoutMs},
   async (workMs: number) => {
-    scene = await ProcessScene.start([unbundledProgram]);
+    scene = await ProcessScene.serving([unbundledProgram]);
     scene.server.faults.workMs = workMs;
     ({node} = scene);
   },
--- a/apps/hosted-node/src/spoiled-answer.test.ts
+++ b/apps/hosted-node/src/spoiled-answer.test.ts
@@ -35,7 +35,7 @@
   async (timeoutMs: number) => {
     const {status, err} = await runProcess(['scripts/bundle.mjs']);
     assert.equal(status, 0, err);
-    scene = await ProcessScene.start([bundle], {timeoutMs});
+    scene = await ProcessScene.serving([bundle], {timeoutMs});
   },
 );
 
--- a/apps/hosted-node/src/test/process-scene.ts
+++ b/apps/hosted-node/src/test/process-scene.ts
@@ -61,39 +61,70 @@
 
 /** One hosted node as a process, beside stand-ins of its store and its upstream. */
 export class ProcessScene {
+  readonly store = new KvStandin();
+  readonly server = new ServerStandin('i-1', service);
+  readonly ports: TestPorts;
   readonly #folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
-
-  private constructor(
-    readonly store: KvStandin,
-    readonly server: ServerStandin,
-    readonly ports: TestPorts,
-  ) {}
-
   #node: NodeProcess | null = null;
 
-  get node(): NodeProcess {
-    if (!this.#node) throw new Error('no node was started');
-    return this.#node;
+  private constructor(ports: TestPorts) {
+    this.ports = ports;
+  }
+
+  /** Starts the stand-ins; the store is empty. */
+  static async create(): Promise<ProcessScene> {
+    const scene = new ProcessScene(await testPorts());
+    await scene.store.start();
+    await scene.server.start();
+    return scene;
   }
 
   /**
-   * Starts a node and resolves once it answers calls.
+   * Starts a node with a configuration and resolves once it answers calls.
    *
    * @param program - The program with options of Node.js, without its settings.
    */
-  static async start(
+  static async serving(
     program: readonly string[],
     rule: Partial<TestRule> = {},
   ): Promise<ProcessScene> {
-    const store = new KvStandin();
-    await store.start();
+    const scene = await ProcessScene.create();
+    try {
+      scene.configure(rule);
+      await scene.startNode(program);
+      await scene.#untilServing();
+      return scene;
+    } catch (err) {
+      await scene.stop();
+      throw err;
+    }
+  }
+
+  get node(): NodeProcess {
+    if (!this.#node) throw new Error('no node was started');
+    return this.#node;
+  }
+
+  /** Writes a configuration that routes all calls to the upstream. */
+  configure(rule: Partial<TestRule> = {}): void {
     const rules = [{prefix: '/', service, ...rule}];
-    store.put(configKey, configText(1, rules, [service]));
-    const server = new ServerStandin('i-1', service);
-    await server.start();
-    const scene = new ProcessScene(store, server, await testPorts());
-    await scene.#run(program);
-    return scene;
+    this.store.put(configKey, configText(1, rules, [service]));
+  }
+
+  /**
+   * Starts the node and resolves with its first output.
+   *
+   * @param program - The program with options of Node.js, without its settings.
+   */
+  async startNode(program: readonly string[]): Promise<void> {
+    const file = path.join(this.#folder, 'boot.toml');
+    const {server, ports, store} = this;
+    writeFileSync(file, bootText('node-1', server, ports, store.address));
+    const node = new NodeProcess([...program, '--config', file]);
+    this.#node = node;
+    const hasBegun = () => node.hasEnded || node.log !== '';
+    await waitUntil(hasBegun, startWithinMs, 'first output');
+    if (node.hasEnded) throw new Error(`the node ended: ${node.end}`);
   }
 
   async stop(): Promise<void> {
@@ -103,17 +134,8 @@
     rmSync(this.#folder, {recursive: true});
   }
 
-  async #run(program: readonly string[]): Promise<void> {
+  async #untilServing(): Promise<void> {
     const {callers, ready, control} = this.ports;
-    const file = path.join(this.#folder, 'boot.toml');
-    const text = bootText(
-      'node-1',
-      this.server,
-      this.ports,
-      this.store.address,
-    );
-    writeFileSync(file, text);
-    this.#node = new NodeProcess([...program, '--config', file]);
     const isUp = async () =>
       (await fetch(`http://${ready}/ready`).catch(() => null)) !== null;
     await waitUntil(isUp, startWithinMs, 'started');
