--- a/packages/node/src/calls/call-protocol.ts
+++ b/packages/node/src/calls/call-protocol.ts
@@ -43,7 +43,10 @@
  * @public
  */
 export interface CallProtocol {
-  /** Responses of known length up to this size are buffered until complete; 0: none. */
+  /**
+   * Responses up to this size are buffered until complete, those of unknown length
+   * also beyond it if there is memory; 0: none.
+   */
   readonly maxBufferedResponseBytes: number;
   /** Largest request body that is kept for retries. */
   readonly maxReplayBytes: number;
--- /dev/null
+++ b/packages/node/src/calls/caller-response.feature
@@ -0,0 +1,24 @@
+@calls
+Feature: Responses without a length
+  Guards against responses that take more memory than a node has, and against memory
+  that stays taken after their calls.
+
+  Scenario: Responses without a length are held as long as there is memory
+    Given responses without a length that share 100000 bytes of memory
+    When the responses "a" and "b" get 60000 bytes each
+    Then no response without a length has begun at its caller
+    When the responses "c" and "d" get 60000 bytes each
+    Then the responses "c" and "d" without a length have begun at their callers
+
+  Scenario Outline: A response without a length that <ends> frees its memory
+    Given responses without a length that share 100000 bytes of memory
+    When the responses "a" and "b" get 60000 bytes each
+    And the responses "a" and "b" each <ends>
+    And the responses "c" and "d" get 60000 bytes each
+    Then no response without a length has begun at its caller but the ended ones
+
+    Examples:
+      | ends         |
+      | ends         |
+      | is cancelled |
+      | is replaced  |
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -4,6 +4,7 @@
 import {headerValue, forwardableHeaders} from './call-headers.js';
 import type {CallProtocol} from './call-protocol.js';
 import type {StoredResponse} from './entry-ports.js';
+import type {MemoryBudget} from './memory-budget.js';
 import type {ResponseMetadata} from './response-metadata.js';
 
 /** Response metadata that stays the same during a call. @internal */
@@ -12,6 +13,16 @@
 /** Largest response body that is stored with a claim. */
 const maxStoredBodyBytes = 16_384;
 
+/** Options of {@link CallerResponse}. @internal */
+export interface CallerResponseOptions {
+  readonly protocol: CallProtocol;
+  readonly metadata: CallMetadata;
+  /** Whether a copy of a short response is kept for a claim. */
+  readonly keepCopy: boolean;
+  /** For buffered responses without a length. */
+  readonly memory: MemoryBudget;
+}
+
 /** A response that is buffered until it is complete. */
 interface BufferedResponse {
   readonly status: number;
@@ -19,6 +30,8 @@
   readonly chunks: Uint8Array[];
   /** Whether the headers show where the body ends. */
   readonly isFramed: boolean;
+  /** Bytes that count in the shared memory. */
+  sharedBytes: number;
 }
 
 /** The response to the caller, and the copy of it that a claim stores. @internal */
@@ -31,6 +44,7 @@
   readonly #res: ServerResponse;
   readonly #protocol: CallProtocol;
   readonly #metadata: CallMetadata;
+  readonly #memory: MemoryBudget;
   /** Copy of the body; null if none is needed or the body is too large. */
   #bodyCopy: Uint8Array[] | null;
   #headers: readonly string[] = [];
@@ -38,13 +52,12 @@
 
   constructor(
     res: ServerResponse,
-    protocol: CallProtocol,
-    metadata: CallMetadata,
-    keepCopy: boolean,
+    {protocol, metadata, keepCopy, memory}: CallerResponseOptions,
   ) {
     this.#res = res;
     this.#protocol = protocol;
     this.#metadata = metadata;
+    this.#memory = memory;
     this.#bodyCopy = keepCopy ? [] : null;
   }
 
@@ -64,19 +77,19 @@
     this.status = forwarded.status;
     this.#headers = forwardableHeaders(response.headers);
     const isFramed = this.#isFramed(response);
-    // A response of unknown length is buffered as long as it fits: if this process is
-    // killed, the system closes its connections, and what was sent looks complete.
+    // A response of unknown length is buffered as long as there is memory: if this
+    // process is killed, the system closes its connections, and what was sent looks
+    // complete.
     const length = isFramed ? contentLengthOf(response.headers) : 0;
     const limit = this.#protocol.maxBufferedResponseBytes;
-    this.#buffered = {...forwarded, chunks: [], isFramed};
+    this.#buffered = {...forwarded, chunks: [], isFramed, sharedBytes: 0};
     if (limit === 0 || length > limit) this.#startStreaming();
   }
 
   /** Sends the head and what was buffered. */
   #startStreaming(): void {
-    const buffered = this.#buffered;
+    const buffered = this.#takeBuffered();
     if (!buffered) return;
-    this.#buffered = null;
     this.onStart?.();
     this.#writeHead(buffered);
     for (const chunk of buffered.chunks) this.#res.write(chunk);
@@ -113,16 +126,18 @@
     this.#bodyCopy?.push(chunk);
     if (!this.#buffered) return this.#res.write(chunk);
     this.#buffered.chunks.push(chunk);
-    if (this.bytes > this.#protocol.maxBufferedResponseBytes) {
-      this.#startStreaming();
-      return !this.#res.writableNeedDrain;
+    if (this.bytes <= this.#protocol.maxBufferedResponseBytes) return true;
+    if (!this.#buffered.isFramed && this.#memory.hasRoom) {
+      this.#buffered.sharedBytes += chunk.length;
+      this.#memory.take(chunk.length);
+      return true;
     }
-    return true;
+    this.#startStreaming();
+    return !this.#res.writableNeedDrain;
   }
 
   end(): void {
-    const buffered = this.#buffered;
-    this.#buffered = null;
+    const buffered = this.#takeBuffered();
     if (!buffered) {
       this.#res.end();
       return;
@@ -131,13 +146,25 @@
     this.#res.end(Buffer.concat(buffered.chunks));
   }
 
+  /** Frees the memory of a response that nobody waits for any more. */
+  release(): void {
+    this.#takeBuffered();
+  }
+
   /** Drops a buffered response, so that a retry can provide another one. */
   discardBuffered(): void {
-    this.#buffered = null;
+    this.release();
     this.status = 0;
     this.bytes = 0;
   }
 
+  #takeBuffered(): BufferedResponse | null {
+    const buffered = this.#buffered;
+    this.#buffered = null;
+    if (buffered) this.#memory.release(buffered.sharedBytes);
+    return buffered;
+  }
+
   refuse(err: MeshError, retriesLeft: number): void {
     const metadata = {...this.#metadata, retriesLeft};
     this.discardBuffered();
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -51,7 +51,7 @@
   constructor(
     call: RoutedCall,
     ports: EntryPorts,
-    {connections, readAhead}: SharedByCalls,
+    {connections, readAhead, heldResponses}: SharedByCalls,
     onEnd: OnCallEnd,
   ) {
     const {headers, req, res, route, snapshot, callId, startAt} = call;
@@ -73,9 +73,7 @@
       propagates: ports.protocol.propagatesRetries,
     });
     this.#timer = setTimeout(
-      () => {
-        this.#expire();
-      },
+      () => this.#expire(),
       Math.max(0, this.#deadlineAt - performance.now()),
     );
     const hasBody = headers.bodyBytes !== 0;
@@ -87,8 +85,9 @@
     });
     this.#attempts = new AttemptFactory(call, service, ports, this.#body);
     const metadata = {callId, configVersion: snapshot.version};
-    const isStored = !route.idempotent && headers.idempotencyKey !== null;
-    this.#response = new CallerResponse(res, protocol, metadata, isStored);
+    const keepCopy = !route.idempotent && headers.idempotencyKey !== null;
+    const held = {protocol, metadata, keepCopy, memory: heldResponses};
+    this.#response = new CallerResponse(res, held);
     // While the response is buffered, a retry may still replace it.
     this.#response.onStart = () => clearTimeout(this.#timer);
     this.#unwatch = connections.onceClosed(req.socket, () => this.#cancel());
@@ -250,6 +249,7 @@
   #cancel(): void {
     if (this.#ended) return;
     this.#abort(CALL_CODES.cancelled, OUTCOMES.cancelled);
+    this.#response.release();
     this.#finish(CALL_CODES.cancelled);
   }
 
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -25,8 +25,8 @@
 import type {EntryPorts} from './entry-ports.js';
 import {buildCallRecord} from './build-call-record.js';
 import {InFlightCounter} from './in-flight-counter.js';
+import {MemoryBudget} from './memory-budget.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
-import {ReadAheadBudget} from './read-ahead-budget.js';
 import {withRetryJitter} from './retry-jitter.js';
 import {CallScheduler} from './call-scheduler.js';
 
@@ -35,6 +35,10 @@
   CALL_CODES.queueFull,
   CALL_CODES.deadlineTooClose,
 ]);
+/** Request bodies that a node reads before an instance takes them. */
+const readAheadBytes = 16_777_216;
+/** Responses without a length that a node holds beyond the first part of each. */
+const heldResponseBytes = 16_777_216;
 /** Longest call chain: twice the depth that the fleet plans for, plus 4. */
 const maxDepth = 32;
 
@@ -56,7 +60,8 @@
   readonly #inFlight = new InFlightCounter();
   readonly #scheduler: CallScheduler;
   readonly #connections = new CallerConnections();
-  readonly #readAhead = new ReadAheadBudget();
+  readonly #readAhead = new MemoryBudget(readAheadBytes);
+  readonly #heldResponses = new MemoryBudget(heldResponseBytes);
   readonly #returningCallers = new RetryingCallers();
   #draining = false;
   /** Time at which a stopping node ends its calls in flight. */
@@ -223,7 +228,11 @@
       }
       this.#ports.observer.onCall(record);
     };
-    const shared = {connections: this.#connections, readAhead: this.#readAhead};
+    const shared = {
+      connections: this.#connections,
+      readAhead: this.#readAhead,
+      heldResponses: this.#heldResponses,
+    };
     new EntryCall(call, this.#ports, shared, onEnd).start();
   }
 
--- a/packages/node/src/calls/replay-body.test.ts
+++ b/packages/node/src/calls/replay-body.test.ts
@@ -3,7 +3,7 @@
 import {PassThrough} from 'node:stream';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {ReadAheadBudget} from './read-ahead-budget.js';
+import {MemoryBudget} from './memory-budget.js';
 import {ReplayBody} from './replay-body.js';
 
 const chunkBytes = 20;
@@ -20,7 +20,7 @@
   readonly taken: Buffer[] = [];
   isOpen = false;
 
-  constructor(readAhead: ReadAheadBudget) {
+  constructor(readAhead: MemoryBudget) {
     this.body = new ReplayBody(this.req as unknown as IncomingMessage, true, {
       maxKeptBytes: 0,
       maxBytes: Infinity,
@@ -55,7 +55,7 @@
   }
 }
 
-let budget = new ReadAheadBudget();
+let budget = new MemoryBudget(0);
 let budgetBytes = 0;
 let bodies = new Map<string, WaitingBody>();
 
@@ -82,7 +82,7 @@
   'request bodies that share {int} bytes to read ahead and keep none',
   (bytes: number) => {
     budgetBytes = bytes;
-    budget = new ReadAheadBudget(bytes);
+    budget = new MemoryBudget(bytes);
     bodies = new Map();
   },
 );
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import type {ReadAheadBudget} from './read-ahead-budget.js';
+import type {MemoryBudget} from './memory-budget.js';
 
 /** Default size of the largest body that is kept for retries. @internal */
 export const REPLAY_LIMIT_BYTES = 65_536;
@@ -11,7 +11,7 @@
   /** Largest body that is allowed. */
   readonly maxBytes: number;
   /** Bytes that may be read before the attempt takes them. */
-  readonly readAhead: ReadAheadBudget;
+  readonly readAhead: MemoryBudget;
   /** Called when the body exceeds `maxBytes`. */
   readonly onTooLarge: () => void;
 }
--- a/packages/node/src/calls/shared-by-calls.ts
+++ b/packages/node/src/calls/shared-by-calls.ts
@@ -1,8 +1,11 @@
 import type {CallerConnections} from './caller-connections.js';
-import type {ReadAheadBudget} from './read-ahead-budget.js';
+import type {MemoryBudget} from './memory-budget.js';
 
 /** What all calls of an entry node share. @internal */
 export interface SharedByCalls {
   readonly connections: CallerConnections;
-  readonly readAhead: ReadAheadBudget;
+  /** For parts of request bodies that no instance takes yet. */
+  readonly readAhead: MemoryBudget;
+  /** For long responses whose end is not known yet. */
+  readonly heldResponses: MemoryBudget;
 }
