--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -31,10 +31,10 @@
 /** Age of a read after which its revision may have left the store's history, in ms. */
 const maxReadAgeMs = 10_000;
 /**
- * Finds a silent connection within 2.2 s: changes must be in force in time from 3 s
- * after it fell silent.
+ * Finds a silent connection within 3.2 s: a change made 3 s after it fell silent must
+ * be in force 2 s later.
  */
-const checkingLimits: WatchLimits = {waitMs: 1_500, slackMs: 700};
+const checkingLimits: WatchLimits = {waitMs: 2_500, slackMs: 700};
 const log = logger('config');
 
 interface ReadResult {
--- a/packages/node/src/hosted/watcher-policy.feature
+++ b/packages/node/src/hosted/watcher-policy.feature
@@ -25,6 +25,15 @@
       | 1    |
       | 2    |
 
+  Scenario: Of nodes that start together one checks its connection to the store
+    Given 25 nodes of a data centre that decide which of them watch the store
+    Then 6000 ms later 1 nodes have checked their connection to the store
+
+  Scenario: The next node checks its connection to the store when the first one ends
+    Given 25 nodes of a data centre that decide which of them watch the store
+    When 6000 ms pass and 1 of the nodes that watch the store end
+    Then 2000 ms later 2 nodes have checked their connection to the store
+
   Scenario: Nodes that cannot reach the store are passed over
     Given 25 nodes of a data centre that decide which of them watch the store
     When 6000 ms pass and the store refuses the first 4 of the nodes
--- a/packages/node/src/hosted/watcher-policy.test.ts
+++ b/packages/node/src/hosted/watcher-policy.test.ts
@@ -2,6 +2,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {seededRandom} from '@verbenabeam/core';
 import {testSeed} from '@verbenabeam/testing';
+import {ConnectionCheckPolicy} from './connection-check-policy.js';
 import {WatcherPolicy} from './watcher-policy.js';
 
 const tickMs = 250;
@@ -11,12 +12,15 @@
 interface Node {
   readonly id: number;
   readonly policy: WatcherPolicy;
+  readonly checks: ConnectionCheckPolicy;
 }
 
 /** Ids of the watchers at each tick. */
 let watchersByTick: Set<number>[] = [];
 /** Ids of the nodes that call the store, also those that it refuses. */
 let callers = new Set<number>();
+/** Ids of the nodes that have checked their connection. */
+let checkers = new Set<number>();
 /** Ids of the nodes that the store refuses. */
 let refused = new Set<number>();
 let nodes: Node[] = [];
@@ -33,6 +37,11 @@
       const candidatesBefore = before - rank;
       return policy.next({count: others.length, rank, candidatesBefore}, now);
     });
+    for (const {id, checks} of nodes) {
+      const isBehind = [...visible].some(o => o < id && live.has(o));
+      const isFirst = callers.has(id) && !isBehind;
+      if (checks.next(isFirst, now)) checkers.add(id);
+    }
     callers = new Set(calling.map(({id}) => id));
     const watchers = [...callers].filter(id => !refused.has(id));
     watchersByTick.push(new Set(watchers));
@@ -45,9 +54,11 @@
     const random = seededRandom(testSeed());
     watchersByTick = [];
     refused = new Set();
+    checkers = new Set();
     nodes = Array.from({length: count}, (_, id) => ({
       id,
       policy: new WatcherPolicy(random),
+      checks: new ConnectionCheckPolicy(),
     }));
   },
 );
@@ -102,3 +113,11 @@
     assert.ok(callers.size <= most, `${callers.size} call the store`);
   },
 );
+
+Then(
+  '{int} ms later {int} nodes have checked their connection to the store',
+  (ms: number, count: number) => {
+    run(ms);
+    assert.equal(checkers.size, count, [...checkers].join(' '));
+  },
+);
