--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -39,8 +39,6 @@
   /** Status that was sent, or that a buffered response will be sent with. */
   status = 0;
   bytes = 0;
-  /** Called when the first part of the response is sent before its end. */
-  onStart: (() => void) | null = null;
   readonly #res: ServerResponse;
   readonly #protocol: CallProtocol;
   readonly #metadata: CallMetadata;
@@ -90,7 +88,6 @@
   #startStreaming(): void {
     const buffered = this.#takeBuffered();
     if (!buffered) return;
-    this.onStart?.();
     this.#writeHead(buffered);
     for (const chunk of buffered.chunks) this.#res.write(chunk);
   }
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -88,8 +88,6 @@
     const keepCopy = !route.idempotent && headers.idempotencyKey !== null;
     const held = {protocol, metadata, keepCopy, memory: heldResponses};
     this.#response = new CallerResponse(res, held);
-    // While the response is buffered, a retry may still replace it.
-    this.#response.onStart = () => clearTimeout(this.#timer);
     this.#unwatch = connections.onceClosed(req.socket, () => this.#cancel());
     res.on('drain', () => this.#attempt?.resume());
   }
@@ -222,7 +220,8 @@
   }
 
   #expire(): void {
-    if (this.#ended) return;
+    // While the response is buffered, a retry may still replace it.
+    if (this.#ended || this.#response.started) return;
     const wasNotSent = !this.#attempt && !this.#log.mayHaveRun;
     const code = wasNotSent
       ? CALL_CODES.deadlineTooClose
