Hosted node: what calls share is one object, other nodes are listed once a tick

EntryHandler made the object of what calls share anew for each call; it is a field now. RecordSync listed the other live nodes twice in each tick, once for either decision on watchers; both take the same list. Nothing else changes.

--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -27,6 +27,7 @@
 import {InFlightCounter} from './in-flight-counter.js';
 import {MemoryBudget} from './memory-budget.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
+import type {SharedByCalls} from './shared-by-calls.js';
 import {withRetryJitter} from './retry-jitter.js';
 import {CallScheduler} from './call-scheduler.js';
 
@@ -60,8 +61,11 @@
   readonly #inFlight = new InFlightCounter();
   readonly #scheduler: CallScheduler;
   readonly #connections = new CallerConnections();
-  readonly #readAhead = new MemoryBudget(readAheadBytes);
-  readonly #heldResponses = new MemoryBudget(heldResponseBytes);
+  readonly #shared: SharedByCalls = {
+    connections: this.#connections,
+    readAhead: new MemoryBudget(readAheadBytes),
+    heldResponses: new MemoryBudget(heldResponseBytes),
+  };
   readonly #returningCallers = new RetryingCallers();
   #draining = false;
   /** Time at which a stopping node ends its calls in flight. */
@@ -228,12 +232,7 @@
       }
       this.#ports.observer.onCall(record);
     };
-    const shared = {
-      connections: this.#connections,
-      readAhead: this.#readAhead,
-      heldResponses: this.#heldResponses,
-    };
-    new EntryCall(call, this.#ports, shared, onEnd).start();
+    new EntryCall(call, this.#ports, this.#shared, onEnd).start();
   }
 
   #recordFailure({req, startAt, headers, waitedMs}: RoutedCall): void {
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -84,31 +84,29 @@
       const isSettled = isFirst() || membership.gossip.joined;
       if (!isSettled && clock.now() < settledAt) return;
       const now = clock.now();
-      const others = this.#otherWatchers();
-      this.#feed.shouldWatch = this.#policy.next(others, now);
-      const isFirstWatcher = this.#isFirstWatcher();
+      const others = this.#otherNodes();
+      const watchers = this.#otherWatchers(others);
+      this.#feed.shouldWatch = this.#policy.next(watchers, now);
+      const isFirstWatcher = this.#isFirstWatcher(others);
       this.#feed.checksConnection = this.#checks.next(isFirstWatcher, now);
     });
     void this.#feed.run();
   }
 
   /** Whether no other live node that watches the store precedes this one. */
-  #isFirstWatcher(): boolean {
+  #isFirstWatcher(others: readonly InstanceRecord[]): boolean {
     const {nodeId, relay} = this.#options.membership.own;
-    if (!relay) return false;
-    return !this.#otherNodes().some(row => row.relay && row.nodeId < nodeId);
+    return relay && !others.some(row => row.relay && row.nodeId < nodeId);
   }
 
   /** Other watchers in the same data centre. */
-  #otherWatchers(): OtherWatchers {
+  #otherWatchers(others: readonly InstanceRecord[]): OtherWatchers {
     const {nodeId, dataCentre} = this.#options.membership.own;
-    const others = this.#otherNodes().filter(
-      row => row.dataCentre === dataCentre,
-    );
-    const before = others.filter(row => row.nodeId < nodeId);
+    const near = others.filter(row => row.dataCentre === dataCentre);
+    const before = near.filter(row => row.nodeId < nodeId);
     const rank = before.filter(row => row.relay).length;
     return {
-      count: others.filter(row => row.relay).length,
+      count: near.filter(row => row.relay).length,
       rank,
       candidatesBefore: before.length - rank,
     };
