--- a/apps/hosted-node/src/code-cache.test.ts
+++ b/apps/hosted-node/src/code-cache.test.ts
@@ -7,24 +7,16 @@
   stopProcess,
 } from '../../../scripts/lib/environment.mjs';
 import type {Started} from '../../../scripts/lib/environment.mjs';
+import {deployedCommand} from './test/deployed-command.js';
 
 const cache = 'target/verbenabeam.bundle.cache';
 const shortBytes = 100_000;
 const stepTimeoutMs = 40_000;
-const deployFile = 'deploy/system.toml';
 const settings = ['--config', 'deploy/example-boot.toml'];
 let started: Started | null = null;
 /** The cache before it was cut short. */
 let whole: Buffer | null = null;
 
-/** The command of the deploy file without its metrics port, after `node`. */
-function deployedCommand(): string[] {
-  const text = readFileSync(deployFile, 'utf8');
-  const command = /^run = "node (.*?)(?: --metrics-port \d+)?"$/m.exec(text);
-  assert.ok(command?.[1], text);
-  return command[1].split(' ');
-}
-
 After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
   if (started) await stopProcess(started);
   started = null;
--- a/apps/hosted-node/src/test/process-scene.ts
+++ b/apps/hosted-node/src/test/process-scene.ts
@@ -18,6 +18,7 @@
 
 const service = 'shop';
 const heartbeatMs = 300;
+const usualSlots = 4;
 const startWithinMs = 15_000;
 
 /** The program before it is bundled. */
@@ -62,18 +63,19 @@
 /** One hosted node as a process, beside stand-ins of its store and its upstream. */
 export class ProcessScene {
   readonly store = new KvStandin();
-  readonly server = new ServerStandin('i-1', service);
+  readonly server: ServerStandin;
   readonly ports: TestPorts;
   readonly #folder = mkdtempSync(path.join(tmpdir(), 'verbenabeam-'));
   #node: NodeProcess | null = null;
 
-  private constructor(ports: TestPorts) {
+  private constructor(ports: TestPorts, slots: number) {
     this.ports = ports;
+    this.server = new ServerStandin('i-1', service, 'v1', slots);
   }
 
   /** Starts the stand-ins; the store is empty. */
-  static async create(): Promise<ProcessScene> {
-    const scene = new ProcessScene(await testPorts());
+  static async create(slots = usualSlots): Promise<ProcessScene> {
+    const scene = new ProcessScene(await testPorts(), slots);
     await scene.store.start();
     await scene.server.start();
     return scene;
@@ -87,8 +89,9 @@
   static async serving(
     program: readonly string[],
     rule: Partial<TestRule> = {},
+    slots = usualSlots,
   ): Promise<ProcessScene> {
-    const scene = await ProcessScene.create();
+    const scene = await ProcessScene.create(slots);
     try {
       scene.configure(rule);
       await scene.startNode(program);
