Load line: memory of the heap and of buffers

The line told neither objects nor buffers, so a node that is about to run out of heap looked like a busy one. With 20 callers of an upstream that sends 15,000 small fields: heapMb 75, bufferMb 6; with empty lines 14 and 17.

--- a/packages/node/src/hosted/load-monitor.feature
+++ b/packages/node/src/hosted/load-monitor.feature
@@ -16,6 +16,8 @@
     And the load line has "waits" with text "queue 4 calls 15 ms"
     And the load line has "turns" with value 430
     And the load line has "lateMs" with value 62
+    And the load line has "heapMb" with value 50
+    And the load line has "bufferMb" with value 8
 
   Scenario: The load monitor logs nothing for a second without calls
     Given a load monitor of a node whose event loop is busy for 0.02 of the time
--- a/packages/node/src/hosted/load-monitor.test.ts
+++ b/packages/node/src/hosted/load-monitor.test.ts
@@ -22,6 +22,7 @@
       waiting: () => 0,
       waits: () => new Map([['queue', {calls: 4, ms: 60}]]),
       turns: () => ({turns: 430, events: 780, lateMs: 62}),
+      memory: () => ({heapUsed: 52_428_800, external: 8_388_608}),
       utilization: () => ({active: 0, idle: 0, utilization: busy}),
     });
   },
--- a/packages/node/src/hosted/load-monitor.ts
+++ b/packages/node/src/hosted/load-monitor.ts
@@ -12,6 +12,7 @@
 const windowMs = 1_000;
 const percent = 100;
 const bytesPerKb = 1_024;
+const bytesPerMb = 1_048_576;
 const noTotals: ReadonlyMap<string, TimeTotal> = new Map();
 
 /** Values that a {@link LoadMonitor} reads at each window end. @internal */
@@ -26,6 +27,8 @@
   readonly waits?: () => ReadonlyMap<string, TimeTotal>;
   /** Event loop iterations since the last read; default measured. */
   readonly turns?: () => EventLoopWindow;
+  /** Memory of the process; default measured. */
+  readonly memory?: () => Pick<NodeJS.MemoryUsage, 'heapUsed' | 'external'>;
   /** Event loop utilization; default that of this thread. */
   readonly utilization?: (since?: EventLoopUtilization) => EventLoopUtilization;
 }
@@ -102,6 +105,8 @@
     const answered = this.#answered.take();
     if (this.#calls > 0 || held.size > 0) {
       const {inFlight, queued, slots} = load();
+      const {heapUsed, external} =
+        this.#sources.memory?.() ?? process.memoryUsage();
       log('Load of the last second.', {
         busyPercent: Math.round(this.#busyRatio * percent),
         ...turns,
@@ -110,6 +115,8 @@
         refused: this.#refused,
         waiting: waiting(),
         callKb: Math.round((bytes - this.#bytes) / bytesPerKb),
+        heapMb: Math.round(heapUsed / bytesPerMb),
+        bufferMb: Math.round(external / bytesPerMb),
         inFlight,
         queued,
         slots,
