--- a/apps/hosted-node/src/flooding-upstream.feature
+++ b/apps/hosted-node/src/flooding-upstream.feature
@@ -6,7 +6,7 @@
   Scenario Outline: A hosted node outlives an upstream that floods all callers: <answer>
     Given a hosted node process as it is deployed, beside an upstream with 60 slots
     And its upstream answers with <answer> without an end
-    When 60 callers get that answer for 3000 ms, each once in 10 ms at most
+    When 60 callers get that answer for 2000 ms, each once in 10 ms at most
     Then the hosted node process runs and has never had more than 200 MB
 
     Examples:
@@ -25,7 +25,7 @@
   Scenario Outline: A flooding upstream leaves the node time for other calls: <answer>
     Given a hosted node process as it is deployed, beside an upstream with 60 slots
     And its upstream answers with <answer> without an end
-    When 12 callers get that answer for 3000 ms, each once in 100 ms at most
+    When 12 callers get that answer for 2000 ms, each once in 100 ms at most
     Then the hosted node process has used at most 0.54 of a core
     And all other calls at the hosted node process were answered
 
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Connections of HTTP clients, with limits on what a response may have beside its
+ * body.
+ *
+ * @packageDocumentation
+ */
+export {createMeteredAgent} from './metered-agent.js';
+export {ResponseMeter} from './response-meter.js';
+export {ResponseSockets} from './response-sockets.js';
--- /dev/null
+++ b/packages/http/src/response-meter.feature
@@ -0,0 +1,43 @@
+@http
+Feature: Limits of what a response has beside its body
+  Guards against answers without an end that use up memory or processor time, and
+  against limits that end a whole answer.
+
+  Scenario Outline: A metered client takes a whole response: <response>
+    Given an http server that answers with <response>
+    Then 3 metered requests on a connection are answered whole
+
+    Examples:
+      | response                       |
+      | a body with a length           |
+      | a long body with a length      |
+      | a body of many lines           |
+      | chunks of one byte             |
+      | long chunks                    |
+      | chunks with short extensions   |
+      | chunks and trailers            |
+      | 250 fields                     |
+      | fields of 12000 bytes          |
+      | 16 informational heads         |
+      | no body                        |
+
+  Scenario Outline: A metered client reads a long response whole when it pauses: <response>
+    Given an http server that answers with <response>
+    Then a metered request that pauses after each part is answered whole
+
+    Examples:
+      | response                  |
+      | a long body with a length |
+      | long chunks               |
+
+  Scenario Outline: A metered client gives up a response: <response>
+    Given an http server that answers with <response>
+    Then a metered request fails and its connection is closed
+
+    Examples:
+      | response                     |
+      | 300 fields                   |
+      | 300 fields in a trailer      |
+      | 40000 bytes of empty lines   |
+      | 40000 zeros of a chunk size  |
+      | 40000 bytes of an extension  |
--- /dev/null
+++ b/packages/http/src/response-meter.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {After, Given, Then} from '@cucumber/cucumber';
+import type {Dispatcher} from 'undici';
+import {createMeteredAgent} from './metered-agent.js';
+
+const closedWithinMs = 1_000;
+const pauseMs = 1;
+const longBytes = 1_000_000;
+const head = 'HTTP/1.1 200 OK\r\n';
+const chunkedHead = `${head}Transfer-Encoding: chunked\r\n\r\n`;
+const lastChunk = '0\r\n\r\n';
+const fields = (count: number) => 'a: b\r\n'.repeat(count);
+const chunk = (body: string, extension = '') =>
+  `${body.length.toString(16)}${extension}\r\n${body}\r\n`;
+const withLength = (body: string, more = '') =>
+  `${head}${more}Content-Length: ${body.length}\r\n\r\n${body}`;
+
+/** Responses, each with its body; null if it must be given up. */
+const responses: Readonly<Record<string, readonly [string, string | null]>> = {
+  'a body with a length': [withLength('body'), 'body'],
+  'a long body with a length': [
+    withLength('x'.repeat(longBytes)),
+    'x'.repeat(longBytes),
+  ],
+  'a body of many lines': [
+    withLength('\n'.repeat(longBytes)),
+    '\n'.repeat(longBytes),
+  ],
+  'chunks of one byte': [
+    chunkedHead + chunk('x').repeat(20_000) + lastChunk,
+    'x'.repeat(20_000),
+  ],
+  'long chunks': [
+    chunkedHead + chunk('y'.repeat(100_000)).repeat(10) + lastChunk,
+    'y'.repeat(longBytes),
+  ],
+  'chunks with short extensions': [
+    chunkedHead + chunk('0123456789', ';name=value').repeat(2_000) + lastChunk,
+    '0123456789'.repeat(2_000),
+  ],
+  'chunks and trailers': [
+    `${chunkedHead}${chunk('body')}0\r\n${fields(100)}\r\n`,
+    'body',
+  ],
+  '250 fields': [withLength('body', fields(250)), 'body'],
+  'fields of 12000 bytes': [
+    withLength('body', `b: ${'x'.repeat(12_000)}\r\n`),
+    'body',
+  ],
+  '16 informational heads': [
+    'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'.repeat(16) +
+      withLength('body'),
+    'body',
+  ],
+  'no body': ['HTTP/1.1 204 No Content\r\n\r\n', ''],
+  '300 fields': [withLength('body', fields(300)), null],
+  '300 fields in a trailer': [
+    `${chunkedHead}${chunk('x'.repeat(5_000))}0\r\n${fields(2_000)}\r\n`,
+    null,
+  ],
+  '40000 bytes of empty lines': [
+    '\r\n'.repeat(20_000) + withLength('body'),
+    null,
+  ],
+  '40000 zeros of a chunk size': [
+    `${chunkedHead}${'0'.repeat(40_000)}4\r\nbody\r\n${lastChunk}`,
+    null,
+  ],
+  '40000 bytes of an extension': [
+    chunkedHead + chunk('body', `;x=${'y'.repeat(40_000)}`) + lastChunk,
+    null,
+  ],
+};
+
+let server: net.Server | null = null;
+let agent: Dispatcher | null = null;
+let origin = '';
+let expected: string | null = null;
+let connections = 0;
+let open = 0;
+
+After({tags: '@http'}, async () => {
+  await agent?.destroy();
+  server?.close();
+  agent = server = null;
+});
+
+Given(/^an http server that answers with (.+)$/, async (kind: string) => {
+  const response = responses[kind];
+  assert.ok(response, kind);
+  const [text, body] = response;
+  expected = body;
+  connections = open = 0;
+  server = net.createServer(socket => {
+    connections++;
+    open++;
+    socket.on('error', () => undefined);
+    socket.on('close', () => open--);
+    socket.on('data', () => socket.write(text));
+  });
+  await once(server.listen(0, '127.0.0.1'), 'listening');
+  const {port} = server.address() as net.AddressInfo;
+  origin = `http://127.0.0.1:${port}`;
+  agent = createMeteredAgent({connectTimeoutMs: 1_000, connections: 1});
+});
+
+Then(
+  '{int} metered requests on a connection are answered whole',
+  async (count: number) => {
+    for (let i = 0; i < count; i++) {
+      const res = await agent!.request({origin, path: '/', method: 'GET'});
+      const body = await res.body.text();
+      assert.equal(body.length, expected?.length);
+      assert.ok(body === expected);
+    }
+    assert.equal(connections, 1);
+  },
+);
+
+Then(
+  'a metered request that pauses after each part is answered whole',
+  async () => {
+    const res = await agent!.request({origin, path: '/', method: 'GET'});
+    let body = '';
+    for await (const part of res.body) {
+      body += String(part);
+      await sleep(pauseMs);
+    }
+    assert.ok(body === expected, `${body.length} bytes`);
+  },
+);
+
+Then('a metered request fails and its connection is closed', async () => {
+  await assert.rejects(async () => {
+    const res = await agent!.request({origin, path: '/', method: 'GET'});
+    await res.body.text();
+  });
+  const deadline = performance.now() + closedWithinMs;
+  while (open > 0 && performance.now() < deadline) await sleep(pauseMs);
+  assert.equal(open, 0);
+});
--- /dev/null
+++ b/packages/http/src/response-sockets.ts
@@ -0,0 +1,113 @@
+import type {Socket} from 'node:net';
+import {buildConnector} from 'undici';
+import {ResponseMeter} from './response-meter.js';
+
+/**
+ * The connections of a client. Helps to tell a truncated response from a complete one:
+ * undici reports a response without a length as complete when the connection is reset,
+ * and a chunked response as complete when a connection without keep-alive ends. Closes
+ * connections whose responses exceed the limits of {@link ResponseMeter}.
+ */
+export class ResponseSockets {
+  #failing = false;
+  #ending = false;
+  /** Of the connection that was read last: the parser runs right after a read. */
+  #meter: ResponseMeter | null = null;
+  #exceeded = 0;
+
+  /** Whether a socket error causes the current callback. */
+  get isFailing(): boolean {
+    return this.#failing;
+  }
+
+  /** Whether the end of a socket causes the current callback. */
+  get isEnding(): boolean {
+    return this.#ending;
+  }
+
+  /** Connections that were closed because a response exceeded a limit. */
+  get exceeded(): number {
+    return this.#exceeded;
+  }
+
+  /** To be called with the head of a final response. */
+  onHead(isChunked: boolean): void {
+    this.#meter?.onHead(isChunked);
+  }
+
+  /** To be called with each part of a body. */
+  onBody(bytes: number): void {
+    this.#meter?.onBody(bytes);
+  }
+
+  /** To be called when a response is complete. */
+  onResponseEnd(): void {
+    // The end of a socket completes a response without a read.
+    if (!this.#ending && !this.#failing) this.#meter?.onEnd();
+  }
+
+  /** Creates a connector for a pool whose sockets are tracked. */
+  connector(
+    options: buildConnector.BuildOptions = {},
+  ): buildConnector.connector {
+    const connect = buildConnector(options);
+    return (target, callback) => {
+      connect(target, (...result) => {
+        const [, socket] = result;
+        if (socket) this.#track(socket);
+        callback(...result);
+      });
+    };
+  }
+
+  #track(socket: Socket): void {
+    // Run before undici's own listeners, which may complete the response.
+    socket.on('error', () => this.#onError());
+    socket.on('end', () => this.#onEnd());
+    this.#meterReads(socket);
+  }
+
+  /** undici takes what has arrived by `read` and puts back what it does not parse. */
+  #meterReads(socket: Socket): void {
+    const meter = new ResponseMeter();
+    const read = socket.read.bind(socket);
+    const unshift = socket.unshift.bind(socket);
+    const cut = (reason: string) => {
+      this.#exceeded++;
+      socket.destroy(new Error(reason));
+      return null;
+    };
+    socket.read = (asked?: number) => {
+      // The stream itself asks for 0 bytes, to have more read from the system.
+      if (asked !== undefined) return read(asked) as Buffer | null;
+      if (socket.destroyed) return null;
+      meter.onPieceParsed();
+      if (meter.excess !== null) return cut(meter.excess);
+      const size = Math.min(socket.readableLength, meter.pieceBytes);
+      const piece = read(size > 0 ? size : undefined) as Buffer | null;
+      if (piece === null) return null;
+      meter.onPiece(piece);
+      if (meter.excess !== null) return cut(meter.excess);
+      this.#meter = meter;
+      return piece;
+    };
+    socket.unshift = (chunk: Buffer) => {
+      meter.onUnread(chunk.length);
+      unshift(chunk);
+    };
+  }
+
+  #onEnd(): void {
+    this.#ending = true;
+    process.nextTick(() => {
+      this.#ending = false;
+    });
+  }
+
+  #onError(): void {
+    this.#failing = true;
+    process.nextTick(() => {
+      this.#failing = false;
+    });
+  }
+}
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -264,7 +264,7 @@
       this.#head,
       ports.protocol,
       this,
-      pool.socketEnds,
+      pool.sockets,
     );
     const upstreamPool = pool.get(upstream.address);
     const content = this.#body.take();
--- a/packages/node/src/calls/serving-handler.ts
+++ b/packages/node/src/calls/serving-handler.ts
@@ -45,6 +45,11 @@
     return this.#inFlight.count;
   }
 
+  /** Responses of the upstream that were given up over a limit. */
+  get responsesExceeded(): number {
+    return this.#pool.sockets.exceeded;
+  }
+
   /** Handler for `PeerBus.onStream(CALL_STREAM, ...)`. */
   readonly onStream: StreamHandler = (value, stream) => {
     const head = decodeCallHead(value);
--- a/packages/node/src/calls/upstream-pool.ts
+++ b/packages/node/src/calls/upstream-pool.ts
@@ -1,13 +1,13 @@
+import {ResponseSockets} from '@verbenabeam/http';
 import {Pool} from 'undici';
-import {SocketEndTracker} from './socket-end-tracker.js';
 
 /** Most connections to the upstream, whose limit is about 120. */
 const maxConnections = 100;
 
 /** Connection pool of the upstream; replaced when its address changes. */
 export class UpstreamPool {
-  /** Tracks the connections to all addresses. */
-  readonly socketEnds = new SocketEndTracker();
+  /** The connections to all addresses. */
+  readonly sockets = new ResponseSockets();
   #pool: Pool | null = null;
   #address = '';
 
@@ -17,7 +17,7 @@
     void this.#pool?.close();
     this.#address = address;
     this.#pool = new Pool(`http://${address}`, {
-      connect: this.socketEnds.connector(),
+      connect: this.sockets.connector(),
       connections: maxConnections,
       pipelining: 1,
       // The entry node ends a call at its deadline, so undici's timers, which
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -1,9 +1,9 @@
+import type {ResponseSockets} from '@verbenabeam/http';
 import type {Dispatcher, Pool} from 'undici';
 import type {CallHead} from './call-head.js';
 import {headerValue} from './call-headers.js';
 import {RESPONSE_KINDS} from './call-protocol.js';
 import type {ResponseKind, CallProtocol} from './call-protocol.js';
-import type {SocketEndTracker} from './socket-end-tracker.js';
 import type {OwnUpstream} from './serving-ports.js';
 import type {UpstreamBody} from './upstream-body.js';
 
@@ -42,7 +42,7 @@
   readonly #head: CallHead;
   readonly #protocol: CallProtocol;
   readonly #listener: UpstreamListener;
-  readonly #socketEnds: Pick<SocketEndTracker, 'isFailing' | 'isEnding'>;
+  readonly #sockets: ResponseSockets;
   #abort: ((err?: Error) => void) | null = null;
   #resume: (() => void) | null = null;
   #aborted = false;
@@ -55,9 +55,9 @@
     head: CallHead,
     protocol: CallProtocol,
     listener: UpstreamListener,
-    socketEnds: Pick<SocketEndTracker, 'isFailing' | 'isEnding'>,
+    sockets: ResponseSockets,
   ) {
-    this.#socketEnds = socketEnds;
+    this.#sockets = sockets;
     this.#head = head;
     this.#protocol = protocol;
     this.#listener = listener;
@@ -104,6 +104,7 @@
     this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
     this.#isChunked = headerValue(headers, 'transfer-encoding') !== null;
+    this.#sockets.onHead(this.#isChunked);
     this.#kind = this.#protocol.classify(this.#head, status, headers);
     if (this.#kind === RESPONSE_KINDS.answer) {
       this.#listener.onUpstreamHead(status, headers);
@@ -117,12 +118,14 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.#sockets.onBody(chunk.length);
     if (this.#isNotRun) this.#discardRefusalBody(chunk);
     if (this.#kind !== RESPONSE_KINDS.answer || this.#aborted) return true;
     return this.#listener.onUpstreamData(chunk);
   }
 
   onComplete(): void {
+    this.#sockets.onResponseEnd();
     if (this.#aborted || this.#isNotRun) return;
     if (this.#isTruncated) {
       const err = new Error('The response was truncated');
@@ -137,7 +140,7 @@
 
   /** A complete chunked response ends with its last chunk, not with the socket. */
   get #isTruncated(): boolean {
-    const {isFailing, isEnding} = this.#socketEnds;
+    const {isFailing, isEnding} = this.#sockets;
     return isFailing || (isEnding && this.#isChunked);
   }
 
--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -22,6 +22,8 @@
   readonly waits: () => ReadonlyMap<WaitPlace, number>;
   /** Share of the last second in which the event loop was busy, 0 to 1. */
   readonly busyRatio: () => number;
+  /** Responses of the own upstream that were given up over a limit. */
+  readonly responsesExceeded: () => number;
 }
 
 const msPerSecond = 1_000;
@@ -35,6 +37,11 @@
       help: 'Calls that the own upstream runs at once.',
       read: () => [{labels: {}, value: load().slots}],
     },
+    {
+      name: 'verbenabeam_upstream_responses_exceeded',
+      help: 'Responses of the own upstream given up over a limit, since the start.',
+      read: () => [{labels: {}, value: parts.responsesExceeded()}],
+    },
     {
       name: 'verbenabeam_upstream_queue',
       help: 'Calls that wait for a slot of the own upstream.',
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -305,6 +305,7 @@
         acceptWaitMs: () => this.acceptWaitMs(),
         waits: () => this.#callWaits.counts,
         busyRatio: () => this.load.busyRatio,
+        responsesExceeded: () => this.serving.responsesExceeded,
       }),
     });
   }
--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -1,7 +1,8 @@
 import {Result} from 'true-myth';
-import {Agent} from 'undici';
+import type {Dispatcher} from 'undici';
 import {logger, processRandom, systemClock} from '@verbenabeam/core';
 import type {Clock, MeshError, RandomSource} from '@verbenabeam/core';
+import {createMeteredAgent} from '@verbenabeam/http';
 import type {z} from 'zod';
 import {Breaker} from './breaker.js';
 import type {BreakerOptions} from './breaker.js';
@@ -82,9 +83,9 @@
   readonly #watchIdleMs: number;
   readonly #clock: Clock;
   readonly #random: RandomSource;
-  readonly #agent: Agent;
+  readonly #agent: Dispatcher;
   /** The reply of a watch has no end; its lines have a largest size. */
-  readonly #watchAgent: Agent;
+  readonly #watchAgent: Dispatcher;
   readonly #revisions: StoreRevisions;
   #preferred = 0;
 
@@ -103,10 +104,13 @@
     const agentOptions = {
       connections: options.connections ?? defaultConnections,
       pipelining: 1,
-      connect: {timeout: options.connectTimeoutMs ?? defaultConnectTimeoutMs},
+      connectTimeoutMs: options.connectTimeoutMs ?? defaultConnectTimeoutMs,
     };
-    this.#agent = new Agent({...agentOptions, maxResponseSize: maxReplyBytes});
-    this.#watchAgent = new Agent(agentOptions);
+    this.#agent = createMeteredAgent({
+      ...agentOptions,
+      maxResponseSize: maxReplyBytes,
+    });
+    this.#watchAgent = createMeteredAgent(agentOptions);
   }
 
   /** State of the circuit breaker, for status pages. */
