Calls: a retry after a lost connection pings the next node first

Callers saw, rarely and beside load, an idempotent call end as 1607 "The peer closed the connection" with 502 while three of nine instances were killed.

Cause: a process that gets SIGKILL answers nothing from then on, but its connections are closed only when its memory is freed. The call lost its first instance, its retry went to a second killed one whose connection was still open, and that was its last: of two retries one is propagated with the attempt and cannot be reclaimed from a lost instance.

Change: after a lost connection a further attempt sends a ping on an open connection and the call only after the pong. A killed instance fails as unreachable: nothing was sent, so it uses no retry. What may be resent is unchanged. A fixed wait would have to outlast an unknown time.

The scenarios with processes now print the attempts of calls that failed; their checks are the same.

--- a/apps/node/src/processes-fleet.test.ts
+++ b/apps/node/src/processes-fleet.test.ts
@@ -62,7 +62,7 @@
   const failed = fleet().load.failed.filter(
     call => !restarted.includes(call.target),
   );
-  assert.deepEqual(failed, []);
+  assert.deepEqual(await fleet().withAttempts(failed), []);
 });
 
 Given(
--- a/apps/node/src/processes-stops.test.ts
+++ b/apps/node/src/processes-stops.test.ts
@@ -130,7 +130,7 @@
     const isRefusal = (call: SeenCall) =>
       call.target === stoppedTarget && call.notRun && call.endedAt >= stoppedAt;
     const failed = fleet().load.failed.filter(call => !isRefusal(call));
-    assert.deepEqual(failed, []);
+    assert.deepEqual(await fleet().withAttempts(failed), []);
   },
 );
 
--- a/apps/node/src/test/fleet.ts
+++ b/apps/node/src/test/fleet.ts
@@ -15,6 +15,7 @@
 } from '../../../../scripts/lib/environment.mjs';
 import {fleetDocument, fleetService} from './fleet-document.js';
 import {SteadyLoad} from './steady-load.js';
+import type {SeenCall} from './steady-load.js';
 
 const dataCentres = ['cz-1', 'cz-2'];
 const requestTimeoutMs = 3_000;
@@ -142,6 +143,18 @@
     return JSON.parse(out) as CallRecord;
   }
 
+  /** Adds what the fleet knows of their attempts to calls that failed. */
+  async withAttempts(calls: readonly SeenCall[]) {
+    return Promise.all(
+      calls.map(async call => {
+        if (call.callId === '') return {...call, attempts: []};
+        const record = await this.explain(call.callId).catch(String);
+        const attempts = typeof record === 'string' ? record : record.attempts;
+        return {...call, attempts: JSON.stringify(attempts)};
+      }),
+    );
+  }
+
   /** Versions that the nodes themselves report. */
   async versions(): Promise<number[]> {
     const all = await Promise.all(this.members.map(i => this.statusOf(i)));
--- a/packages/node/src/calls/attempt-log.ts
+++ b/packages/node/src/calls/attempt-log.ts
@@ -1,4 +1,4 @@
-import {CALL_CODES, MeshError} from '@verbenabeam/core';
+import {CALL_CODES, MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {ResultCode} from '@verbenabeam/core';
 import type {Attempt} from './attempt.js';
 import type {AttemptRecord} from './call-record.js';
@@ -32,6 +32,15 @@
     return this.#records.at(-1)?.code === CALL_CODES.ok.code;
   }
 
+  /**
+   * Whether an attempt lost its connection. What ended that node may have ended
+   * others whose connections are not closed yet.
+   */
+  get lostConnection(): boolean {
+    const {code} = WIRE_CODES.connectionLost;
+    return this.#records.some(record => record.code === code);
+  }
+
   /** Adds an ended attempt. */
   add(
     attempt: Attempt,
--- a/packages/node/src/calls/attempt.ts
+++ b/packages/node/src/calls/attempt.ts
@@ -57,11 +57,15 @@
     this.#listener = listener;
   }
 
-  /** Opens the stream and sends the call. */
-  start(): void {
+  /**
+   * Opens the stream and sends the call.
+   *
+   * @param pingFirst - Whether a node must answer a ping before it gets the call.
+   */
+  start(pingFirst = false): void {
     this.#ports.instances.began(this.target);
     if (this.target.local) this.#startLocal();
-    else void this.#startRemote();
+    else void this.#startRemote(pingFirst);
   }
 
   /** Ends the attempt on behalf of the entry node. */
@@ -139,7 +143,7 @@
     this.#begin(own);
   }
 
-  async #startRemote(): Promise<void> {
+  async #startRemote(pingFirst: boolean): Promise<void> {
     const {address} = this.target;
     const opening = new AbortController();
     this.#opening = opening;
@@ -147,7 +151,7 @@
       address,
       CALL_STREAM,
       () => encodeCallHead(this.#headNow()),
-      {timeoutMs: this.#head.remainingMs, signal: opening.signal},
+      {timeoutMs: this.#head.remainingMs, signal: opening.signal, pingFirst},
     );
     this.#opening = null;
     if (opened.isErr) this.#fail(opened.error);
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -204,7 +204,7 @@
     if (this.#ended) return;
     const propagate = () => this.#retries.propagate();
     this.#attempt = this.#attempts.next(this.#remainingMs(), propagate, this);
-    if (this.#attempt) this.#attempt.start();
+    if (this.#attempt) this.#attempt.start(this.#log.lostConnection);
     else this.#refuseWith(this.#log.toCallError(err ?? this.#noInstance()));
   }
 
--- a/packages/wire/src/connection.ts
+++ b/packages/wire/src/connection.ts
@@ -16,9 +16,15 @@
 import type {ByteStream, PeerContext, RequestOptions} from './peer-bus.js';
 import {OneWayDelay} from './one-way-delay.js';
 import {PendingRequests} from './pending-requests.js';
+import {Pings} from './pings.js';
 import {RequestServer} from './request-server.js';
 import {StreamTable} from './stream-table.js';
-import {asLost, errorFromFrame, refused, unread} from './wire-errors.js';
+import {
+  asLost,
+  connectionClosed,
+  errorFromFrame,
+  unread,
+} from './wire-errors.js';
 
 /** What a connection needs besides its socket. @internal */
 export interface ConnectionOptions {
@@ -46,6 +52,7 @@
   readonly #socket: FrameSocket;
   readonly #options: ConnectionOptions;
   readonly #pending = new PendingRequests();
+  readonly #pings = new Pings(frame => this.#send(frame));
   readonly #streams: StreamTable;
   readonly #context: PeerContext;
   readonly #ended = new AbortController();
@@ -78,7 +85,10 @@
       this.#ageOf(f[1]);
       this.send([FRAME_TYPES.pong, performance.now()]);
     },
-    [FRAME_TYPES.pong]: f => void this.#ageOf(f[1]),
+    [FRAME_TYPES.pong]: f => {
+      this.#ageOf(f[1]);
+      this.#pings.takePong();
+    },
     [FRAME_TYPES.goAway]: () => {
       this.#goingAway = true;
     },
@@ -109,10 +119,10 @@
     return !this.#socket.closed && !this.#goingAway;
   }
 
-  /** Whether a request or stream of either side is open. */
+  /** Whether a request or stream of either side is open, or a pong is awaited. */
   get busy(): boolean {
-    const open = this.#pending.size + this.#streams.size + this.#server.running;
-    return open > 0;
+    const own = this.#pending.size + this.#pings.waiting;
+    return own + this.#streams.size + this.#server.running > 0;
   }
 
   /** Whether nothing was read since something was sent that began here. */
@@ -162,7 +172,13 @@
 
   /** Sends a ping, whose response counts as a read. */
   ping(): void {
-    this.send([FRAME_TYPES.ping, performance.now()]);
+    this.#pings.send();
+  }
+
+  /** Sends a ping and waits for its response; returns the error without one. */
+  async pinged(options: RequestOptions): Promise<MeshError | null> {
+    if (!this.usable) return connectionClosed();
+    return this.#pings.untilAnswered(options);
   }
 
   /** Tells the peer to start nothing new here. */
@@ -181,9 +197,7 @@
   }
 
   send(frame: Frame): void {
-    const bytes = encodeFrame(frame);
-    this.#count(countedAs[frame[0]] ?? 'link', bytes.length);
-    this.#socket.sendEncoded(bytes);
+    this.#send(frame);
   }
 
   sendChunk(streamId: number, bytes: Uint8Array): void {
@@ -216,6 +230,7 @@
     const lost = asLost(err);
     const wasFlushed = (number: number) => this.#socket.wasFlushed(number);
     this.#pending.failAll(lost, wasFlushed);
+    this.#pings.failAll(lost);
     this.#streams.resetAll(lost, err, wasFlushed);
     this.#ended.abort(lost);
     this.#options.onClose(this);
@@ -223,7 +238,7 @@
 
   /** Sends the first frame of an exchange; refuses without sending a byte. */
   #sendFirst(frame: Frame, kind: string): Result<number, MeshError> {
-    if (!this.usable) return refused('The connection is closed');
+    if (!this.usable) return Result.err(connectionClosed());
     if (this.#socket.pendingBytes > maxPendingBytes) {
       return Result.err(unread());
     }
@@ -242,6 +257,12 @@
     return Result.ok(this.#socket.sendEncoded(bytes));
   }
 
+  #send(frame: Frame): number {
+    const bytes = encodeFrame(frame);
+    this.#count(countedAs[frame[0]] ?? 'link', bytes.length);
+    return this.#socket.sendEncoded(bytes);
+  }
+
   #count(kind: string, bytes: number): void {
     const {peer, sentByKind} = this.#options;
     if (peer.trafficClass !== TRAFFIC_CLASSES.control) return;
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -17,6 +17,7 @@
   PeerContext,
   RequestHandler,
   RequestOptions,
+  StreamOptions,
   StreamHandler,
   StreamListener,
   TrafficClass,
--- a/packages/wire/src/peer-bus.ts
+++ b/packages/wire/src/peer-bus.ts
@@ -18,6 +18,15 @@
   readonly signal?: AbortSignal;
 }
 
+/** Options of a stream to a peer. @public */
+export interface StreamOptions extends RequestOptions {
+  /**
+   * Sends nothing on an open connection before the peer has answered a ping there.
+   * A killed process answers none, but its connections are closed only later.
+   */
+  readonly pingFirst?: boolean;
+}
+
 /** Where a message came from. @public */
 export interface PeerContext {
   /** Node id that the peer proved knowledge of the node key with. */
@@ -119,7 +128,7 @@
     peer: PeerAddress,
     kind: string,
     head: () => unknown,
-    options: RequestOptions,
+    options: StreamOptions,
   ): Promise<Result<ByteStream, MeshError>>;
   onRequest(kind: string, handler: RequestHandler): void;
   onNotice(kind: string, handler: NoticeHandler): void;
--- a/packages/wire/src/tcp-peer-bus.ts
+++ b/packages/wire/src/tcp-peer-bus.ts
@@ -21,6 +21,7 @@
   PeerBus,
   RequestHandler,
   RequestOptions,
+  StreamOptions,
   StreamHandler,
 } from './peer-bus.js';
 import {createServer} from './transport.js';
@@ -150,10 +151,12 @@
     peer: PeerAddress,
     kind: string,
     head: () => unknown,
-    options: RequestOptions,
+    options: StreamOptions,
   ): Promise<Result<ByteStream, MeshError>> {
     const open = this.#pool.open(peer, TRAFFIC_CLASSES.call);
     if (open && !options.signal?.aborted) {
+      const failed = options.pingFirst ? await open.pinged(options) : null;
+      if (failed) return Result.err(failed);
       return open.openStream(kind, head(), options.signal);
     }
     const found = await this.#connection(peer, 'call', options);
--- a/packages/wire/src/wire-errors.ts
+++ b/packages/wire/src/wire-errors.ts
@@ -1,4 +1,3 @@
-import {Result} from 'true-myth';
 import {findCode, MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {ErrorDetails} from '@verbenabeam/core';
 import type {Frame} from './frame.js';
@@ -30,9 +29,9 @@
   return new MeshError(WIRE_CODES.cancelled, 'The sender cancelled');
 }
 
-/** Refuses an exchange of which nothing was sent. @internal */
-export function refused(message: string): Result<never, MeshError> {
-  return Result.err(new MeshError(WIRE_CODES.unreachable, message));
+/** The error of an exchange on a connection that takes no more. @internal */
+export function connectionClosed(): MeshError {
+  return new MeshError(WIRE_CODES.unreachable, 'The connection is closed');
 }
 
 /** The error of a peer that leaves too much unread. @internal */
--- a/packages/wire/src/wire-links.feature
+++ b/packages/wire/src/wire-links.feature
@@ -70,6 +70,15 @@
     And a stream is opened on the wire link
     Then its age beside the wire link is from 600 to 3000 ms
 
+  Scenario: A stream that pings first sends nothing on a silent wire link
+    Guards against calls that are sent to processes that were just killed.
+    Given a wire link between two buses that allow 600 ms of silence
+    When a stream that pings first is opened on the wire link
+    Then that stream beside the wire link arrives and is reset
+    When the wire link falls silent
+    And a stream that pings first is opened on the wire link
+    Then that stream beside the wire link fails with "wire.unreachable" within 5000 ms
+
   Scenario: Clocks of a wire link that drift apart make no stream old
     When the clock of a wire peer loses 100 ms in each minute
     Then no stream beside the wire link is older than 250 ms
--- a/packages/wire/src/wire-links.test.ts
+++ b/packages/wire/src/wire-links.test.ts
@@ -2,11 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import {Result} from 'true-myth';
-import type {MeshError} from '@verbenabeam/core';
+import {MeshError, WIRE_CODES} from '@verbenabeam/core';
 import type {TcpPeerBusOptions} from './bus-options.js';
 import {encodeChunkHeader} from './chunk-frame.js';
 import {encodeFrame, FRAME_TYPES} from './frame.js';
 import {OneWayDelay} from './one-way-delay.js';
+import type {ByteStream} from './peer-bus.js';
 import {TcpPeerBus} from './tcp-peer-bus.js';
 import {TestLink} from './test/test-link.js';
 import {RawPeer} from './test/test-peers.js';
@@ -30,6 +31,8 @@
 let answered: Promise<unknown>;
 let noteAge: (ageMs: number) => void;
 let age: Promise<number>;
+let pinged: Result<ByteStream, MeshError>;
+let pingedMs: number;
 const driftAges: number[] = [];
 
 async function start(extra: Partial<TcpPeerBusOptions>): Promise<void> {
@@ -200,6 +203,29 @@
   await age;
 });
 
+When('a stream that pings first is opened on the wire link', async () => {
+  const options = {timeoutMs, pingFirst: true};
+  age = new Promise(resolve => (noteAge = resolve));
+  const startAt = performance.now();
+  pinged = await client.openStream(link.address, 'age', () => null, options);
+  pingedMs = performance.now() - startAt;
+});
+
+Then('that stream beside the wire link arrives and is reset', async () => {
+  assert.ok(pinged.isOk);
+  await age;
+  const text = 'The test has ended';
+  pinged.value.reset(new MeshError(WIRE_CODES.cancelled, text));
+});
+
+Then(
+  'that stream beside the wire link fails with {string} within {int} ms',
+  (name: string, withinMs: number) => {
+    assert.equal(pinged.isErr && pinged.error.code.name, name);
+    assert.ok(pingedMs <= withinMs, `after ${pingedMs} ms`);
+  },
+);
+
 Then(
   'its age beside the wire link is from {int} to {int} ms',
   async (least: number, most: number) => {
