Store: what it shows is ordered by era, then revision

After a drill a configuration was in force nowhere: revisions were compared by themselves, and the store gives them out again. The order is now one safe integer (encodePosition: era * 2^41 + 2 * revision, plain revision in era 0), composed in platform/ when an answer arrives and taken apart when a revision is sent. Answers of an older era change nothing; a later era begins with the second answer that shows it. A base or lease of another era fails as a conflict or with an unknown outcome.

Nodes keep what they hold in place of the copy's older records (the odd number after a position), so that peers and starting nodes take it. Orders that were held already move to their new position with their state; statuses are read and written again. Messages keep the plain revision for other builds and carry the position beside it.

--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -1,5 +1,6 @@
 import type {LoadReport} from '@verbenabeam/routing';
 import type {WaitPlace} from '../calls/index.js';
+import type {EraView} from '@verbenabeam/store';
 import type {GaugeSource} from '../metrics/gauge-source.js';
 import type {RolloutView} from './rollout-view.js';
 
@@ -16,6 +17,8 @@
   readonly behindMs: () => number;
   readonly services: () => readonly string[];
   readonly isStoreReachable: () => boolean;
+  /** Undefined for a store that tells no eras. */
+  readonly eras: () => EraView | undefined;
   /** Time that connections of callers wait to be accepted, in ms. */
   readonly acceptWaitMs: () => number;
   /** Calls with a long wait, by place of the wait. */
@@ -25,10 +28,12 @@
 }
 
 const msPerSecond = 1_000;
+const noEras: EraView = {era: 0, begun: 0, dropped: 0};
 
 /** Gauges that only a hosted node exports. @internal */
 export function hostedGauges(parts: HostedGaugeParts): readonly GaugeSource[] {
   const {load, rollouts} = parts;
+  const eras = () => parts.eras() ?? noEras;
   return [
     {
       name: 'verbenabeam_upstream_slots',
@@ -69,6 +74,21 @@
       help: '1 if the last call to the store succeeded, else 0.',
       read: () => [{labels: {}, value: parts.isStoreReachable() ? 1 : 0}],
     },
+    {
+      name: 'verbenabeam_store_era',
+      help: 'Era of the store; it rises when the store comes back from a copy.',
+      read: () => [{labels: {}, value: eras().era}],
+    },
+    {
+      name: 'verbenabeam_store_eras_begun',
+      help: 'Eras of the store that began since the start of the node.',
+      read: () => [{labels: {}, value: eras().begun}],
+    },
+    {
+      name: 'verbenabeam_store_old_answers',
+      help: 'Answers of the store dropped since they were of an older era.',
+      read: () => [{labels: {}, value: eras().dropped}],
+    },
     {
       name: 'verbenabeam_accept_wait_seconds',
       help: 'Time that connections of callers wait to be accepted.',
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -1,8 +1,8 @@
 import {findRoute} from '@verbenabeam/document';
 import type {Snapshot} from '@verbenabeam/document';
+import type {RetryBudget} from '@verbenabeam/routing';
 import {
   AdaptiveThrottle,
-  RetryBudget,
   RetryAllowances,
   SlotQueue,
 } from '@verbenabeam/routing';
@@ -29,11 +29,13 @@
 import {HealthProbe} from './health-probe.js';
 import {hostedGauges} from './hosted-gauges.js';
 import {hostedGossip} from './hosted-gossip.js';
+import {hostedRetryBudget} from './hosted-retry-budget.js';
 import type {HostedPartsOptions} from './hosted-parts-options.js';
 import type {HostedBounds, HostedSettings} from './hosted-settings.js';
 import {HostedVersions} from './hosted-versions.js';
 import {LoadMonitor} from './load-monitor.js';
 import {callBytesOf, logTraffic} from './log-traffic.js';
+import {EraLog} from './era-log.js';
 import {DirectoryJoin} from './directory-join.js';
 import {NodeDirectory} from './node-directory.js';
 import {noClaims} from './no-claims.js';
@@ -51,11 +53,6 @@
 const trafficLogMs = 10_000;
 /** A node that knows no peer becomes ready after this time. */
 const isolatedReadyMs = 3_000;
-/** Fraction of the platform's retry share that nodes use. */
-const retryShareUsed = 0.7;
-/** Fraction of the platform's retry minimum, divided among the live nodes as bursts. */
-const retryMinimumUsed = 0.7;
-
 /** Creates and connects the parts of a hosted node. @internal */
 export class HostedParts {
   readonly membership: MembershipService;
@@ -115,9 +112,16 @@
       bounds: settings.bounds,
       signal,
     });
+    const eraLog = new EraLog({
+      store: this.#store,
+      rollouts: () => this.rollouts.unrecorded(),
+      isListed: () => this.#join.isListed,
+    });
     this.records = new OperatorRecords(options.operatorFormat, invariants, {
       onConfig: snapshot => this.#onConfig(snapshot),
       onOrder: record => this.rollouts.onOrder(record),
+      onOrderMoved: record => this.rollouts.onOrderMoved(record),
+      onEra: (before, after) => eraLog.onPosition(before, after),
       onRevision: revision => this.#sync.progress.onHeld(revision),
     });
     const probe = new HealthProbe({
@@ -171,7 +175,10 @@
     });
     this.#quarantine = new QuarantineAdapter(shared);
     this.#instances = new InstanceAdapter(shared);
-    this.#retryBudget = this.#createRetryBudget();
+    this.#retryBudget = hostedRetryBudget(
+      () => this.#bounds,
+      () => this.membership.live().length,
+    );
     this.#calls = new CallLogger(this.metrics);
     const versions = new HostedVersions(this.membership, this.rollouts);
     const retryAllowances = new RetryAllowances();
@@ -277,16 +284,6 @@
     this.rollouts.onCall(record);
   }
 
-  #createRetryBudget(): RetryBudget {
-    return new RetryBudget({
-      share: this.#bounds.retryShare * retryShareUsed,
-      burst: () => {
-        const nodes = Math.max(1, this.membership.live().length);
-        return (this.#bounds.retryMinimum * retryMinimumUsed) / nodes;
-      },
-    });
-  }
-
   #createMetrics(): NodeMetrics {
     return new NodeMetrics({
       configVersion: () => this.records.snapshot?.version ?? 0,
@@ -301,6 +298,7 @@
         configAgeMs: () => this.#options.clock.now() - this.#configActiveSince,
         behindMs: () => this.#sync.progress.behindMs,
         services: () => this.#serviceNames(),
+        eras: () => this.#store.eras?.view,
         isStoreReachable: () => this.#store.reachable,
         acceptWaitMs: () => this.acceptWaitMs(),
         waits: () => this.#callWaits.counts,
--- a/packages/node/src/hosted/node-directory.ts
+++ b/packages/node/src/hosted/node-directory.ts
@@ -42,6 +42,8 @@
 export class NodeDirectory {
   readonly #options: NodeDirectoryOptions;
   #lease: string | null = null;
+  /** Ends the wait for the next renewal. */
+  #wait = new AbortController();
 
   constructor(options: NodeDirectoryOptions) {
     this.#options = options;
@@ -49,7 +51,9 @@
 
   /** Maintains the entry of this node until the signal aborts. */
   async run(): Promise<void> {
-    const {signal, random, isListed} = this.#options;
+    const {signal, random, isListed, store} = this.#options;
+    // The store may have lost the lease, and may give out its id again.
+    store.eras?.onChange(() => this.#wait.abort());
     while (!signal.aborted) {
       if (!isListed()) {
         await systemSleep(unlistedCheckMs, signal);
@@ -58,7 +62,7 @@
       const isRegistered =
         this.#lease === null ? await this.#register() : await this.#renew();
       const waitMs = isRegistered ? renewMs : random.float() * maxRetryDelayMs;
-      await systemSleep(waitMs, signal);
+      await this.#sleep(waitMs);
     }
   }
 
@@ -91,6 +95,15 @@
       });
   }
 
+  /** Sleeps; a new era of the store ends the sleep after a part of it at random. */
+  async #sleep(waitMs: number): Promise<void> {
+    const {signal, random} = this.#options;
+    this.#wait = new AbortController();
+    await systemSleep(waitMs, AbortSignal.any([signal, this.#wait.signal]));
+    if (!this.#wait.signal.aborted) return;
+    await systemSleep(random.float() * maxRetryDelayMs, signal);
+  }
+
   async #register(): Promise<boolean> {
     const {store, nodeId, address} = this.#options;
     const leaseMs = Math.max(defaultLeaseMs, this.#options.minLeaseMs);
--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -2,7 +2,7 @@
 import type {MeshError, RandomSource} from '@verbenabeam/core';
 import type {Store, WatchLimits, WatchRound} from '@verbenabeam/store';
 import {systemSleep} from '@verbenabeam/store';
-import type {OperatorRecord} from './operator-records.js';
+import type {OfferOptions, OperatorRecord} from './operator-records.js';
 import {RECORD_SOURCES} from './record-progress.js';
 import type {RecordProgress} from './record-progress.js';
 
@@ -14,7 +14,10 @@
   readonly signal: AbortSignal;
   readonly progress: RecordProgress;
   /** Receives records of a read or watch; returns whether any is new. */
-  readonly onRecords: (records: readonly OperatorRecord[]) => boolean;
+  readonly onRecords: (
+    records: readonly OperatorRecord[],
+    options?: OfferOptions,
+  ) => boolean;
   /** Called when the feed starts or stops to watch the store. */
   readonly onWatching: (isWatching: boolean) => void;
 }
@@ -166,7 +169,8 @@
       records,
       performance.now() - startAt,
     );
-    return {revision, at: startAt, isNew: onRecords(records)};
+    const isNew = onRecords(records, {isComplete: true});
+    return {revision, at: startAt, isNew};
   }
 
   /** Returns false if the connection to the store was lost. */
--- a/packages/node/src/hosted/packed-record.ts
+++ b/packages/node/src/hosted/packed-record.ts
@@ -1,4 +1,5 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
+import {eraOf, revisionOf} from '@verbenabeam/store';
 import * as z from 'zod';
 import type {OperatorRecord} from './operator-records.js';
 
@@ -12,14 +13,18 @@
 /** A record as nodes send it to each other. */
 const packedSchema = z.object({
   key: z.string(),
+  /** Without its era, for builds that know of no eras. */
   revision: z.number(),
+  /** Absent in era 0. */
+  position: z.number().optional(),
   /** The value, deflated. */
   packed: z.instanceof(Uint8Array),
 });
 
 export const packedRecords = z.array(packedSchema);
 
-type PackedRecord = z.infer<typeof packedSchema>;
+/** @internal */
+export type PackedRecord = z.infer<typeof packedSchema>;
 
 const packedByRecord = new WeakMap<OperatorRecord, PackedRecord>();
 
@@ -30,7 +35,8 @@
   const {key, revision, value} = record;
   const packed = {
     key,
-    revision,
+    revision: revisionOf(revision),
+    ...(eraOf(revision) === 0 ? {} : {position: revision}),
     packed: deflateRawSync(value, {level: compressionLevel}),
   };
   packedByRecord.set(record, packed);
@@ -56,10 +62,11 @@
 
 /** Throws if the value cannot be decompressed or is too long. @internal */
 export function unpackRecord(
-  {key, revision, packed}: PackedRecord,
+  {key, revision, position, packed}: PackedRecord,
   maxBytes = maxValueBytes,
 ): OperatorRecord {
   // zlib accepts no limit of 0; beyond the total, a record may still hold one byte.
   const maxOutputLength = Math.max(1, Math.min(maxBytes, maxValueBytes));
-  return {key, revision, value: inflateRawSync(packed, {maxOutputLength})};
+  const value = inflateRawSync(packed, {maxOutputLength});
+  return {key, revision: position ?? revision, value};
 }
--- a/packages/node/src/hosted/peer-record-exchange.ts
+++ b/packages/node/src/hosted/peer-record-exchange.ts
@@ -3,16 +3,24 @@
 import type {InstanceRecord} from '@verbenabeam/membership';
 import {systemSleep} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
+import {eraOf, revisionOf} from '@verbenabeam/store';
 import {Result} from 'true-myth';
-import * as z from 'zod';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecord, OperatorRecords} from './operator-records.js';
-import {packedRecords, packRecord, unpackRecords} from './packed-record.js';
+import {packedRecords, unpackRecords} from './packed-record.js';
+import {
+  answerPull,
+  NEWER_NOTICE,
+  newerNoticeOf,
+  probeConfigOf,
+  PULL_REQUEST,
+  pullRequestOf,
+  readNewerNotice,
+  readProbeConfig,
+} from './record-messages.js';
 import {RECORD_SOURCES} from './record-progress.js';
 import type {RecordProgress} from './record-progress.js';
 
-const newerNotice = 'records.newer';
-const pullRequest = 'records.pull';
 const pullTimeoutMs = 1_500;
 /** Pulls that may fail in a row, each from another peer. */
 const maxFailedPulls = 3;
@@ -26,8 +34,11 @@
 const fanOut = 4;
 /** Peers in other data centres to which a node announces records of the store. */
 const remoteFanOut = 1;
-
-const pullSchema = z.object({since: z.number().nonnegative()});
+/**
+ * Time after which what a build without eras announced should have come from a node
+ * that knows them, in ms.
+ */
+const plainWaitMs = 1_000;
 
 /** Dependencies of a {@link PeerRecordExchange}. @internal */
 export interface PeerRecordExchangeOptions {
@@ -55,6 +66,12 @@
   readonly #options: PeerRecordExchangeOptions;
   /** Highest revision that peers announced, and those peers. */
   #announced = {revision: 0, announcers: new Set<string>()};
+  /** Highest positions that peers announced, by node id, in eras above 0. */
+  readonly #heard = new Map<string, number>();
+  /** Highest revision that builds without eras announced. */
+  #heardPlain = 0;
+  /** Whether a peer has answered with all that this node lacked at its start. */
+  #isComplete = false;
   #isPulling = false;
   /** Ends the wait for a peer in the same data centre. */
   #localPeerWait = new AbortController();
@@ -65,16 +82,13 @@
 
   start(): void {
     const {bus, membership, records} = this.#options;
-    bus.onRequest(pullRequest, body => {
-      const parsed = pullSchema.safeParse(body);
-      const since = parsed.success ? parsed.data.since : 0;
-      return Result.ok(records.since(since).map(packRecord));
-    });
-    bus.onNotice(newerNotice, (body, peer) => {
-      if (typeof body === 'number') this.#onAnnounced(peer.nodeId, body);
+    bus.onRequest(PULL_REQUEST, body => Result.ok(answerPull(records, body)));
+    bus.onNotice(NEWER_NOTICE, (body, peer) => {
+      const revision = readNewerNotice(body);
+      if (revision !== null) this.#onAnnounced(peer.nodeId, revision);
     });
-    membership.gossip.onPeerConfig(({nodeId}, {version}) => {
-      this.#onAnnounced(nodeId, version);
+    membership.gossip.onPeerConfig(({nodeId}, {version, hash}) => {
+      this.#onAnnounced(nodeId, readProbeConfig(version, hash));
     });
   }
 
@@ -86,13 +100,27 @@
   /** Announces the revision to peers in this data centre and to some in others. */
   #announceRevision(minRemote: number): void {
     const {bus, membership, records, random} = this.#options;
-    membership.gossip.setConfig(records.revision, '');
+    membership.gossip.setConfig(...probeConfigOf(records.revision));
+    this.#forgetFormerPeers();
     const peers = random.shuffle(this.#peers());
     const local = peers.filter(row => this.#isLocal(row)).slice(0, fanOut);
     const remote = peers.filter(row => !this.#isLocal(row));
     const remoteCount = Math.max(minRemote, fanOut - local.length);
-    for (const {address} of [...local, ...remote.slice(0, remoteCount)]) {
-      bus.notify(address, newerNotice, records.revision);
+    for (const row of [...local, ...remote.slice(0, remoteCount)]) {
+      const notice = newerNoticeOf(records.revision, this.#knowsEras(row));
+      bus.notify(row.address, NEWER_NOTICE, notice);
+    }
+  }
+
+  /** Whether the build of the peer knows eras, as far as it has shown. */
+  #knowsEras({nodeId, configVersion}: InstanceRecord): boolean {
+    return this.#heard.has(nodeId) || configVersion === 0;
+  }
+
+  #forgetFormerPeers(): void {
+    const live = new Set(this.#peers().map(({nodeId}) => nodeId));
+    for (const nodeId of this.#heard.keys()) {
+      if (!live.has(nodeId)) this.#heard.delete(nodeId);
     }
   }
 
@@ -108,6 +136,9 @@
 
   #onAnnounced(nodeId: string, revision: number): void {
     const {progress, records} = this.#options;
+    const era = eraOf(revision);
+    if (era > 0) this.#heard.set(nodeId, revision);
+    else if (eraOf(records.revision) > 0) void this.#onPlain(revision);
     progress.onAnnounced(revision, records.revision);
     if (revision > this.#announced.revision) {
       this.#announced = {revision, announcers: new Set()};
@@ -125,7 +156,28 @@
   }
 
   get #isBehind(): boolean {
-    return this.#announced.revision > this.#options.records.revision;
+    const {revision} = this.#announced;
+    if (revision > this.#options.records.revision) return true;
+    return this.#isFirstPull;
+  }
+
+  /**
+   * Whether this node has yet to ask a peer for all that it lacks. After a new era
+   * began, peers may hold more than the store that a starting node has read.
+   */
+  get #isFirstPull(): boolean {
+    return !this.#isComplete && eraOf(this.#announced.revision) > 0;
+  }
+
+  /** A build without eras cannot pass on what it holds; the store can. */
+  async #onPlain(revision: number): Promise<void> {
+    if (revision <= this.#heardPlain) return;
+    this.#heardPlain = revision;
+    const {records, signal, onUnavailable} = this.#options;
+    await systemSleep(plainWaitMs, signal);
+    if (!signal.aborted && revisionOf(records.revision) < revision) {
+      onUnavailable();
+    }
   }
 
   /** Pulls from peers until this node holds the announced revision. */
@@ -164,7 +216,8 @@
     const {revision, announcers} = this.#announced;
     return this.#peers().filter(
       ({nodeId, configVersion}) =>
-        announcers.has(nodeId) || configVersion >= revision,
+        announcers.has(nodeId) ||
+        (this.#heard.get(nodeId) ?? configVersion) >= revision,
     );
   }
 
@@ -185,18 +238,20 @@
     const since = records.revision;
     const address = membership.addressOf(nodeId);
     if (address === undefined) return false;
+    const isFirst = this.#isFirstPull;
     const answer = await bus.request(
       address,
-      pullRequest,
-      {since},
+      PULL_REQUEST,
+      pullRequestOf(records, isFirst),
       {timeoutMs: pullTimeoutMs},
     );
     const ms = performance.now() - startAt;
     const received = decodeAnswer(answer.unwrapOr(null));
     if (received) progress.onReceived(RECORD_SOURCES.peer, received, ms);
     const isNew = received !== null && records.offer(received);
+    if (isFirst && received) this.#isComplete = true;
     if (isNew) this.#announceRevision(0);
-    else if (records.revision <= since) {
+    else if (records.revision <= since && this.#isBehind) {
       const {revision} = this.#announced;
       log('Peer had no newer records.', {
         nodeId,
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -59,8 +59,8 @@
     this.#feed = new OperatorFeed({
       ...options,
       progress: this.progress,
-      onRecords: found => {
-        const isNew = records.offer(found);
+      onRecords: (found, how) => {
+        const isNew = records.offer(found, how);
         if (isNew) this.#exchange.announce();
         return isNew;
       },
--- a/packages/node/src/hosted/rollout-run.ts
+++ b/packages/node/src/hosted/rollout-run.ts
@@ -7,6 +7,11 @@
 
 /** Older stages and reports do not describe the present state. */
 const maxReportAgeMs = 1_000;
+/**
+ * Time after an order got another position when its status is read once more: a write
+ * that was under way then may be carried out late, in ms.
+ */
+const recheckMs = 5_000;
 
 interface AssignedShare {
   readonly share: number;
@@ -29,7 +34,6 @@
 
 /** State of one rollout as one node knows it. @internal */
 export class RolloutRun {
-  readonly orderRecord: OrderRecord;
   /** Evidence of this node. */
   readonly evidence = new RolloutEvidence();
   state: RolloutState = ROLLOUT_STATES.running;
@@ -38,17 +42,38 @@
   isWriting = false;
   /** Share in the last report of this node. */
   reportedShare = 0;
+  #orderRecord: OrderRecord;
   readonly #bounds: RolloutBounds;
   readonly #assigned = new Map<string, AssignedShare>();
   readonly #reports = new Map<string, NodeReport>();
   #startAt: number;
+  /** Time at which the status in the store is read once more. */
+  #recheckAt = Infinity;
 
   constructor(orderRecord: OrderRecord, bounds: RolloutBounds, now: number) {
-    this.orderRecord = orderRecord;
+    this.#orderRecord = orderRecord;
     this.#bounds = bounds;
     this.#startAt = now;
   }
 
+  get orderRecord(): OrderRecord {
+    return this.#orderRecord;
+  }
+
+  /** Takes another position of the same order; the store may lack its status. */
+  move(revision: number, now: number): void {
+    this.#orderRecord = {...this.#orderRecord, revision};
+    this.recorded = null;
+    this.#recheckAt = now + recheckMs;
+  }
+
+  /** Forgets the recorded state when it is to be read once more. */
+  recheck(now: number): void {
+    if (now < this.#recheckAt) return;
+    this.#recheckAt = Infinity;
+    this.recorded = null;
+  }
+
   get target(): string {
     return this.orderRecord.order.targetVersion;
   }
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -1,7 +1,7 @@
 import {logger} from '@verbenabeam/core';
 import type {Clock, RandomSource} from '@verbenabeam/core';
 import {analyzeRollout, mayFinish, plannedShare} from '@verbenabeam/moves';
-import type {RolloutBounds, RolloutProgress} from '@verbenabeam/moves';
+import type {RolloutBounds} from '@verbenabeam/moves';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import type {CallRecord} from '../calls/index.js';
@@ -13,17 +13,21 @@
 import {
   EVIDENCE_NOTICE,
   evidenceSchema,
+  isOfOrder,
+  orderIdOf,
   STAGE_NOTICE,
   stageSchema,
 } from './rollout-messages.js';
 import type {EvidenceMessage, StageMessage} from './rollout-messages.js';
+import {progressOf, stageOf} from './rollout-progress.js';
 import {RolloutRecorder} from './rollout-recorder.js';
 import {RolloutRun} from './rollout-run.js';
 import type {RolloutView} from './rollout-view.js';
 import {InFlightByVersion} from './in-flight-by-version.js';
+import {StableVersions} from './stable-versions.js';
+import type {ReadyVersions} from './stable-versions.js';
 
-/** Number of ready instances of a service by version name. */
-export type ReadyVersions = ReadonlyMap<string, number>;
+export type {ReadyVersions} from './stable-versions.js';
 
 /** Dependencies of {@link Rollouts}. @internal */
 export interface RolloutsOptions {
@@ -42,6 +46,8 @@
 const coordinatorCount = 3;
 /** Ticks between writes of the coordinators that do not have the lowest node id. */
 const backupWriteTicks = 3;
+/** Statuses that a coordinator reads or writes in one tick. */
+const maxStatusCalls = 4;
 const badOutcomes: ReadonlySet<string> = new Set(['failed', 'lost', 'timeout']);
 const countedOutcomes: ReadonlySet<string> = new Set(['ok', ...badOutcomes]);
 const log = logger('rollout');
@@ -60,8 +66,7 @@
   readonly #options: RolloutsOptions;
   readonly #recorder: RolloutRecorder;
   readonly #runs = new Map<string, RolloutRun>();
-  /** Version that gets the calls not sent to a rollout's target version, by service. */
-  readonly #stable = new Map<string, string>();
+  readonly #stable = new StableVersions();
   readonly #inFlight = new InFlightByVersion();
   #ticks = 0;
 
@@ -97,6 +102,23 @@
     void this.#recorder.read(run);
   }
 
+  /**
+   * Takes the new position of an order that is held already. The store may have lost
+   * its status, which is then written again.
+   */
+  onOrderMoved({order, revision}: OrderRecord): void {
+    const run = this.#runs.get(order.service);
+    if (!run) return;
+    run.move(revision, this.#options.clock.now());
+  }
+
+  /** Services whose status the store is yet to show. */
+  unrecorded(): readonly string[] {
+    return [...this.#runs]
+      .filter(([, run]) => run.recorded !== run.state)
+      .map(([service]) => service);
+  }
+
   /** Running rollouts, for the metrics. */
   view(): readonly RolloutView[] {
     const now = this.#options.clock.now();
@@ -118,7 +140,7 @@
     isRetry: boolean,
   ): string | null {
     const run = this.#runs.get(service);
-    const stable = this.#stableVersion(service, versions, run);
+    const stable = this.#stable.choose(service, versions, run);
     if (!run || !versions.has(run.target)) return stable;
     if (run.state === ROLLOUT_STATES.done) return run.target;
     if (run.state === ROLLOUT_STATES.rolledBack) return stable;
@@ -159,41 +181,34 @@
     return run.target === version;
   }
 
-  /** Version for calls not sent to the rollout's target; null if none is ready. */
-  #stableVersion(
-    service: string,
-    versions: ReadyVersions,
-    run: RolloutRun | undefined,
-  ): string | null {
-    const isDone = run?.state === ROLLOUT_STATES.done;
-    if (isDone) this.#stable.set(service, run.target);
-    const stable = this.#stable.get(service);
-    if (stable !== undefined && versions.has(stable)) return stable;
-    const others = [...versions].filter(
-      ([version]) => isDone || version !== run?.target,
-    );
-    const [best] = others.sort(([, a], [, b]) => b - a);
-    if (!best) return null;
-    if (stable === undefined) this.#stable.set(service, best[0]);
-    return best[0];
-  }
-
-  #onEvidence(
-    from: string,
-    {service, revision, report}: EvidenceMessage,
-  ): void {
+  #onEvidence(from: string, message: EvidenceMessage): void {
+    const {service, report} = message;
     const run = this.#runs.get(service);
-    if (run?.orderRecord.revision !== revision) return;
-    run.onReport(from, report, this.#options.clock.now());
+    if (!run || !isOfOrder(message, run.orderRecord.revision)) return;
+    const now = this.#options.clock.now();
+    run.onReport(from, report, now);
+    if (!run.isRunning) this.#tellEnd(from, run, now);
   }
 
   #onStage(from: string, stage: StageMessage): void {
     const run = this.#runs.get(stage.service);
-    if (run?.orderRecord.revision !== stage.revision) return;
-    if (!run.onStage(from, stage, this.#options.clock.now())) return;
+    if (!run || !isOfOrder(stage, run.orderRecord.revision)) return;
+    const now = this.#options.clock.now();
+    if (!run.isRunning && stage.state === ROLLOUT_STATES.running) {
+      this.#tellEnd(from, run, now);
+    }
+    if (!run.onStage(from, stage, now)) return;
     log('Rollout has ended.', {...stage, from});
   }
 
+  /** Tells a node that took the rollout up, for example after a restart. */
+  #tellEnd(nodeId: string, run: RolloutRun, now: number): void {
+    const {bus, membership} = this.#options;
+    const address = membership.addressOf(nodeId);
+    if (address === undefined) return;
+    bus.notify(address, STAGE_NOTICE, stageOf(run, run.share(now), now));
+  }
+
   #tick(now: number): void {
     this.#ticks++;
     const live = this.#options.membership
@@ -202,11 +217,12 @@
       .sort((a, b) => (a.nodeId < b.nodeId ? -1 : 1));
     const own = this.#options.membership.own.nodeId;
     const rank = live.findIndex(({nodeId}) => nodeId === own);
+    const isCoordinator = rank >= 0 && rank < coordinatorCount;
     for (const run of this.#runs.values()) {
       if (run.isRunning) this.#report(run, live, now);
-      if (rank >= 0 && rank < coordinatorCount)
-        this.#coordinate(run, live, rank, now);
+      if (isCoordinator && run.isRunning) this.#decide(run, live, rank, now);
     }
+    if (isCoordinator) this.#record(rank, now);
   }
 
   #report(run: RolloutRun, live: readonly Peer[], now: number): void {
@@ -229,7 +245,7 @@
     const {bus, membership} = this.#options;
     const message: EvidenceMessage = {
       service,
-      revision: run.orderRecord.revision,
+      ...orderIdOf(run.orderRecord.revision),
       report,
     };
     for (const {nodeId, address} of live.slice(0, coordinatorCount)) {
@@ -238,15 +254,16 @@
     }
   }
 
-  #coordinate(
-    run: RolloutRun,
-    live: readonly Peer[],
-    rank: number,
-    now: number,
-  ): void {
-    if (run.isRunning) this.#decide(run, live, rank, now);
-    const mayWrite = this.#ticks % backupWriteTicks === 0 || rank === 0;
-    if (mayWrite && run.recorded !== run.state) void this.#recorder.write(run);
+  /** Writes states that the store does not show yet. */
+  #record(rank: number, now: number): void {
+    if (this.#ticks % backupWriteTicks !== 0 && rank !== 0) return;
+    let calls = 0;
+    for (const run of this.#runs.values()) {
+      run.recheck(now);
+      if (run.recorded === run.state) continue;
+      void this.#recorder.write(run);
+      if (++calls === maxStatusCalls) return;
+    }
   }
 
   #decide(
@@ -259,15 +276,9 @@
     const finding = analyzeRollout(total);
     const {bounds} = this;
     const {membership} = this.#options;
-    const {service, durationMs} = run.orderRecord.order;
-    const progress: RolloutProgress = {
-      elapsedMs: run.elapsedMs(now),
-      durationMs,
-      sentFresh: total.sentFresh,
-      sent: total.sent,
-      answeredFresh: sumAnswered(total.routes.values()),
-      isReady: membership.versions(service, new Set()).has(run.target),
-    };
+    const {service} = run.orderRecord.order;
+    const isReady = membership.versions(service, new Set()).has(run.target);
+    const progress = progressOf(run, total, isReady, now);
     const share = plannedShare(bounds, progress);
     if (finding) {
       log('Version is rolled back.', {service, target: run.target, ...finding});
@@ -292,13 +303,7 @@
     now: number,
   ): void {
     const {bus, membership} = this.#options;
-    const stage: StageMessage = {
-      service: run.orderRecord.order.service,
-      revision: run.orderRecord.revision,
-      state: run.state,
-      share,
-      elapsedMs: Math.max(0, run.elapsedMs(now)),
-    };
+    const stage = stageOf(run, share, now);
     run.onStage(membership.own.nodeId, stage, now);
     for (const {nodeId, address} of live) {
       if (nodeId === membership.own.nodeId) continue;
@@ -311,11 +316,3 @@
   readonly nodeId: string;
   readonly address: string;
 }
-
-function sumAnswered(
-  routes: Iterable<{readonly fresh: {readonly answered: number}}>,
-): number {
-  let sum = 0;
-  for (const {fresh} of routes) sum += fresh.answered;
-  return sum;
-}
--- a/packages/node/src/store/store-health.ts
+++ b/packages/node/src/store/store-health.ts
@@ -1,6 +1,7 @@
 import type {MeshError} from '@verbenabeam/core';
 import type {
   Entry,
+  EraSource,
   Store,
   StoreCallOptions,
   Txn,
@@ -32,6 +33,10 @@
     this.#listener = listener;
   }
 
+  get eras(): EraSource | undefined {
+    return this.#store.eras;
+  }
+
   /** False after a failed call, until the next call succeeds. */
   get reachable(): boolean {
     return this.#reachable;
--- a/packages/store/src/send-json.ts
+++ b/packages/store/src/send-json.ts
@@ -1,4 +1,5 @@
 import {parseJson} from '@verbenabeam/core';
+import type {IncomingHttpHeaders} from 'node:http';
 import {request} from 'undici';
 import type {Dispatcher} from 'undici';
 
@@ -23,6 +24,7 @@
   readonly status: number;
   /** Undefined if the body is not JSON. */
   readonly body: unknown;
+  readonly headers: IncomingHttpHeaders;
 }
 
 /** Sends one call; rejects if it gets no whole response in time. @public */
@@ -52,7 +54,8 @@
         }),
   }).finally(() => head.clear());
   const text = await res.body.text();
-  return {status: res.statusCode, body: parseJson(text)};
+  const {statusCode: status, headers} = res;
+  return {status, body: parseJson(text), headers};
 }
 
 /**
--- a/packages/store/src/store-errors.ts
+++ b/packages/store/src/store-errors.ts
@@ -25,7 +25,7 @@
   return new MeshError(STORE_CODES.unavailable, message, details);
 }
 
-/** The write may have been applied. @internal */
+/** The write may have been applied. @public */
 export function unknownOutcome(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.unknownOutcome, message, details);
 }
@@ -35,6 +35,11 @@
   return new MeshError(STORE_CODES.overBudget, message, details);
 }
 
+/** A write rests on a revision that the store no longer has. @public */
+export function conflict(message: string, details: ErrorDetails = {}) {
+  return new MeshError(STORE_CODES.conflict, message, details);
+}
+
 /** The store refused the operation; a repetition fails in the same way. @public */
 export function rejected(message: string, details: ErrorDetails = {}) {
   return new MeshError(STORE_CODES.rejected, message, details);
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,7 +1,13 @@
 import type {Result} from 'true-myth';
 import type {MeshError} from '@verbenabeam/core';
+import type {EraSource} from './store-eras.js';
 
-/** One key with its value and revisions. @public */
+/**
+ * One key with its value and revisions. All revisions of this interface are numbers of
+ * `encodePosition`, which order across the eras of a store.
+ *
+ * @public
+ */
 export interface Entry {
   readonly key: string;
   readonly value: Uint8Array;
@@ -107,6 +113,8 @@
  * @public
  */
 export interface Store {
+  /** Eras of a store that may come back from a copy; undefined if it tells none. */
+  readonly eras?: EraSource | undefined;
   get(
     key: string,
     options?: StoreCallOptions,
