Hosted node: the random run over drills follows the era as the store's client does

The client of the run takes only answers of the present era and refuses writes that rest on an earlier one, as the platform's does since.

--- a/packages/node/src/hosted/test/drill-node.ts
+++ b/packages/node/src/hosted/test/drill-node.ts
@@ -20,6 +20,7 @@
   RolloutStatus,
 } from '../operator-documents.js';
 import {OperatorRecords} from '../operator-records.js';
+import type {OperatorListener} from '../operator-records.js';
 import {RecordSync} from '../record-sync.js';
 import {Rollouts} from '../rollouts.js';
 import type {VirtualTime} from './virtual-time.js';
@@ -130,11 +131,18 @@
       format: drillFormat,
       bounds,
     });
-    this.records = new OperatorRecords(drillFormat, new Invariants(), {
+    const listener: OperatorListener = {
       onConfig: ({version}) => options.onConfig(version),
       onOrder: record => this.rollouts.onOrder(record),
+      onOrderMoved: record => this.rollouts.onOrderMoved(record),
       onRevision: revision => this.#sync.progress.onHeld(revision),
-    });
+    };
+    this.records = new OperatorRecords(
+      drillFormat,
+      new Invariants(),
+      listener,
+      clock,
+    );
     this.#sync = new RecordSync({
       ...shared,
       store,
