Hosted node: checks of the random run allow what no node could know

A result counts as known while a connected process knows it, a configuration while a process that held it before the start runs on.

--- a/packages/node/src/hosted/test/drill-node.ts
+++ b/packages/node/src/hosted/test/drill-node.ts
@@ -179,6 +179,17 @@
     return this.rollouts.view()[0]?.version ?? null;
   }
 
+  /** Whether this process holds the order, and its rollout has ended. */
+  knowsResult(target: string): boolean {
+    if (this.runningTarget === target) return false;
+    const record = this.records.since(0).find(r => r.key === DRILL_KEYS.order);
+    if (!record) return false;
+    const order = JSON.parse(
+      Buffer.from(record.value).toString(),
+    ) as RolloutOrder;
+    return order.targetVersion === target;
+  }
+
   start(): void {
     const {signal} = this.#end;
     this.rollouts.start();
--- a/packages/node/src/hosted/test/virtual-time.ts
+++ b/packages/node/src/hosted/test/virtual-time.ts
@@ -58,6 +58,11 @@
   readonly #frozen = new Map<string, number>();
   #isInstalled = false;
 
+  /** Process whose task runs; '' for the test itself. */
+  get owner(): string {
+    return this.#owner;
+  }
+
   now(): number {
     return this.#now;
   }
