Hosted node: an order that a copy displaced does not begin again when it is rewritten

Callers would get a version that had been taken back: after a drill the store shows an older order. A process that started after that order has never seen it, takes it for new, and then takes the newer one, which the operator writes again, for new as well: its rollout begins anew, with calls to a version that was rolled back or with a result that is decided twice.

Ruled out: telling the older order by its revision alone, since the store gives out revisions again and an operator may write at it.

A rollout whose order gives way to one of a later era is kept for the time in which operators write again (REWRITE_MS), and an equal order takes it up with its state.

--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -41,7 +41,7 @@
  * Time after a new era was seen in which an order equal to the last one is that one,
  * written again, in ms. Operators and their tools write again within seconds.
  */
-const rewriteMs = 30_000;
+export const REWRITE_MS = 30_000;
 const log = logger('config');
 
 /**
@@ -175,7 +175,7 @@
   #isWrittenAgain(held: OperatorRecord, revision: number): boolean {
     const {era, isKept} = decodePosition(held.revision);
     if (isKept || eraOf(revision) > era) return true;
-    return this.#clock.now() - this.#eraSeenAt < rewriteMs;
+    return this.#clock.now() - this.#eraSeenAt < REWRITE_MS;
   }
 
   /** Whether the node's own configuration is to be held in place of this one. */
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -9,6 +9,7 @@
 import type {MembershipService} from '../membership/membership-service.js';
 import {ROLLOUT_STATES} from './operator-documents.js';
 import type {OperatorFormat} from './operator-documents.js';
+import {DisplacedRuns} from './displaced-runs.js';
 import type {OrderRecord} from './operator-records.js';
 import {
   EVIDENCE_NOTICE,
@@ -66,6 +67,7 @@
   readonly #options: RolloutsOptions;
   readonly #recorder: RolloutRecorder;
   readonly #runs = new Map<string, RolloutRun>();
+  readonly #displaced = new DisplacedRuns();
   readonly #stable = new StableVersions();
   readonly #inFlight = new InFlightByVersion();
   #ticks = 0;
@@ -96,10 +98,12 @@
     const {order, revision} = record;
     const previous = this.#runs.get(order.service);
     if (previous && previous.orderRecord.revision >= revision) return;
-    const run = new RolloutRun(record, this.bounds, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    const former = this.#displaced.replace(previous, record, now);
+    const run = former ?? new RolloutRun(record, this.bounds, now);
     this.#runs.set(order.service, run);
-    log('Rollout order received.', {...order, revision});
-    void this.#recorder.read(run);
+    log('Rollout order received.', {...order, revision, state: run.state});
+    if (!former) void this.#recorder.read(run);
   }
 
   /**
