Hosted node: a starting node takes its peers' records before those of the copy

A node that started in a drill read the copy and could have an older configuration in force than its live peers. Only for a store that tells eras.

--- a/packages/node/src/hosted/peer-record-exchange.ts
+++ b/packages/node/src/hosted/peer-record-exchange.ts
@@ -52,6 +52,8 @@
   readonly isWatching: () => boolean;
   /** Called when a peer did not deliver the announced records. */
   readonly onUnavailable: () => void;
+  /** Called when a peer has answered with all that this node lacked at its start. */
+  readonly onComplete?: () => void;
 }
 
 const log = logger('config');
@@ -70,7 +72,6 @@
   readonly #heard = new Map<string, number>();
   /** Highest revision that builds without eras announced. */
   #heardPlain = 0;
-  /** Whether a peer has answered with all that this node lacked at its start. */
   #isComplete = false;
   #isPulling = false;
   /** Ends the wait for a peer in the same data centre. */
@@ -92,6 +93,11 @@
     });
   }
 
+  /** Whether a peer has answered with all that this node lacked at its start. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
   /** Announces records from the store to some peers. */
   announce(): void {
     this.#announceRevision(remoteFanOut);
@@ -204,7 +210,7 @@
     const {isWatching, random, signal} = this.#options;
     const hasLocal = this.#holders().some(row => this.#isLocal(row));
     const mayHaveLocal = this.#peers().some(row => this.#isLocal(row));
-    if (isWatching() || hasLocal || !mayHaveLocal) return;
+    if (isWatching() || hasLocal || !mayHaveLocal || this.#isFirstPull) return;
     this.#localPeerWait = new AbortController();
     const wait = AbortSignal.any([signal, this.#localPeerWait.signal]);
     const waitMs = localHeadStartMs + random.float() * localJitterMs;
@@ -249,7 +255,10 @@
     const received = decodeAnswer(answer.unwrapOr(null));
     if (received) progress.onReceived(RECORD_SOURCES.peer, received, ms);
     const isNew = received !== null && records.offer(received);
-    if (isFirst && received) this.#isComplete = true;
+    if (isFirst && received) {
+      this.#isComplete = true;
+      this.#options.onComplete?.();
+    }
     if (isNew) this.#announceRevision(0);
     else if (records.revision <= since && this.#isBehind) {
       const {revision} = this.#announced;
--- a/packages/node/src/hosted/record-sync.ts
+++ b/packages/node/src/hosted/record-sync.ts
@@ -1,6 +1,7 @@
 import type {Clock, RandomSource} from '@verbenabeam/core';
 import {NODE_STATES} from '@verbenabeam/membership';
 import type {InstanceRecord} from '@verbenabeam/membership';
+import {eraOf} from '@verbenabeam/store';
 import type {Store} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
 import {runPeriodically} from '../run-periodically.js';
@@ -9,7 +10,11 @@
 import {WatcherPolicy} from './watcher-policy.js';
 import type {OtherWatchers} from './watcher-policy.js';
 import {OperatorFeed} from './operator-feed.js';
-import type {OperatorRecords} from './operator-records.js';
+import type {
+  OfferOptions,
+  OperatorRecord,
+  OperatorRecords,
+} from './operator-records.js';
 import {PeerRecordExchange} from './peer-record-exchange.js';
 import {RecordProgress} from './record-progress.js';
 
@@ -50,19 +55,23 @@
   readonly #checks = new ConnectionCheckPolicy();
   readonly #feed: OperatorFeed;
   readonly #exchange: PeerRecordExchange;
+  /** Offers of records of the store that wait for those of a peer. */
+  readonly #waiting: (() => void)[] = [];
+  /** Time after which the node waits for no peer. */
+  #settledAt = Infinity;
 
   constructor(options: RecordSyncOptions) {
     this.#options = options;
-    const {records, membership, random, clock} = options;
+    const {membership, random, clock} = options;
     this.progress = new RecordProgress(clock);
     this.#policy = new WatcherPolicy(random);
     this.#feed = new OperatorFeed({
       ...options,
       progress: this.progress,
       onRecords: (found, how) => {
-        const isNew = records.offer(found, how);
-        if (isNew) this.#exchange.announce();
-        return isNew;
+        if (!this.#mustWait(found)) return this.#offer(found, how);
+        this.#waiting.push(() => this.#offer(found, how));
+        return false;
       },
       onWatching: isWatching => membership.setRelay(isWatching),
     });
@@ -71,15 +80,18 @@
       progress: this.progress,
       isWatching: () => membership.own.relay,
       onUnavailable: () => this.#feed.readNow(),
+      onComplete: () => this.#endWait(),
     });
   }
 
   start(): void {
     const {clock, signal, isPlaced, isFirst, membership} = this.#options;
     const settledAt = clock.now() + settleMs;
+    this.#settledAt = settledAt;
     this.#exchange.start();
     this.#feed.shouldWatch = false;
     runPeriodically(policyTickMs, signal, () => {
+      if (isFirst() || clock.now() >= settledAt) this.#endWait();
       if (!isPlaced()) return;
       const isSettled = isFirst() || membership.gossip.joined;
       if (!isSettled && clock.now() < settledAt) return;
@@ -93,6 +105,27 @@
     void this.#feed.run();
   }
 
+  #offer(found: readonly OperatorRecord[], how?: OfferOptions): boolean {
+    const isNew = this.#options.records.offer(found, how);
+    if (isNew) this.#exchange.announce();
+    return isNew;
+  }
+
+  /**
+   * Whether records of the store must wait for those of a peer: a store that has come
+   * back from a copy shows a starting node what is no longer in force.
+   */
+  #mustWait(found: readonly OperatorRecord[]): boolean {
+    const {clock, isFirst} = this.#options;
+    if (this.#exchange.isComplete || isFirst()) return false;
+    if (clock.now() >= this.#settledAt) return false;
+    return found.some(({revision}) => eraOf(revision) > 0);
+  }
+
+  #endWait(): void {
+    for (const offer of this.#waiting.splice(0)) offer();
+  }
+
   /** Whether no other live node that watches the store precedes this one. */
   #isFirstWatcher(others: readonly InstanceRecord[]): boolean {
     const {nodeId, relay} = this.#options.membership.own;
