Planned stop: only the last answer of a connection closes it

Callers that send requests behind each other lost those behind the first answer of a node in its stop: the connection closed, and the requests had run.

Cause: each answer of a node that stops, or that has many connections, was marked "Connection: close" when its request was read. Node.js closes the connection with the first such answer and drops the responses behind it, whose requests had been started. Ruled out: the end of the process, which came seconds later.

A request that follows on the connection takes the mark from the response before it; if the head of that response has been written, the request is not started.

--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -20,6 +20,7 @@
 import {WarmUp} from '../warm-up/index.js';
 import type {WarmUpHeaders} from '../warm-up/index.js';
 import {callerBacklog, CallerConnections} from './caller-connections.js';
+import {ClosingConnections} from './closing-connections.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
 import {
@@ -78,6 +79,7 @@
   readonly #shutdown: AbortController;
   readonly #callerServer: Server;
   readonly #connections: CallerConnections;
+  readonly #closing = new ClosingConnections();
   readonly #otherServers: readonly Server[];
   #closesConnections = false;
   #settings: HostedSettings;
@@ -115,13 +117,11 @@
         highWaterMark: pipelineBufferBytes,
       },
       (req, res) => {
-        if (
-          this.#closesConnections ||
-          this.#connections.shouldCloseAfterResponse
-        ) {
-          res.shouldKeepAlive = false;
+        const closes =
+          this.#closesConnections || this.#connections.shouldCloseAfterResponse;
+        if (this.#closing.admit(req, res, closes)) {
+          this.#parts.entry.handle(req, res);
         }
-        this.#parts.entry.handle(req, res);
       },
     );
     this.#connections = new CallerConnections(
