Planned stop: what has arrived is read before connections are closed

A node that stood still in its stop reset the connections whose requests had arrived meanwhile.

Cause: a process that runs again handles its timers first. The ones of the stop were due, and closing the server closes idle connections, also those with unread requests, and the backlog of the kernel. Ruled out: calls in flight, the upstreams (none ran).

Before it closes, the node goes on until some turns of the event loop bring nothing new. The scenario failed before (8 of 8 calls without an answer) and passes.

--- a/apps/hosted-node/src/process-signals.feature
+++ b/apps/hosted-node/src/process-signals.feature
@@ -16,6 +16,13 @@
       | SIGTERM |
       | SIGINT  |
 
+  Scenario: A hosted node that stands still in its stop answers what arrived meanwhile
+    Given a hosted node process whose upstream works for 20 ms
+    When it gets SIGTERM and stands still until the end of its stop is due
+    And 4 calls arrive at the hosted node process on kept connections, and 4 on new ones
+    Then each of these calls is answered
+    And the hosted node process ends by itself with status 0
+
   Scenario: A hosted node that gets SIGHUP before it has read its settings starts
     Given the bundle of the hosted node reads its settings
     When it gets SIGHUP before the settings are written
--- a/apps/hosted-node/src/process-signals.test.ts
+++ b/apps/hosted-node/src/process-signals.test.ts
@@ -8,6 +8,7 @@
   writeFileSync,
 } from 'node:fs';
 import {open} from 'node:fs/promises';
+import http from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -30,18 +31,26 @@
 const nextSignalMs = 200;
 /** Time after which a process that a signal ended is seen to be gone. */
 const signalMs = 500;
+/** A node has told its peers that it stops, and still sends callers away. */
+const standsAfterMs = 1_000;
+/** Longer than a node sends callers away before it stops. */
+const standsStillMs = 2_500;
+const keptConnections = 4;
 
 let scene: ProcessScene | null = null;
 let node: NodeProcess | null = null;
 let folder: string | null = null;
 let file = '';
 let calls: Promise<number[]> | null = null;
+let kept: http.Agent | undefined;
 
 After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
   await scene?.stop();
   await node?.kill();
   if (folder !== null) rmSync(folder, {recursive: true});
+  kept?.destroy();
   scene = node = folder = calls = null;
+  kept = undefined;
 });
 
 Given(
@@ -73,6 +82,40 @@
   },
 );
 
+When(
+  'it gets SIGTERM and stands still until the end of its stop is due',
+  async () => {
+    const {callers} = scene!.ports;
+    kept = new http.Agent({keepAlive: true, maxSockets: keptConnections});
+    const ids = Array.from({length: keptConnections}, (_, i) => `kept-${i}`);
+    await Promise.all(ids.map(id => askNode(callers, id, kept)));
+    node!.child.kill('SIGTERM');
+    await sleep(standsAfterMs);
+    node!.child.kill('SIGSTOP');
+    setTimeout(() => node!.child.kill('SIGCONT'), standsStillMs);
+  },
+);
+
+When(
+  '{int} calls arrive at the hosted node process on kept connections, and {int} on new ones',
+  async (onKept: number, onNew: number) => {
+    const {callers} = scene!.ports;
+    // The node could not answer these before it stands still.
+    await sleep(signalMs);
+    const asked = [
+      ...Array.from({length: onKept}, () => kept),
+      ...Array.from({length: onNew}, () => undefined),
+    ].map((agent, i) => askNode(callers, `late-${i}`, agent));
+    calls = Promise.all(asked);
+  },
+);
+
+Then('each of these calls is answered', {timeout: stepTimeoutMs}, async () => {
+  const statuses = await calls!;
+  const isAnswered = statuses.every(status => [200, 503].includes(status));
+  assert.ok(isAnswered, `${statuses.join(' ')}\n${node!.end}`);
+});
+
 Then(
   'all calls in flight are answered with {int}',
   {timeout: stepTimeoutMs},
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -30,6 +30,7 @@
 } from './listeners.js';
 import type {OperatorFormat} from './operator-documents.js';
 import type {UpstreamFormat} from './upstream-report.js';
+import {WaitingArrivals} from './waiting-arrivals.js';
 
 const log = logger('node');
 /** Timers and loops that stop on abort; each rollout adds a few. */
@@ -79,6 +80,7 @@
   readonly #shutdown: AbortController;
   readonly #callerServer: Server;
   readonly #connections: CallerConnections;
+  readonly #waiting: WaitingArrivals;
   readonly #closing = new ClosingConnections();
   readonly #otherServers: readonly Server[];
   #closesConnections = false;
@@ -128,6 +130,7 @@
       this.#callerServer,
       options.settings.maxDescriptors,
     );
+    this.#waiting = new WaitingArrivals(this.#callerServer);
     this.#callerServer.on('connection', () => {
       this.#parts.load.recordConnection();
       this.#parts.entry.onConnection();
@@ -184,10 +187,12 @@
     await systemSleep(callerDrainMs - drainPropagationMs);
     parts.entry.setStopDeadline(drainDeadlineAt);
     await Promise.race([served, sleepUntil(drainDeadlineAt)]);
+    await this.#waiting.read();
     this.#callerServer.close();
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
+    await this.#waiting.read();
     await this.#close();
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
