Planned stop: open connections are answered until the end

A call on an idle connection of a node in its stop was reset up to 1.4 s before the process ended.

Cause: the HTTP server closes its idle connections when it stops to listen, while the node still waits for its last calls and leaves the store. Ruled out: a connection that an answer had closed, which the soak tells apart.

The node stops to listen and closes connections at the end of its stop only. What is left: a call that is on its way when the node closes its connections, immediately before it ends.

--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import net from 'node:net';
 import {
   Invariants,
   logger,
@@ -188,7 +189,8 @@
     parts.entry.setStopDeadline(drainDeadlineAt);
     await Promise.race([served, sleepUntil(drainDeadlineAt)]);
     await this.#waiting.read();
-    this.#callerServer.close();
+    // The HTTP server would close idle connections too, on which calls still come.
+    net.Server.prototype.close.call(this.#callerServer);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
