--- a/apps/hosted-node/src/flooding-upstream.test.ts
+++ b/apps/hosted-node/src/flooding-upstream.test.ts
@@ -11,6 +11,8 @@
 const stepTimeoutMs = 40_000;
 /** The calls of the flooded path end at this time at the latest. */
 const timeoutMs = 1_000;
+/** Twice the time limit of the callers' requests. */
+const leaveAfterMs = 2_000;
 const calmMs = 500;
 const otherCallers = 4;
 const otherPauseMs = 50;
@@ -54,7 +56,8 @@
     const keepCalling = async (name: string, path: string, pauseMs: number) => {
       const statuses: number[] = [];
       for (let i = 0; performance.now() < end && !node.hasEnded; i++) {
-        statuses.push(await askNode(ports.callers, `${name}-${i}`, path));
+        const options = {path, leaveAfterMs};
+        statuses.push(await askNode(ports.callers, `${name}-${i}`, options));
         await sleep(pauseMs);
       }
       return statuses;
--- a/apps/hosted-node/src/test/ask-node.ts
+++ b/apps/hosted-node/src/test/ask-node.ts
@@ -1,20 +1,30 @@
 import http from 'node:http';
 import {testHost} from '@verbenabeam/platform/fakes';
 
-/** A caller leaves after this time in ms, twice its time limit. */
-const leaveAfterMs = 2_000;
+/** How a request is sent. */
+export interface AskOptions {
+  readonly path?: string;
+  /** Keeps connections; default a new connection. */
+  readonly agent?: http.Agent | undefined;
+  /** Time in ms after which the caller leaves; default never. */
+  readonly leaveAfterMs?: number;
+}
 
 /** Status of a request at a node; 0 without a whole answer. */
 export function askNode(
   address: string,
   id: string,
-  path = '/a',
+  {path = '/a', agent, leaveAfterMs}: AskOptions = {},
 ): Promise<number> {
   const headers = {host: testHost, 'request-id': id, 'deadline-ms': '1000'};
   return new Promise(resolve => {
-    const signal = AbortSignal.timeout(leaveAfterMs);
-    const options = {headers, agent: false, signal};
-    const req = http.get(`http://${address}${path}`, options);
+    const req = http.get(`http://${address}${path}`, {
+      headers,
+      agent: agent ?? false,
+      ...(leaveAfterMs === undefined
+        ? {}
+        : {signal: AbortSignal.timeout(leaveAfterMs)}),
+    });
     req.on('error', () => resolve(0));
     req.on('response', res => {
       res.resume();
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
+import net from 'node:net';
 import {
   Invariants,
   logger,
@@ -20,6 +21,7 @@
 import {WarmUp} from '../warm-up/index.js';
 import type {WarmUpHeaders} from '../warm-up/index.js';
 import {callerBacklog, CallerConnections} from './caller-connections.js';
+import {ClosingConnections} from './closing-connections.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
 import {
@@ -29,6 +31,7 @@
 } from './listeners.js';
 import type {OperatorFormat} from './operator-documents.js';
 import type {UpstreamFormat} from './upstream-report.js';
+import {WaitingArrivals} from './waiting-arrivals.js';
 
 const log = logger('node');
 /** Timers and loops that stop on abort; each rollout adds a few. */
@@ -78,6 +81,8 @@
   readonly #shutdown: AbortController;
   readonly #callerServer: Server;
   readonly #connections: CallerConnections;
+  readonly #waiting: WaitingArrivals;
+  readonly #closing = new ClosingConnections();
   readonly #otherServers: readonly Server[];
   #closesConnections = false;
   #settings: HostedSettings;
@@ -115,19 +120,18 @@
         highWaterMark: pipelineBufferBytes,
       },
       (req, res) => {
-        if (
-          this.#closesConnections ||
-          this.#connections.shouldCloseAfterResponse
-        ) {
-          res.shouldKeepAlive = false;
+        const closes =
+          this.#closesConnections || this.#connections.shouldCloseAfterResponse;
+        if (this.#closing.admit(req, res, closes)) {
+          this.#parts.entry.handle(req, res);
         }
-        this.#parts.entry.handle(req, res);
       },
     );
     this.#connections = new CallerConnections(
       this.#callerServer,
       options.settings.maxDescriptors,
     );
+    this.#waiting = new WaitingArrivals(this.#callerServer);
     this.#callerServer.on('connection', () => {
       this.#parts.load.recordConnection();
       this.#parts.entry.onConnection();
@@ -184,10 +188,13 @@
     await systemSleep(callerDrainMs - drainPropagationMs);
     parts.entry.setStopDeadline(drainDeadlineAt);
     await Promise.race([served, sleepUntil(drainDeadlineAt)]);
-    this.#callerServer.close();
+    await this.#waiting.read();
+    // The HTTP server would close idle connections too, on which calls still come.
+    net.Server.prototype.close.call(this.#callerServer);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
+    await this.#waiting.read();
     await this.#close();
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
