HTTP clients: a response that ends after a pause ends on its own connection

What callers saw: an answer with a length and short lines is ended in the middle ("The response has over 256 fields") although nothing is wrong with it, when a caller of another answer reads slowly. The limits of a head do not apply to the next response of the connection that was paused, so that small fields may fill the heap again.

Cause: undici resumes a paused parser with a read, and without bytes it still runs: the end of a response whose last part paused it is reported then. ResponseSockets took the connection of the last read that had bytes, which is another one. That one was set to the state of a head in the middle of its body; the paused one was not.

Ruled out: an order of reads that is lost; the bytes are whole, only the counts are wrong.

Change: a read without bytes also names its connection.

--- a/packages/http/src/response-meter.feature
+++ b/packages/http/src/response-meter.feature
@@ -41,3 +41,11 @@
       | 40000 bytes of empty lines   |
       | 40000 zeros of a chunk size  |
       | 40000 bytes of an extension  |
+
+  Scenario: The end of a paused response does not touch another connection
+    Given an http client with two connections, a paused response on one, half of a body of lines on the other
+    Then the body of lines is read whole
+
+  Scenario: A connection whose response ended after a pause has the limits of a head
+    Given an http client with two connections, a paused response on one, half of a body of lines on the other
+    Then 300 fields on the connection that was paused are given up
--- a/packages/http/src/response-meter.test.ts
+++ b/packages/http/src/response-meter.test.ts
@@ -18,6 +18,8 @@
 const withLength = (body: string, more = '') =>
   `${head}${more}Content-Length: ${body.length}\r\n\r\n${body}`;
 
+const lines = 'a\n'.repeat(5_000);
+
 /** Responses, each with its body; null if it must be given up. */
 const responses: Readonly<Record<string, readonly [string, string | null]>> = {
   'a body with a length': [withLength('body'), 'body'],
@@ -142,3 +144,60 @@
   while (open > 0 && performance.now() < deadline) await sleep(pauseMs);
   assert.equal(open, 0);
 });
+
+/** Sends the second half of the body of lines. */
+let sendRest: () => void = () => undefined;
+let readRest: () => Promise<string> = () => Promise.resolve('');
+
+Given(
+  'an http client with two connections, a paused response on one, half of a body of lines on the other',
+  async () => {
+    open = 0;
+    server = net.createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.on('data', data => {
+        const path = data.toString('latin1').split(' ')[1];
+        if (path === '/fields') socket.write(withLength('body', fields(300)));
+        else if (path === '/body') socket.write(withLength('body'));
+        else {
+          socket.write(`${head}Content-Length: ${2 * lines.length}\r\n\r\n`);
+          socket.write(lines);
+          sendRest = () => socket.write(lines);
+        }
+      });
+    });
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    const {port} = server.address() as net.AddressInfo;
+    origin = `http://127.0.0.1:${port}`;
+    agent = createMeteredAgent({connectTimeoutMs: 1_000, connections: 2});
+    const get = (path: string) =>
+      agent!.request({origin, path, method: 'GET', highWaterMark: 1});
+    const paused = await get('/body');
+    const res = await get('/lines');
+    const parts = (res.body as AsyncIterable<Buffer>)[Symbol.asyncIterator]();
+    let body = '';
+    while (body.length < lines.length) {
+      body += String((await parts.next()).value);
+    }
+    readRest = async () => {
+      for (;;) {
+        const {value, done} = await parts.next();
+        if (done) return body;
+        body += String(value);
+      }
+    };
+    assert.equal(await paused.body.text(), 'body');
+  },
+);
+
+Then('the body of lines is read whole', async () => {
+  sendRest();
+  assert.ok((await readRest()) === lines + lines);
+});
+
+Then('300 fields on the connection that was paused are given up', async () => {
+  await assert.rejects(async () => {
+    const res = await agent!.request({origin, path: '/fields', method: 'GET'});
+    await res.body.text();
+  }, /fields/);
+});
--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -11,7 +11,10 @@
 export class ResponseSockets {
   #failing = false;
   #ending = false;
-  /** Of the connection that was read last: the parser runs right after a read. */
+  /**
+   * Of the connection that was read last: the parser runs right after a read, also
+   * after one that finds nothing, when it resumes at the end of a response.
+   */
   #meter: ResponseMeter | null = null;
   #exceeded = 0;
 
@@ -81,6 +84,7 @@
       // The stream itself asks for 0 bytes, to have more read from the system.
       if (asked !== undefined) return read(asked) as Buffer | null;
       if (socket.destroyed) return null;
+      this.#meter = meter;
       meter.onPieceParsed();
       if (meter.excess !== null) return cut(meter.excess);
       const size = Math.min(socket.readableLength, meter.pieceBytes);
@@ -88,7 +92,6 @@
       if (piece === null) return null;
       meter.onPiece(piece);
       if (meter.excess !== null) return cut(meter.excess);
-      this.#meter = meter;
       return piece;
     };
     socket.unshift = (chunk: Buffer) => {
