Hosted node: an order is known at the place where it was written again

Callers would get a version that a later order had replaced, or that had been taken back: an order that is written again after a drill has a new revision, and only its first one was remembered. A copy of the store from after that shows it at the new one, where it passed for a new order.

Each place in the store at which a node sees the order is remembered; not the places at which nodes keep it, since the store has it nowhere there.

--- a/packages/node/src/hosted/operator-records.feature
+++ b/packages/node/src/hosted/operator-records.feature
@@ -42,6 +42,14 @@
     Then the operator records took the orders "v2 v3"
     And the operator records give peers "order" with order "v3" at "2:8 kept"
 
+  Scenario: An order that was written again and replaced is not taken up from a copy
+    Given the operator records get "order" with order "v2" at "1:8"
+    And the operator records get "order" with order "v2" at "2:9"
+    And the operator records get "order" with order "v3" at "2:20"
+    When the operator records get "order" with order "v2" at "3:9"
+    Then the operator records took the orders "v2 v3"
+    And the operator records give peers "order" with order "v3" at "3:9 kept"
+
   Scenario: A new order in a new era is taken up
     Given the operator records get "order" with order "v2" at "1:20"
     When the operator records get "order" with order "v3" at "2:11"
--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -130,6 +130,7 @@
     const isFormer = isNextEra && this.#orders.hasFormer(record);
     if (isEqual && !isFormer && this.#isWrittenAgain(held, revision)) {
       this.#move(held, revision);
+      if (!decodePosition(revision).isKept) this.#orders.addPlace(record);
       return;
     }
     const startAt = performance.now();
--- a/packages/node/src/hosted/past-orders.ts
+++ b/packages/node/src/hosted/past-orders.ts
@@ -35,9 +35,17 @@
 
   add(order: RolloutOrder, record: OperatorRecord): void {
     const marks = this.#orders.get(record.key)?.marks ?? [];
-    marks.push(markOf(record));
-    if (marks.length > maxOrders) marks.shift();
     this.#orders.set(record.key, {current: order, marks});
+    this.addPlace(record);
+  }
+
+  /** Notes where the store shows the last order of the key now. */
+  addPlace(record: OperatorRecord): void {
+    const {marks} = this.#orders.get(record.key) ?? {};
+    const mark = markOf(record);
+    if (!marks || marks.at(-1) === mark) return;
+    marks.push(mark);
+    if (marks.length > maxOrders) marks.shift();
   }
 }
 
