--- a/apps/hosted-node/src/flooding-upstream.feature
+++ b/apps/hosted-node/src/flooding-upstream.feature
@@ -20,6 +20,7 @@
       | zeros of a chunk size                   |
       | a chunk extension                       |
       | informational heads                     |
+      | chunks of one byte                      |
       | chunks of one byte with long extensions |
 
   Scenario Outline: A flooding upstream leaves the node time for other calls: <answer>
@@ -40,4 +41,5 @@
       | zeros of a chunk size                   |
       | a chunk extension                       |
       | informational heads                     |
+      | chunks of one byte                      |
       | chunks of one byte with long extensions |
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -4,6 +4,7 @@
 import {headerValue} from './call-headers.js';
 import {RESPONSE_KINDS} from './call-protocol.js';
 import type {ResponseKind, CallProtocol} from './call-protocol.js';
+import {PartJoiner} from './part-joiner.js';
 import type {OwnUpstream} from './serving-ports.js';
 import type {UpstreamBody} from './upstream-body.js';
 
@@ -43,6 +44,7 @@
   readonly #protocol: CallProtocol;
   readonly #listener: UpstreamListener;
   readonly #sockets: ResponseSockets;
+  readonly #parts: PartJoiner;
   #abort: ((err?: Error) => void) | null = null;
   #resume: (() => void) | null = null;
   #aborted = false;
@@ -61,6 +63,10 @@
     this.#head = head;
     this.#protocol = protocol;
     this.#listener = listener;
+    this.#parts = new PartJoiner({
+      write: part => listener.onUpstreamData(part),
+      onOpen: () => this.#resume?.(),
+    });
   }
 
   dispatch(
@@ -82,10 +88,12 @@
   /** Aborts the request; no callback follows. */
   abort(): void {
     this.#aborted = true;
+    this.#parts.drop();
     this.#abort?.(new Error('The call was cancelled'));
   }
 
   resume(): void {
+    this.#parts.unblock();
     this.#resume?.();
   }
 
@@ -121,12 +129,13 @@
     this.#sockets.onBody(chunk.length);
     if (this.#isNotRun) this.#discardRefusalBody(chunk);
     if (this.#kind !== RESPONSE_KINDS.answer || this.#aborted) return true;
-    return this.#listener.onUpstreamData(chunk);
+    return this.#parts.push(chunk);
   }
 
   onComplete(): void {
     this.#sockets.onResponseEnd();
     if (this.#aborted || this.#isNotRun) return;
+    this.#parts.flush();
     if (this.#isTruncated) {
       const err = new Error('The response was truncated');
       this.#listener.onUpstreamError(err, true);
@@ -135,6 +144,7 @@
 
   onError(err: Error): void {
     if (this.#aborted || this.#isNotRun) return;
+    this.#parts.flush();
     this.#listener.onUpstreamError(err, this.sent);
   }
 
