--- a/packages/node/src/hosted/drills.feature
+++ b/packages/node/src/hosted/drills.feature
@@ -17,9 +17,25 @@
     Then the random steps of the fleet have broken no promise
 
     Examples:
-      | seed | cause                                                          |
-      | 1    | a node starts from the copy beside peers that hold more        |
-      | 4    | a node that misses the end of a rollout keeps its first share  |
-      | 7    | a result that the copy lacks is begun again by another node    |
-      | 11   | an order that is written again acts twice                      |
-      | 13   | a result that the copy lacks is not written again              |
+      | seed | cause                                                           |
+      | 5    | a node that starts serves the copy beside peers that hold more  |
+      | 12   | an order that an older one of a copy displaces has no result    |
+      | 13   | an order is taken up from a copy of where it was written again  |
+      | 14   | an order that an older one of a copy displaced begins anew      |
+      | 34   | an order of a copy that is newer than the last is passed over   |
+
+  Scenario Outline: A drill costs the store no more calls in a larger fleet: <nodes> nodes
+    Guards against a herd of reads, leases and watches when all nodes see a new era.
+    When the stores of fleets of 12 and of <nodes> nodes come back from a copy
+    Then the drill costs at most 20% more calls for each watcher in the larger fleet
+    And the fleets make at most 300 calls of the store within a second of the drill
+    And all nodes of the fleets have the configuration written after the drill
+
+    Examples:
+      | nodes |
+      | 30    |
+
+    @long
+    Examples:
+      | nodes |
+      | 195   |
--- a/packages/node/src/hosted/drills.test.ts
+++ b/packages/node/src/hosted/drills.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {testSeed} from '@verbenabeam/testing';
+import {measureDrill} from './test/drill-cost.js';
+import type {DrillCost} from './test/drill-cost.js';
 import {DrillRun} from './test/drill-run.js';
 
 const stepsPerSeed = 500;
@@ -12,6 +14,8 @@
 
 let steps = 0;
 let broken: string[] = [];
+let sizes: number[] = [];
+let costs: DrillCost[] = [];
 
 async function runSeeds(
   first: number,
@@ -47,3 +51,40 @@
   assert.deepEqual(broken, []);
   assert.ok(steps > 0);
 });
+
+When(
+  'the stores of fleets of {int} and of {int} nodes come back from a copy',
+  {timeout: stepTimeoutMs},
+  async (small: number, large: number) => {
+    sizes = [small, large];
+    costs = [];
+    for (const size of sizes) costs.push(await measureDrill(size, testSeed()));
+  },
+);
+
+Then(
+  'the drill costs at most {int}% more calls for each watcher in the larger fleet',
+  (percent: number) => {
+    const [small = NaN, large = NaN] = costs.map(
+      ({drill, watchers}) => drill / watchers,
+    );
+    assert.ok(large <= small * (1 + percent / 100), JSON.stringify(costs));
+  },
+);
+
+Then(
+  'the fleets make at most {int} calls of the store within a second of the drill',
+  (most: number) => {
+    for (const {peak} of costs) assert.ok(peak <= most, `${peak} calls`);
+  },
+);
+
+Then(
+  'all nodes of the fleets have the configuration written after the drill',
+  () => {
+    assert.deepEqual(
+      costs.map(({upToDate}) => upToDate),
+      sizes,
+    );
+  },
+);
--- a/packages/node/src/hosted/test/drill-client.ts
+++ b/packages/node/src/hosted/test/drill-client.ts
@@ -152,6 +152,7 @@
     const from = Math.max(0, fromRevision - 1);
     const era = eraOf(from);
     const isLost = () => era !== this.eras.era || !this.#isReached;
+    this.#store.calls++;
     if (isLost()) return Result.err(unavailable('not reached'));
     await this.#way();
     const revision = revisionOf(from);
@@ -236,6 +237,7 @@
   ): Promise<Answer<Answered<T>>> {
     const {time, random, faults, state} = this.#store;
     const {timeoutMs = defaultTimeoutMs, signal} = options;
+    this.#store.calls++;
     if (!this.#isReached) return Result.err(unavailable('not reached'));
     const sentIn = this.eras.era;
     const isLost = random.float() < faults.lostShare;
--- a/packages/node/src/hosted/test/drill-node.ts
+++ b/packages/node/src/hosted/test/drill-node.ts
@@ -84,6 +84,8 @@
   readonly onConfig: (version: number) => void;
   /** Called often while the process runs. */
   readonly onTick: () => void;
+  /** Whether callers use the node; default true. */
+  readonly hasCalls?: boolean;
 }
 
 /** One process of a hosted node without its data path. */
@@ -199,6 +201,7 @@
     this.#join.start();
     this.#beat();
     runPeriodically(heartbeatMs, signal, () => this.#beat());
+    if (this.#options.hasCalls === false) return;
     runPeriodically(callsTickMs, signal, () => this.#call());
   }
 
--- a/packages/node/src/hosted/test/drill-store.ts
+++ b/packages/node/src/hosted/test/drill-store.ts
@@ -38,6 +38,8 @@
     lostShare: 0,
     unreached: new Set(),
   };
+  /** Calls of all nodes. */
+  calls = 0;
   /** Called with each committed write of a node. */
   onWrite: (write: StatusWrite) => void = () => undefined;
   /** Called with a fault of a node. */
