--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage} from 'node:http';
+import {ChunkList} from './chunk-list.js';
 import type {MemoryBudget} from './memory-budget.js';
 
 /** Default size of the largest body that is kept for retries. @internal */
@@ -35,9 +36,9 @@
 export class ReplayBody {
   readonly #req: IncomingMessage;
   readonly #limits: BodyLimits;
-  #kept: Buffer[] | null = [];
+  #kept: ChunkList | null = new ChunkList();
   /** Chunks of a body that is no longer kept, not taken by the attempt yet. */
-  readonly #ahead: Buffer[] = [];
+  readonly #ahead = new ChunkList();
   /** Whether the attempt takes no bytes until `resume`. */
   #isBlocked = false;
   #size = 0;
@@ -107,7 +108,7 @@
     this.#kept = null;
     this.#sink = null;
     for (const {length} of this.#ahead) this.#limits.readAhead.release(length);
-    this.#ahead.length = 0;
+    this.#ahead.clear();
     if (!this.#ended) this.#req.resume();
   }
 
