--- a/packages/node/src/hosted/peer-record-exchange.ts
+++ b/packages/node/src/hosted/peer-record-exchange.ts
@@ -70,6 +70,8 @@
   #announced = {revision: 0, announcers: new Set<string>()};
   /** Highest positions that peers announced, by node id, in eras above 0. */
   readonly #heard = new Map<string, number>();
+  /** Peers that announced no era though the store tells one: other builds. */
+  readonly #plain = new Set<string>();
   /** Highest revision that builds without eras announced. */
   #heardPlain = 0;
   #isComplete = false;
@@ -113,20 +115,20 @@
     const remote = peers.filter(row => !this.#isLocal(row));
     const remoteCount = Math.max(minRemote, fanOut - local.length);
     for (const row of [...local, ...remote.slice(0, remoteCount)]) {
-      const notice = newerNoticeOf(records.revision, this.#knowsEras(row));
+      const notice = newerNoticeOf(
+        records.revision,
+        !this.#plain.has(row.nodeId),
+      );
       bus.notify(row.address, NEWER_NOTICE, notice);
     }
   }
 
-  /** Whether the build of the peer knows eras, as far as it has shown. */
-  #knowsEras({nodeId, configVersion}: InstanceRecord): boolean {
-    return this.#heard.has(nodeId) || configVersion === 0;
-  }
-
   #forgetFormerPeers(): void {
     const live = new Set(this.#peers().map(({nodeId}) => nodeId));
-    for (const nodeId of this.#heard.keys()) {
-      if (!live.has(nodeId)) this.#heard.delete(nodeId);
+    for (const known of [this.#heard, this.#plain]) {
+      for (const nodeId of known.keys()) {
+        if (!live.has(nodeId)) known.delete(nodeId);
+      }
     }
   }
 
@@ -143,8 +145,13 @@
   #onAnnounced(nodeId: string, revision: number): void {
     const {progress, records} = this.#options;
     const era = eraOf(revision);
-    if (era > 0) this.#heard.set(nodeId, revision);
-    else if (eraOf(records.revision) > 0) void this.#onPlain(revision);
+    if (era > 0) {
+      this.#heard.set(nodeId, revision);
+      this.#plain.delete(nodeId);
+    } else if (revision > 0 && eraOf(records.revision) > 0) {
+      this.#plain.add(nodeId);
+      void this.#onPlain(revision);
+    }
     progress.onAnnounced(revision, records.revision);
     if (revision > this.#announced.revision) {
       this.#announced = {revision, announcers: new Set()};
