Log lines of records and orders: the revision of the store, and its era

With eras the lines had the encoded position. Now they have the store's revision, and the era where the store tells one.

--- a/packages/node/src/hosted/operator-feed.ts
+++ b/packages/node/src/hosted/operator-feed.ts
@@ -1,7 +1,7 @@
 import {logger} from '@verbenabeam/core';
 import type {MeshError, RandomSource} from '@verbenabeam/core';
 import type {Store, WatchLimits, WatchRound} from '@verbenabeam/store';
-import {systemSleep} from '@verbenabeam/store';
+import {positionFields, systemSleep} from '@verbenabeam/store';
 import type {OfferOptions, OperatorRecord} from './operator-records.js';
 import {RECORD_SOURCES} from './record-progress.js';
 import type {RecordProgress} from './record-progress.js';
@@ -158,7 +158,9 @@
       return null;
     }
     this.#mayReadStale = false;
-    if (!this.#isReachable) log('Store is reachable again.', {revision});
+    if (!this.#isReachable) {
+      log('Store is reachable again.', positionFields(revision));
+    }
     this.#isReachable = true;
     // A list is no snapshot and may hold changes after its revision. A node that
     // kept such a change would seem to hold all earlier changes too, so changes after
--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -1,7 +1,12 @@
 import {INVARIANT_CODES, logger, systemClock} from '@verbenabeam/core';
 import type {Clock, Invariants} from '@verbenabeam/core';
 import type {Snapshot} from '@verbenabeam/document';
-import {decodePosition, eraOf, keptPosition} from '@verbenabeam/store';
+import {
+  decodePosition,
+  eraOf,
+  keptPosition,
+  positionFields,
+} from '@verbenabeam/store';
 import type {OperatorFormat, RolloutOrder} from './operator-documents.js';
 import {PastOrders} from './past-orders.js';
 
@@ -139,7 +144,7 @@
       const {code, message} = parsed.error;
       log('Operator document refused.', {
         key,
-        revision,
+        ...positionFields(revision),
         code: code.code,
         message,
       });
@@ -151,7 +156,10 @@
       (isNextEra && parsed.isErr) ||
       (config !== null && this.#isOldConfig(record, config));
     if (held && isOld) {
-      log('Former operator document passed over.', {key, revision});
+      log('Former operator document passed over.', {
+        key,
+        ...positionFields(revision),
+      });
       this.#move(held, keptAt);
       return;
     }
@@ -214,7 +222,7 @@
       log('Configuration ignored: its version is not newer.', {
         version,
         active,
-        revision,
+        ...positionFields(revision),
       });
       return;
     }
@@ -229,7 +237,7 @@
     log('Configuration applied.', {
       version: next.version,
       before: active,
-      revision,
+      ...positionFields(revision),
       routes: next.document.routes.length,
       ms: Math.round(performance.now() - startAt),
     });
--- a/packages/node/src/hosted/peer-record-exchange.ts
+++ b/packages/node/src/hosted/peer-record-exchange.ts
@@ -3,7 +3,7 @@
 import type {InstanceRecord} from '@verbenabeam/membership';
 import {systemSleep} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
-import {eraOf, revisionOf} from '@verbenabeam/store';
+import {eraOf, positionFields, revisionOf} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecord, OperatorRecords} from './operator-records.js';
@@ -271,8 +271,8 @@
       const {revision} = this.#announced;
       log('Peer had no newer records.', {
         nodeId,
-        since,
-        revision,
+        since: revisionOf(since),
+        ...positionFields(revision),
         ms: Math.round(ms),
         reason: answer.isErr ? answer.error.message : 'none are newer',
       });
--- a/packages/node/src/hosted/record-progress.ts
+++ b/packages/node/src/hosted/record-progress.ts
@@ -1,5 +1,6 @@
 import {logger} from '@verbenabeam/core';
 import type {Clock} from '@verbenabeam/core';
+import {positionFields, revisionOf} from '@verbenabeam/store';
 import type {OperatorRecord} from './operator-records.js';
 
 /** Ways in which a node gets the operators' records. @internal */
@@ -57,8 +58,8 @@
     this.#behindSince = isUpToDate ? null : this.#clock.now();
     if (ms < minLoggedMs) return;
     log('Records were received late.', {
-      revision,
-      heard: this.#announcedRevision,
+      ...positionFields(revision),
+      heard: revisionOf(this.#announcedRevision),
       ms,
     });
   }
@@ -77,7 +78,7 @@
       source,
       count: records.length,
       bytes: records.reduce((sum, {value}) => sum + value.length, 0),
-      revision: Math.max(0, ...records.map(({revision}) => revision)),
+      ...positionFields(Math.max(0, ...records.map(row => row.revision))),
       ...(ms === undefined ? {} : {ms: Math.round(ms)}),
     });
   }
--- a/packages/node/src/hosted/rollout-progress.ts
+++ b/packages/node/src/hosted/rollout-progress.ts
@@ -1,3 +1,4 @@
+import {positionFields} from '@verbenabeam/store';
 import type {RolloutEvidence, RolloutProgress} from '@verbenabeam/moves';
 import {orderIdOf} from './rollout-messages.js';
 import type {StageMessage} from './rollout-messages.js';
@@ -27,6 +28,12 @@
   };
 }
 
+/** Fields of a log line for the order of a run. @internal */
+export function orderFields({orderRecord, state}: RolloutRun) {
+  const {order, revision} = orderRecord;
+  return {...order, ...positionFields(revision), state};
+}
+
 /** The stage that coordinators send. @internal */
 export function stageOf(
   run: RolloutRun,
--- a/packages/node/src/hosted/rollouts.ts
+++ b/packages/node/src/hosted/rollouts.ts
@@ -20,7 +20,7 @@
   stageSchema,
 } from './rollout-messages.js';
 import type {EvidenceMessage, StageMessage} from './rollout-messages.js';
-import {progressOf, stageOf} from './rollout-progress.js';
+import {orderFields, progressOf, stageOf} from './rollout-progress.js';
 import {RolloutRecorder} from './rollout-recorder.js';
 import {RolloutRun} from './rollout-run.js';
 import type {RolloutView} from './rollout-view.js';
@@ -102,7 +102,7 @@
     const former = this.#displaced.replace(previous, record, now);
     const run = former ?? new RolloutRun(record, this.bounds, now);
     this.#runs.set(order.service, run);
-    log('Rollout order received.', {...order, revision, state: run.state});
+    log('Rollout order received.', orderFields(run));
     if (!former) void this.#recorder.read(run);
   }
 
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -33,6 +33,7 @@
   keptPosition,
   MAX_ERA,
   MAX_ERA_REVISION,
+  positionFields,
   revisionOf,
 } from './store-position.js';
 export type {StorePosition} from './store-position.js';
--- a/packages/store/src/store-position.ts
+++ b/packages/store/src/store-position.ts
@@ -51,6 +51,15 @@
   return decodePosition(position).revision;
 }
 
+/** Fields of a log line for a position; without an era only the revision. @public */
+export function positionFields(position: number): {
+  readonly revision: number;
+  readonly era?: number;
+} {
+  const {era, revision} = decodePosition(position);
+  return era === 0 ? {revision} : {revision, era};
+}
+
 /**
  * Position of what a node keeps from an earlier era: above what the store shows at
  * this position, and below its next change. Era 0 has none.
