--- a/packages/node/src/calls/calls.test.ts
+++ b/packages/node/src/calls/calls.test.ts
@@ -2,7 +2,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
 import type {DataTable} from '@cucumber/cucumber';
-import {request} from 'undici';
 import {seededRandom} from '@verbenabeam/core';
 import type {StandinOptions} from '@verbenabeam/app-upstream-standin';
 import {testSeed} from '@verbenabeam/testing';
@@ -214,16 +213,10 @@
 When(
   'a data path caller disconnects {int} ms after its call began to run',
   async (ms: number) => {
-    const leaving = new AbortController();
-    const {signal} = leaving;
-    const url = `${nodes[0]!.url}/read?ms=5000`;
-    const left = assert.rejects(
-      request(url, {signal, dispatcher: client.agent}),
-    );
-    await waitUntil(() => nodes[1]!.upstream!.inFlight === 1);
-    await sleep(ms);
-    leaving.abort();
-    await left;
+    await client.leaves(nodes[0]!, '/read?ms=5000', async () => {
+      await waitUntil(() => nodes[1]!.upstream!.inFlight === 1);
+      await sleep(ms);
+    });
   },
 );
 
--- a/packages/node/src/calls/test/test-client.ts
+++ b/packages/node/src/calls/test/test-client.ts
@@ -58,6 +58,17 @@
     return status === 200 && body.equals(sent);
   }
 
+  /** Sends a call and disconnects once `until` resolves, before the response. */
+  async leaves(node: TestNode, path: string, until: () => Promise<void>) {
+    const leaving = new AbortController();
+    const {signal} = leaving;
+    const options = {signal, dispatcher: this.agent};
+    const left = assert.rejects(request(node.url + path, options));
+    await until();
+    leaving.abort();
+    await left;
+  }
+
   /** Closes all connections. */
   close(): Promise<void> {
     return this.agent.destroy();
