--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -31,7 +31,7 @@
 } from './listeners.js';
 import type {OperatorFormat} from './operator-documents.js';
 import type {UpstreamFormat} from './upstream-report.js';
-import {WaitingArrivals} from './waiting-arrivals.js';
+import {readWaitingArrivals} from './waiting-arrivals.js';
 
 const log = logger('node');
 /** Timers and loops that stop on abort; each rollout adds a few. */
@@ -81,7 +81,6 @@
   readonly #shutdown: AbortController;
   readonly #callerServer: Server;
   readonly #connections: CallerConnections;
-  readonly #waiting: WaitingArrivals;
   readonly #closing = new ClosingConnections();
   readonly #otherServers: readonly Server[];
   #closesConnections = false;
@@ -131,7 +130,6 @@
       this.#callerServer,
       options.settings.maxDescriptors,
     );
-    this.#waiting = new WaitingArrivals(this.#callerServer);
     this.#callerServer.on('connection', () => {
       this.#parts.load.recordConnection();
       this.#parts.entry.onConnection();
@@ -188,13 +186,13 @@
     await systemSleep(callerDrainMs - drainPropagationMs);
     parts.entry.setStopDeadline(drainDeadlineAt);
     await Promise.race([served, sleepUntil(drainDeadlineAt)]);
-    await this.#waiting.read();
+    await readWaitingArrivals(this.#callerServer);
     // The HTTP server would close idle connections too, on which calls still come.
     net.Server.prototype.close.call(this.#callerServer);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
-    await this.#waiting.read();
+    await readWaitingArrivals(this.#callerServer);
     await this.#close();
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
