--- a/packages/node/src/hosted/peer-record-exchange.ts
+++ b/packages/node/src/hosted/peer-record-exchange.ts
@@ -1,9 +1,13 @@
 import {logger} from '@verbenabeam/core';
 import type {RandomSource} from '@verbenabeam/core';
 import type {InstanceRecord} from '@verbenabeam/membership';
-import {systemSleep} from '@verbenabeam/store';
+import {
+  eraOf,
+  positionFields,
+  revisionOf,
+  systemSleep,
+} from '@verbenabeam/store';
 import type {PeerBus} from '@verbenabeam/wire';
-import {eraOf, positionFields, revisionOf} from '@verbenabeam/store';
 import {Result} from 'true-myth';
 import type {MembershipService} from '../membership/membership-service.js';
 import type {OperatorRecord, OperatorRecords} from './operator-records.js';
--- a/packages/node/src/hosted/record-messages.ts
+++ b/packages/node/src/hosted/record-messages.ts
@@ -31,14 +31,10 @@
   isFirst: boolean,
 ): PullRequest {
   const {revision} = records;
-  const held = records
-    .since(0)
-    .map(record => [record.key, record.revision] as const);
-  return {
-    since: revisionOf(revision),
-    position: revision,
-    ...(isFirst ? {held: Object.fromEntries(held)} : {}),
-  };
+  const request = {since: revisionOf(revision), position: revision};
+  if (!isFirst) return request;
+  const held = records.since(0).map(record => [record.key, record.revision]);
+  return {...request, held: Object.fromEntries(held)};
 }
 
 /** @internal */
