--- a/packages/node/src/calls/chunk-list.ts
+++ b/packages/node/src/calls/chunk-list.ts
@@ -1,5 +1,5 @@
-/** Chunks from this size on are held as they are. */
-const smallChunkBytes = 1_024;
+/** Chunks from this size on are held as they are. @internal */
+export const smallChunkBytes = 1_024;
 const blockBytes = 4_096;
 
 /**
@@ -23,16 +23,8 @@
 
   push(chunk: Buffer): void {
     const last = this.#chunks.at(-1);
-    const bytes = (last?.length ?? 0) + chunk.length;
-    const isSmall = Math.max(last?.length ?? 0, chunk.length) < smallChunkBytes;
-    if (last && this.#block && bytes <= blockBytes) {
-      this.#join(this.#block, last, chunk);
-    } else if (last && isSmall) {
-      const block = Buffer.allocUnsafeSlow(blockBytes);
-      block.set(last);
-      this.#block = block;
-      this.#join(block, last, chunk);
-    } else {
+    if (last && this.#joins(last, chunk)) this.#join(last, chunk);
+    else {
       this.#chunks.push(chunk);
       this.#block = null;
     }
@@ -48,10 +40,20 @@
     this.#block = null;
   }
 
+  #joins(last: Buffer, chunk: Buffer): boolean {
+    if (chunk.length >= smallChunkBytes) return false;
+    if (!this.#block) return last.length < smallChunkBytes;
+    return last.length + chunk.length <= blockBytes;
+  }
+
   /** Views that were taken from the list stay as they are. */
-  #join(block: Buffer, last: Buffer, chunk: Buffer): void {
-    block.set(chunk, last.length);
-    const joined = block.subarray(0, last.length + chunk.length);
+  #join(last: Buffer, chunk: Buffer): void {
+    if (!this.#block) {
+      this.#block = Buffer.allocUnsafeSlow(blockBytes);
+      this.#block.set(last);
+    }
+    this.#block.set(chunk, last.length);
+    const joined = this.#block.subarray(0, last.length + chunk.length);
     this.#chunks[this.#chunks.length - 1] = joined;
   }
 }
--- a/packages/node/src/calls/part-joiner.ts
+++ b/packages/node/src/calls/part-joiner.ts
@@ -1,10 +1,4 @@
-/** Parts of at least this many bytes are passed on as they are. */
-const smallPartBytes = 1_024;
-/** Small parts are joined up to about this many bytes. */
-const joinedBytes = 4_096;
-
-/** Shorter parts are copied faster by byte. */
-const shortBytes = 32;
+import {ChunkList, smallChunkBytes} from './chunk-list.js';
 
 /** Takes what a {@link PartJoiner} passes on. @internal */
 export interface PartJoinerOptions {
@@ -22,11 +16,7 @@
  */
 export class PartJoiner {
   readonly #options: PartJoinerOptions;
-  /** The only part that waits. */
-  #first: Buffer | null = null;
-  /** Holds the parts that wait, once there are two. */
-  #block: Buffer | null = null;
-  #bytes = 0;
+  readonly #waiting = new ChunkList();
   #isScheduled = false;
   #isBlocked = false;
 
@@ -36,29 +26,22 @@
 
   /** Returns false to pause until `onOpen` is called or the receiver resumes. */
   push(part: Buffer): boolean {
-    if (part.length >= smallPartBytes) {
-      this.flush();
-      this.#write(part);
-    } else {
-      this.#add(part);
-      if (this.#bytes >= joinedBytes) this.flush();
-      else this.#schedule();
-    }
+    this.#waiting.push(part);
+    if (part.length >= smallChunkBytes) this.flush();
+    else this.#schedule();
+    // Parts join only the last one.
+    while (this.#waiting.length > 1) this.#writeNext();
     return !this.#isBlocked;
   }
 
   /** Passes on what was not passed on yet. */
   flush(): void {
-    if (this.#bytes === 0) return;
-    const joined = this.#first ?? this.#takeBlock();
-    this.drop();
-    this.#write(joined);
+    while (this.#waiting.length > 0) this.#writeNext();
   }
 
   /** Drops what was not passed on yet. */
   drop(): void {
-    this.#first = null;
-    this.#bytes = 0;
+    this.#waiting.clear();
   }
 
   /** The receiver takes parts again. */
@@ -66,28 +49,9 @@
     this.#isBlocked = false;
   }
 
-  #add(part: Buffer): void {
-    if (this.#bytes === 0) this.#first = part;
-    else {
-      this.#block ??= Buffer.allocUnsafeSlow(joinedBytes + smallPartBytes);
-      if (this.#first) copy(this.#first, this.#block, 0);
-      this.#first = null;
-      copy(part, this.#block, this.#bytes);
-    }
-    this.#bytes += part.length;
-  }
-
-  /** A block that is not full is used again. */
-  #takeBlock(): Buffer {
-    const block = this.#block as Buffer;
-    const joined = block.subarray(0, this.#bytes);
-    if (this.#bytes < joinedBytes) return Buffer.from(joined);
-    this.#block = null;
-    return joined;
-  }
-
-  #write(part: Buffer): void {
-    this.#isBlocked = !this.#options.write(part);
+  #writeNext(): void {
+    const part = this.#waiting.shift();
+    if (part) this.#isBlocked = !this.#options.write(part);
   }
 
   /** All parts of a read come in one turn. */
@@ -102,8 +66,3 @@
     });
   }
 }
-
-function copy(part: Buffer, block: Buffer, at: number): void {
-  if (part.length >= shortBytes) block.set(part, at);
-  else for (let i = 0; i < part.length; i++) block[at + i] = part[i] as number;
-}
