--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+export {endedByReset} from './ended-by-reset.js';
 export {createMeteredAgent} from './metered-agent.js';
 export {ResponseMeter} from './response-meter.js';
 export {ResponseSockets} from './response-sockets.js';
