--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
+import {endedByReset} from './ended-by-reset.js';
 import {ResponseMeter} from './response-meter.js';
 
 /**
@@ -17,6 +18,7 @@
    */
   #meter: ResponseMeter | null = null;
   #exceeded = 0;
+  #resetEnds = 0;
 
   /** Whether a socket error causes the current callback. */
   get isFailing(): boolean {
@@ -33,6 +35,11 @@
     return this.#exceeded;
   }
 
+  /** Connections that were reset and whose sockets reported an ordinary end. */
+  get resetEnds(): number {
+    return this.#resetEnds;
+  }
+
   /** To be called with the head of a final response. */
   onHead(isChunked: boolean): void {
     this.#meter?.onHead(isChunked);
@@ -66,7 +73,7 @@
   #track(socket: Socket): void {
     // Run before undici's own listeners, which may complete the response.
     socket.on('error', () => this.#onError());
-    socket.on('end', () => this.#onEnd());
+    socket.on('end', () => this.#onEnd(socket));
     this.#meterReads(socket);
   }
 
@@ -100,7 +107,8 @@
     };
   }
 
-  #onEnd(): void {
+  #onEnd(socket: Socket): void {
+    if (endedByReset(socket)) this.#resetEnds++;
     this.#ending = true;
     process.nextTick(() => {
       this.#ending = false;
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -81,6 +81,11 @@
     return this.#inFlight.count;
   }
 
+  /** Memory of the responses that are held, in bytes. */
+  get heldResponseBytes(): number {
+    return this.#shared.heldResponses.usedBytes;
+  }
+
   /** Listener for the `connection` event of the server. */
   readonly onConnection = (): void => this.#scheduler.onConnection();
 
--- a/packages/node/src/calls/memory-budget.ts
+++ b/packages/node/src/calls/memory-budget.ts
@@ -11,6 +11,10 @@
     this.#maxBytes = maxBytes;
   }
 
+  get usedBytes(): number {
+    return this.#usedBytes;
+  }
+
   /** Whether calls may hold more. */
   get hasRoom(): boolean {
     return this.#usedBytes < this.#maxBytes;
--- a/packages/node/src/calls/serving-handler.ts
+++ b/packages/node/src/calls/serving-handler.ts
@@ -50,6 +50,11 @@
     return this.#pool.sockets.exceeded;
   }
 
+  /** Connections of the upstream that ended by a reset. */
+  get resetEnds(): number {
+    return this.#pool.sockets.resetEnds;
+  }
+
   /** Handler for `PeerBus.onStream(CALL_STREAM, ...)`. */
   readonly onStream: StreamHandler = (value, stream) => {
     const head = decodeCallHead(value);
--- a/packages/node/src/hosted/hosted-gauges.ts
+++ b/packages/node/src/hosted/hosted-gauges.ts
@@ -2,6 +2,7 @@
 import type {WaitPlace} from '../calls/index.js';
 import type {EraView} from '@verbenabeam/store';
 import type {GaugeSource} from '../metrics/gauge-source.js';
+import type {ResponseTotals} from './response-totals.js';
 import type {RolloutView} from './rollout-view.js';
 
 /** Values that the gauges of a hosted node read. @internal */
@@ -25,8 +26,7 @@
   readonly waits: () => ReadonlyMap<WaitPlace, number>;
   /** Share of the last second in which the event loop was busy, 0 to 1. */
   readonly busyRatio: () => number;
-  /** Responses of the own upstream that were given up over a limit. */
-  readonly responsesExceeded: () => number;
+  readonly responses: () => ResponseTotals;
 }
 
 const msPerSecond = 1_000;
@@ -45,7 +45,17 @@
     {
       name: 'verbenabeam_upstream_responses_exceeded',
       help: 'Responses of the own upstream given up over a limit, since the start.',
-      read: () => [{labels: {}, value: parts.responsesExceeded()}],
+      read: () => [{labels: {}, value: parts.responses().exceeded}],
+    },
+    {
+      name: 'verbenabeam_upstream_reset_ends',
+      help: 'Connections of the own upstream whose end was a reset, since the start.',
+      read: () => [{labels: {}, value: parts.responses().resetEnds}],
+    },
+    {
+      name: 'verbenabeam_held_response_bytes',
+      help: 'Memory of responses without a length that are held.',
+      read: () => [{labels: {}, value: parts.responses().heldBytes}],
     },
     {
       name: 'verbenabeam_upstream_queue',
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -43,6 +43,7 @@
 import {ownRecord} from './own-record.js';
 import {HostedUpstream} from './hosted-upstream.js';
 import {RecordSync} from './record-sync.js';
+import {responseTotals} from './response-totals.js';
 import {Rollouts} from './rollouts.js';
 
 /** Slots of the upstream before its first heartbeat. */
@@ -172,6 +173,7 @@
       callBytes: () => callBytesOf(bus),
       waiting: () => scheduler.waiting,
       waits: () => this.#callWaits.totals.take(),
+      responses: () => responseTotals(this),
     });
     this.#quarantine = new QuarantineAdapter(shared);
     this.#instances = new InstanceAdapter(shared);
@@ -303,7 +305,7 @@
         acceptWaitMs: () => this.acceptWaitMs(),
         waits: () => this.#callWaits.counts,
         busyRatio: () => this.load.busyRatio,
-        responsesExceeded: () => this.serving.responsesExceeded,
+        responses: () => responseTotals(this),
       }),
     });
   }
--- a/packages/node/src/hosted/load-monitor.ts
+++ b/packages/node/src/hosted/load-monitor.ts
@@ -7,12 +7,18 @@
 import {runPeriodically} from '../run-periodically.js';
 import {EventLoopSampler} from './event-loop-sampler.js';
 import type {EventLoopWindow} from './event-loop-sampler.js';
+import type {ResponseTotals} from './response-totals.js';
 
 const log = logger('load');
 const windowMs = 1_000;
 const percent = 100;
 const bytesPerKb = 1_024;
 const bytesPerMb = 1_048_576;
+const noResponses: ResponseTotals = {
+  heldBytes: 0,
+  resetEnds: 0,
+  exceeded: 0,
+};
 const noTotals: ReadonlyMap<string, TimeTotal> = new Map();
 
 /** Values that a {@link LoadMonitor} reads at each window end. @internal */
@@ -25,6 +31,8 @@
   readonly waiting: () => number;
   /** Waits of calls by place since the last read; default none. */
   readonly waits?: () => ReadonlyMap<string, TimeTotal>;
+  /** Default no responses. */
+  readonly responses?: () => ResponseTotals;
   /** Event loop iterations since the last read; default measured. */
   readonly turns?: () => EventLoopWindow;
   /** Memory of the process; default measured. */
@@ -45,6 +53,7 @@
   readonly #utilization: NonNullable<LoadMonitorSources['utilization']>;
   #since: EventLoopUtilization;
   #bytes = 0;
+  #resetEnds = 0;
   #connections = 0;
   #calls = 0;
   #refused = 0;
@@ -102,6 +111,7 @@
     const turns = this.#sources.turns?.() ?? this.#loopSampler.take();
     const waits = this.#sources.waits?.() ?? noTotals;
     const held = this.#slotTimes.take();
+    const {heldBytes, resetEnds} = this.#sources.responses?.() ?? noResponses;
     const answered = this.#answered.take();
     if (this.#calls > 0 || held.size > 0) {
       const {inFlight, queued, slots} = load();
@@ -117,6 +127,8 @@
         callKb: Math.round((bytes - this.#bytes) / bytesPerKb),
         heapMb: Math.round(heapUsed / bytesPerMb),
         bufferMb: Math.round(external / bytesPerMb),
+        heldKb: Math.round(heldBytes / bytesPerKb),
+        resetEnds: resetEnds - this.#resetEnds,
         inFlight,
         queued,
         slots,
@@ -126,6 +138,7 @@
       });
     }
     this.#bytes = bytes;
+    this.#resetEnds = resetEnds;
     this.#connections = 0;
     this.#calls = 0;
     this.#refused = 0;
