--- a/packages/http/src/metered-agent.ts
+++ b/packages/http/src/metered-agent.ts
@@ -28,12 +28,14 @@
   handler: Dispatcher.DispatchHandler,
   sockets: ResponseSockets,
 ): Dispatcher.DispatchHandler {
+  let isChunked = false;
   return {
     onRequestStart: (...args) => handler.onRequestStart?.(...args),
     onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
     onResponseStart: (controller, status, headers, text) => {
       if (status >= firstFinalStatus) {
-        sockets.onHead(headers['transfer-encoding'] !== undefined);
+        isChunked = headers['transfer-encoding'] !== undefined;
+        sockets.onHead(isChunked);
       }
       handler.onResponseStart?.(controller, status, headers, text);
     },
@@ -41,9 +43,11 @@
       sockets.onBody(chunk.length);
       handler.onResponseData?.(controller, chunk);
     },
-    onResponseEnd: (...args) => {
+    onResponseEnd: (controller, trailers) => {
       sockets.onResponseEnd();
-      handler.onResponseEnd?.(...args);
+      const err = sockets.truncation(isChunked);
+      if (err) handler.onResponseError?.(controller, err);
+      else handler.onResponseEnd?.(controller, trailers);
     },
     onResponseError: (...args) => handler.onResponseError?.(...args),
   };
--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -6,7 +6,8 @@
 /**
  * The connections of a client. Helps to tell a truncated response from a complete one:
  * undici reports a response without a length as complete when the connection is reset,
- * and a chunked response as complete when a connection without keep-alive ends. Closes
+ * for which Node.js may emit `end`, and a chunked response as complete when a connection
+ * without keep-alive ends. Closes
  * connections whose responses exceed the limits of {@link ResponseMeter}.
  */
 export class ResponseSockets {
@@ -20,14 +21,17 @@
   #exceeded = 0;
   #resetEnds = 0;
 
-  /** Whether a socket error causes the current callback. */
-  get isFailing(): boolean {
-    return this.#failing;
-  }
-
-  /** Whether the end of a socket causes the current callback. */
-  get isEnding(): boolean {
-    return this.#ending;
+  /**
+   * Why a response is truncated that undici reports as complete now; null if it is not.
+   * A complete chunked response ends with its last chunk, not with the socket.
+   */
+  truncation(isChunked: boolean): Error | null {
+    if (this.#failing) {
+      return new Error('The connection was reset within the response');
+    }
+    return this.#ending && isChunked
+      ? new Error('The response was truncated')
+      : null;
   }
 
   /** Connections that were closed because a response exceeded a limit. */
@@ -108,7 +112,11 @@
   }
 
   #onEnd(socket: Socket): void {
-    if (endedByReset(socket)) this.#resetEnds++;
+    if (endedByReset(socket)) {
+      this.#resetEnds++;
+      this.#onError();
+      return;
+    }
     this.#ending = true;
     process.nextTick(() => {
       this.#ending = false;
--- a/packages/node/src/calls/deadline-recheck.test.ts
+++ b/packages/node/src/calls/deadline-recheck.test.ts
@@ -58,7 +58,7 @@
 /** Creates a pool whose connections take `connectMs` to connect. */
 function slowPool(): ServingContext['pool'] {
   const pool = {
-    sockets: {isFailing: false, isEnding: false},
+    sockets: {truncation: () => null},
     get: () => ({
       dispatch: (
         {headers}: {headers: string[]},
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -136,10 +136,9 @@
     this.#sockets.onResponseEnd();
     if (this.#aborted || this.#isNotRun) return;
     this.#parts.flush();
-    if (this.#isTruncated) {
-      const err = new Error('The response was truncated');
-      this.#listener.onUpstreamError(err, true);
-    } else this.#listener.onUpstreamEnd();
+    const err = this.#sockets.truncation(this.#isChunked);
+    if (err) this.#listener.onUpstreamError(err, true);
+    else this.#listener.onUpstreamEnd();
   }
 
   onError(err: Error): void {
@@ -148,12 +147,6 @@
     this.#listener.onUpstreamError(err, this.sent);
   }
 
-  /** A complete chunked response ends with its last chunk, not with the socket. */
-  get #isTruncated(): boolean {
-    const {isFailing, isEnding} = this.#sockets;
-    return isFailing || (isEnding && this.#isChunked);
-  }
-
   get #isNotRun(): boolean {
     const {notRun, otherUpstream} = RESPONSE_KINDS;
     return this.#kind === notRun || this.#kind === otherUpstream;
