--- a/packages/node/src/calls/call-protocol.ts
+++ b/packages/node/src/calls/call-protocol.ts
@@ -14,7 +14,7 @@
   notRun: 'notRun',
   /** The request reached another upstream than intended, which refused it. */
   otherUpstream: 'otherUpstream',
-  /** The response belongs to another request. */
+  /** The response belongs to another request, or its status is invalid. */
   foreign: 'foreign',
 } as const;
 
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -30,6 +30,8 @@
 const maxInformationalHeads = 16;
 /** Lowest status of a final response. */
 const firstFinalStatus = 200;
+/** Highest status that RFC 9110 allows. */
+const lastStatus = 599;
 
 /**
  * One request to the upstream of this node. It uses undici's low-level handler,
@@ -113,11 +115,15 @@
     const headers = raw.map(item => item.toString('latin1'));
     this.#isChunked = headerValue(headers, 'transfer-encoding') !== null;
     this.#sockets.onHead(this.#isChunked);
-    this.#kind = this.#protocol.classify(this.#head, status, headers);
+    this.#kind =
+      status <= lastStatus
+        ? this.#protocol.classify(this.#head, status, headers)
+        : RESPONSE_KINDS.foreign;
     if (this.#kind === RESPONSE_KINDS.answer) {
       this.#listener.onUpstreamHead(status, headers);
     } else if (this.#kind === RESPONSE_KINDS.foreign) {
-      this.#abort?.(new Error('The response belongs to another request'));
+      const message = 'The response is invalid or belongs to another request';
+      this.#abort?.(new Error(message));
     } else {
       this.#closeIfBodyUnread();
       this.#reportNotRun();
