--- a/apps/hosted-node/src/flooding-upstream.test.ts
+++ b/apps/hosted-node/src/flooding-upstream.test.ts
@@ -25,6 +25,12 @@
 let coreShare = 0;
 let otherStatuses: number[] = [];
 
+/** The node and the stand-ins of the scenario. */
+export function processScene(): ProcessScene {
+  assert.ok(scene, 'no hosted node process runs');
+  return scene;
+}
+
 After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
   await scene?.stop();
   scene = null;
--- a/packages/core/src/codes/calls.ts
+++ b/packages/core/src/codes/calls.ts
@@ -139,4 +139,10 @@
     notRun: true,
     text: 'The instances refuse nearly all such calls at present.',
   },
+  responseTooLong: {
+    code: 1621,
+    exit: 16,
+    http: 502,
+    text: 'The response has no length and is too long to wait for its end.',
+  },
 });
--- a/packages/node/src/calls/call-claim.ts
+++ b/packages/node/src/calls/call-claim.ts
@@ -1,5 +1,7 @@
 import {beginClaim} from './claim-action.js';
 import type {ClaimAction} from './claim-action.js';
+import type {AttemptLog} from './attempt-log.js';
+import type {CallerResponse} from './caller-response.js';
 import type {ClaimKey, ClaimResult, ClaimsPort} from './entry-ports.js';
 import type {RoutedCall} from './routed-call.js';
 
@@ -21,11 +23,6 @@
     };
   }
 
-  /** Whether the claim was granted and its result has not been reported. */
-  get open(): boolean {
-    return this.#granted;
-  }
-
   /** Requests the claim. */
   async begin(timeoutMs: number): Promise<ClaimAction> {
     const action = await beginClaim(this.#claims, this.#key, timeoutMs);
@@ -34,9 +31,14 @@
   }
 
   /** Reports the result of a granted claim; does nothing without one. */
-  finish(result: ClaimResult): void {
+  finish(log: AttemptLog, response: CallerResponse): void {
     if (!this.#granted) return;
     this.#granted = false;
-    this.#claims.finish(this.#key, result);
+    this.#claims.finish(this.#key, resultOf(log, response));
   }
 }
+
+function resultOf(log: AttemptLog, response: CallerResponse): ClaimResult {
+  if (log.answered) return {kind: 'answered', answer: response.toStored()};
+  return {kind: log.mayHaveRun ? 'unknown' : 'notRun'};
+}
--- a/packages/node/src/calls/caller-response.feature
+++ b/packages/node/src/calls/caller-response.feature
@@ -8,7 +8,7 @@
     When the responses "a" and "b" get 60000 bytes each
     Then no response without a length has begun at its caller
     When the responses "c" and "d" get 60000 bytes each
-    Then the responses "c" and "d" without a length have begun at their callers
+    Then the responses "c" and "d" without a length are given up
 
   Scenario Outline: A response without a length that <ends> frees its memory
     Given responses without a length that share 100000 bytes of memory
@@ -22,3 +22,10 @@
       | ends         |
       | is cancelled |
       | is replaced  |
+
+  Scenario: A response without a length that its caller reads slowly keeps its memory
+    Given responses without a length that share 100000 bytes of memory
+    When the responses "a" and "b" get 60000 bytes each
+    And the responses "a" and "b" each is read slowly
+    And the responses "c" and "d" get 60000 bytes each
+    Then the responses "c" and "d" without a length are given up
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -21,6 +21,8 @@
   readonly keepCopy: boolean;
   /** For buffered responses without a length. */
   readonly memory: MemoryBudget;
+  /** Called when a response without a length finds no memory. */
+  readonly onNoMemory: () => void;
 }
 
 /** A response that is buffered until it is complete. */
@@ -43,6 +45,7 @@
   readonly #protocol: CallProtocol;
   readonly #metadata: CallMetadata;
   readonly #memory: MemoryBudget;
+  readonly #onNoMemory: () => void;
   /** Copy of the body; null if none is needed or the body is too large. */
   #bodyCopy: Uint8Array[] | null;
   #headers: readonly string[] = [];
@@ -50,12 +53,13 @@
 
   constructor(
     res: ServerResponse,
-    {protocol, metadata, keepCopy, memory}: CallerResponseOptions,
+    {protocol, metadata, keepCopy, memory, onNoMemory}: CallerResponseOptions,
   ) {
     this.#res = res;
     this.#protocol = protocol;
     this.#metadata = metadata;
     this.#memory = memory;
+    this.#onNoMemory = onNoMemory;
     this.#bodyCopy = keepCopy ? [] : null;
   }
 
@@ -75,12 +79,12 @@
     this.status = forwarded.status;
     this.#headers = forwardableHeaders(response.headers);
     const isFramed = this.#isFramed(response);
-    // A response of unknown length is buffered as long as there is memory: if this
-    // process is killed, the system closes its connections, and what was sent looks
-    // complete.
-    const length = isFramed ? contentLengthOf(response.headers) : 0;
-    const limit = this.#protocol.maxBufferedResponseBytes;
     this.#buffered = {...forwarded, chunks: [], isFramed, sharedBytes: 0};
+    // Without a length no part may be sent: if this process ends, the system closes its
+    // connections in the usual way, and what was sent looks complete.
+    if (!isFramed) return;
+    const limit = this.#protocol.maxBufferedResponseBytes;
+    const length = contentLengthOf(response.headers);
     if (limit === 0 || length > limit) this.#startStreaming();
   }
 
@@ -124,23 +128,30 @@
     if (!this.#buffered) return this.#res.write(chunk);
     this.#buffered.chunks.push(chunk);
     if (this.bytes <= this.#protocol.maxBufferedResponseBytes) return true;
-    if (!this.#buffered.isFramed && this.#memory.hasRoom) {
+    if (this.#buffered.isFramed) {
+      this.#startStreaming();
+      return !this.#res.writableNeedDrain;
+    }
+    if (this.#memory.hasRoom) {
       this.#buffered.sharedBytes += chunk.length;
       this.#memory.take(chunk.length);
-      return true;
-    }
-    this.#startStreaming();
-    return !this.#res.writableNeedDrain;
+    } else this.#onNoMemory();
+    return true;
   }
 
   end(): void {
-    const buffered = this.#takeBuffered();
+    const buffered = this.#buffered;
+    this.#buffered = null;
     if (!buffered) {
       this.#res.end();
       return;
     }
     this.#writeHead(buffered);
     this.#res.end(Buffer.concat(buffered.chunks));
+    const {sharedBytes} = buffered;
+    if (sharedBytes === 0) return;
+    // A caller that reads slowly keeps the bytes in memory.
+    this.#res.once('close', () => this.#memory.release(sharedBytes));
   }
 
   /** Frees the memory of a response that nobody waits for any more. */
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -23,7 +23,7 @@
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome} from './entry-ports.js';
 import {ReplayBody} from './replay-body.js';
-import {withRetryJitter} from './retry-jitter.js';
+import {withJitteredDelay} from './retry-jitter.js';
 import type {SharedByCalls} from './shared-by-calls.js';
 
 /** Called when a call ends, with its record and the refusal if it was refused. */
@@ -86,8 +86,13 @@
     this.#attempts = new AttemptFactory(call, service, ports, this.#body);
     const metadata = {callId, configVersion: snapshot.version};
     const keepCopy = !route.idempotent && headers.idempotencyKey !== null;
-    const held = {protocol, metadata, keepCopy, memory: heldResponses};
-    this.#response = new CallerResponse(res, held);
+    this.#response = new CallerResponse(res, {
+      protocol,
+      metadata,
+      keepCopy,
+      memory: heldResponses,
+      onNoMemory: () => this.#giveUpResponse(),
+    });
     this.#unwatch = connections.onceClosed(req.socket, () => this.#cancel());
     res.on('drain', () => this.#attempt?.resume());
   }
@@ -175,7 +180,7 @@
     this.#claim = claim;
     const action = await claim.begin(this.#remainingMs());
     if (this.#ended) {
-      this.#finishClaim();
+      this.#claim?.finish(this.#log, this.#response);
     } else if (action.kind === 'granted') {
       this.#startFirstAttempt();
     } else if (action.kind === 'replay') {
@@ -205,14 +210,10 @@
     const propagate = () => this.#retries.propagate();
     this.#attempt = this.#attempts.next(this.#remainingMs(), propagate, this);
     if (this.#attempt) this.#attempt.start(this.#log.lostConnection);
-    else this.#refuseWith(this.#log.toCallError(err ?? this.#noInstance()));
-  }
-
-  #noInstance(): MeshError {
-    const {name} = this.#service;
-    const version = this.#attempts.choice?.version ?? '';
-    const message = `No instance of ${name} ${version} can take the call`;
-    return new MeshError(CALL_CODES.noInstance, message);
+    else
+      this.#refuseWith(
+        this.#log.toCallError(err ?? this.#attempts.noInstance()),
+      );
   }
 
   #remainingMs(): number {
@@ -245,6 +246,13 @@
     this.#refuse(code);
   }
 
+  /** Ends a call whose response cannot be held; a retry would need the memory again. */
+  #giveUpResponse(): void {
+    if (this.#ended) return;
+    this.#abort(CALL_CODES.responseTooLong, OUTCOMES.failed);
+    this.#refuse(CALL_CODES.responseTooLong);
+  }
+
   #cancel(): void {
     if (this.#ended) return;
     this.#abort(CALL_CODES.cancelled, OUTCOMES.cancelled);
@@ -272,40 +280,24 @@
       !err.code.notRun || !mayHaveRun,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(this.#withJitter(err), this.#retries.remaining);
+    const refusal = withJitteredDelay(err, this.#ports.random);
+    this.#response.refuse(refusal, this.#retries.remaining);
     this.#finish(err.code, err);
   }
 
-  #withJitter(err: MeshError): MeshError {
-    const {retryAfterMs: baseMs} = err.details;
-    if (typeof baseMs !== 'number') return err;
-    const retryAfterMs = withRetryJitter(baseMs, this.#ports.random);
-    return new MeshError(err.code, err.message, {...err.details, retryAfterMs});
-  }
-
   #record(outcome: Outcome, code: ResultCode): void {
     const attempt = this.#attempt;
     if (!attempt) return;
     this.#log.add(attempt, this.#attempts.choice?.version ?? '', outcome, code);
   }
 
-  #finishClaim(): void {
-    if (!this.#claim?.open) return;
-    if (this.#log.answered) {
-      const answer = this.#response.toStored();
-      this.#claim.finish({kind: 'answered', answer});
-    } else {
-      this.#claim.finish({kind: this.#log.mayHaveRun ? 'unknown' : 'notRun'});
-    }
-  }
-
   #finish(code: ResultCode, refusal: MeshError | null = null): void {
     if (this.#ended) return;
     this.#ended = true;
     clearTimeout(this.#timer);
     this.#unwatch();
     this.#body.discard();
-    this.#finishClaim();
+    this.#claim?.finish(this.#log, this.#response);
     this.#retries.end();
     this.#onEnd(
       buildCallRecord(this.#call, {
