--- a/apps/hosted-node/src/ended-node.feature
+++ b/apps/hosted-node/src/ended-node.feature
@@ -15,3 +15,9 @@
       | 24      | SIGKILL |
       | 24      | SIGABRT |
       | 24      | SIGTERM |
+
+  Scenario: A killed hosted node leaves no part of a long answer that its caller has not read
+    Given a hosted node process as it is deployed, beside an upstream with 60 slots
+    And its upstream ends an answer of 12000000 bytes with its connection
+    When a caller that reads nothing is sent that answer and the hosted node process is killed
+    Then that caller has all of the answer or no complete success
--- a/apps/hosted-node/src/ended-node.test.ts
+++ b/apps/hosted-node/src/ended-node.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Then, When} from '@cucumber/cucumber';
+import {Given, Then, When} from '@cucumber/cucumber';
 import {StrictCaller} from '@verbenabeam/platform/fakes';
 import type {StrictReply} from '@verbenabeam/platform/fakes';
 import {processScene} from './flooding-upstream.test.js';
@@ -11,7 +11,11 @@
 const deadlineMs = 30_000;
 const firstErrorStatus = 300;
 
+/** Time in which the answer has passed the node as far as the system takes it. */
+const passOnMs = 1_000;
+
 let replies: StrictReply[] = [];
+let wholeBytes = 0;
 
 When(
   /^(\d+) callers wait for that answer and the hosted node process gets (SIGKILL|SIGABRT|SIGTERM) after (\d+) ms$/,
@@ -38,3 +42,33 @@
   );
   assert.deepEqual(wrong, [], `${wrong.length} of ${replies.length}`);
 });
+
+Given(
+  'its upstream ends an answer of {int} bytes with its connection',
+  (partBytes: number) => {
+    wholeBytes = partBytes;
+    const {faults} = processScene().server;
+    Object.assign(faults, {unframed: 1, partBytes});
+  },
+);
+
+When(
+  'a caller that reads nothing is sent that answer and the hosted node process is killed',
+  {timeout: stepTimeoutMs},
+  async () => {
+    const {ports, node} = processScene();
+    const request = {id: 'unread', path: '/a', deadlineMs};
+    const caller = new StrictCaller(ports.callers, request);
+    caller.pause();
+    await sleep(passOnMs);
+    await node.kill();
+    caller.resume();
+    replies = [await caller.reply];
+  },
+);
+
+Then('that caller has all of the answer or no complete success', () => {
+  const [reply] = replies;
+  const hasAll = (reply?.bodyBytes ?? 0) >= wholeBytes;
+  assert.ok(hasAll || !reply?.isComplete, JSON.stringify(reply));
+});
