--- a/apps/soak/src/caller-connection.ts
+++ b/apps/soak/src/caller-connection.ts
@@ -1,4 +1,5 @@
 import net from 'node:net';
+import {endedByReset} from '@verbenabeam/http';
 import {testHost} from '@verbenabeam/platform/fakes';
 import {AnswerReader} from './answer-reader.js';
 import type {ReadAnswer} from './answer-reader.js';
@@ -25,6 +26,8 @@
   #isConnected = false;
   #closes = false;
   #hasLeft = false;
+  /** The peer ended the connection in the usual way. */
+  #hasEnded = false;
   usedAt = performance.now();
 
   constructor(host: string, port: number, handlers: CallerHandlers) {
@@ -32,6 +35,9 @@
     this.#socket = net.connect({host, port, noDelay: true});
     this.#socket.on('connect', () => (this.#isConnected = true));
     this.#socket.on('data', (piece: Buffer) => this.#read(piece));
+    this.#socket.on('end', () => {
+      this.#hasEnded = !endedByReset(this.#socket);
+    });
     // The close that follows an error ends the calls.
     this.#socket.on('error', () => undefined);
     this.#socket.on('close', () => this.#finish());
@@ -97,7 +103,8 @@
 
   #finish(): void {
     const isCut = this.#reader.hasBegun;
-    const last = this.#hasLeft ? null : this.#reader.end();
+    const isWhole = this.#hasEnded && !this.#hasLeft;
+    const last = isWhole ? this.#reader.end() : null;
     if (last) this.#take(last);
     for (const [i, call] of this.#open.entries()) {
       this.#handlers.onEnd(call, this.#endOf(i === 0 && isCut && !last));
