--- a/apps/hosted-node/src/killed-node.test.ts
+++ b/apps/hosted-node/src/killed-node.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
-import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {After, Given, Then, When} from '@cucumber/cucumber';
-import {testHost, waitUntil} from '@verbenabeam/platform/fakes';
+import {StrictCaller, waitUntil} from '@verbenabeam/platform/fakes';
+import type {StrictReply} from '@verbenabeam/platform/fakes';
 import {ProcessScene, unbundledProgram} from './test/process-scene.js';
 
 const stepTimeoutMs = 40_000;
@@ -12,16 +12,8 @@
 /** Time in which the first part has passed the node. */
 const passOnMs = 500;
 
-/** What the caller got. */
-interface Answer {
-  readonly status: number;
-  readonly bytes: number;
-  /** Whether the answer is complete by the rules of HTTP. */
-  readonly isComplete: boolean;
-}
-
 let scene: ProcessScene | null = null;
-let answer: Promise<Answer> | null = null;
+let answer: Promise<StrictReply> | null = null;
 
 After({tags: '@hosted', timeout: stepTimeoutMs}, async () => {
   await scene?.stop();
@@ -44,7 +36,8 @@
     const {server, ports} = scene!;
     Object.assign(server.faults, {unframed: 1, partBytes: bytes, pauseMs});
     const runs = server.runs.length;
-    answer = ask(ports.callers);
+    const request = {id: 'unframed', path: '/a', deadlineMs: pauseMs};
+    answer = new StrictCaller(ports.callers, request).reply;
     const hasRun = () => server.runs.length > runs;
     await waitUntil(hasRun, answerWithinMs, 'run');
     await sleep(passOnMs);
@@ -57,23 +50,3 @@
   const found = await answer!;
   assert.equal(found.isComplete, false, JSON.stringify(found));
 });
-
-function ask(address: string): Promise<Answer> {
-  const headers = {
-    host: testHost,
-    'request-id': 'unframed',
-    'deadline-ms': String(pauseMs),
-  };
-  return new Promise(resolve => {
-    const req = http.get(`http://${address}/a`, {headers, agent: false});
-    const none = {status: 0, bytes: 0, isComplete: false};
-    req.on('error', () => resolve(none));
-    req.on('response', res => {
-      let bytes = 0;
-      const status = res.statusCode ?? 0;
-      res.on('data', (piece: Buffer) => (bytes += piece.length));
-      res.on('error', () => resolve({status, bytes, isComplete: false}));
-      res.on('end', () => resolve({status, bytes, isComplete: res.complete}));
-    });
-  });
-}
--- a/apps/hosted-node/src/test/ask-node.ts
+++ b/apps/hosted-node/src/test/ask-node.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {testHost} from '@verbenabeam/platform/fakes';
+import {failOnReset, testHost} from '@verbenabeam/platform/fakes';
 
 /** How a request is sent. */
 export interface AskOptions {
@@ -25,6 +25,7 @@
         ? {}
         : {signal: AbortSignal.timeout(leaveAfterMs)}),
     });
+    failOnReset(req);
     req.on('error', () => resolve(0));
     req.on('response', res => {
       res.resume();
