--- a/apps/soak/src/link-proxy.ts
+++ b/apps/soak/src/link-proxy.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import net from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {PipeDirection} from './pipe-direction.js';
 
 /** What a proxy does to the connections of one client. */
@@ -40,8 +41,15 @@
     this.#target = target;
   }
 
-  async start(host: string, port: number): Promise<void> {
+  /**
+   * Resolves with `ip:port`.
+   *
+   * @param port - 0 for any that is free.
+   */
+  async start(host: string, port: number): Promise<string> {
     await once(this.#server.listen(port, host), 'listening');
+    const {port: found} = this.#server.address() as AddressInfo;
+    return `${host}:${found}`;
   }
 
   stop(): void {
--- a/apps/soak/src/pipe-direction.ts
+++ b/apps/soak/src/pipe-direction.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {endedByReset} from '@verbenabeam/http';
 
 /** What happens to pieces of a direction at the moment. */
 export interface DirectionFault {
@@ -12,20 +13,29 @@
 const repeatAfterMs = 120;
 const answerStart = 'HTTP/1.1 ';
 
+/** How the sending side ended a connection. */
+const LINK_ENDS = {usual: 'usual', reset: 'reset'} as const;
+
+type LinkEnd = (typeof LINK_ENDS)[keyof typeof LINK_ENDS];
+
 /** Passes on what one socket of a connection sends, in order. */
 export class PipeDirection {
   readonly #to: Socket;
   readonly #fault: () => DirectionFault;
-  /** Pieces with the time at which each is due; null: the end. */
-  readonly #pieces: {readonly piece: Buffer | null; readonly dueAt: number}[] =
-    [];
+  /** Pieces, and the end behind them, with the time at which each is due. */
+  readonly #pieces: {
+    readonly piece: Buffer | LinkEnd;
+    readonly dueAt: number;
+  }[] = [];
   #timer: NodeJS.Timeout | null = null;
 
   constructor(from: Socket, to: Socket, fault: () => DirectionFault) {
     this.#to = to;
     this.#fault = fault;
     from.on('data', (piece: Buffer) => this.#take(piece));
-    from.on('end', () => this.#take(null));
+    from.on('end', () => {
+      this.#take(endedByReset(from) ? LINK_ENDS.reset : LINK_ENDS.usual);
+    });
     to.on('close', () => this.#cancel());
   }
 
@@ -35,18 +45,17 @@
     this.#send();
   }
 
-  #take(piece: Buffer | null): void {
+  #take(piece: Buffer | LinkEnd): void {
     const {delayMs, takeRepeat} = this.#fault();
     this.#pieces.push({piece, dueAt: performance.now() + delayMs});
-    const isAnswer = piece?.subarray(0, answerStart.length).toString();
-    if (isAnswer === answerStart && takeRepeat()) {
+    if (isAnswer(piece) && takeRepeat()) {
       setTimeout(() => this.#repeat(piece), repeatAfterMs);
     }
     if (!this.#timer) this.#send();
   }
 
-  #repeat(piece: Buffer | null): void {
-    if (piece && this.#to.writable) this.#to.write(piece);
+  #repeat(piece: Buffer): void {
+    if (this.#to.writable) this.#to.write(piece);
   }
 
   #send(): void {
@@ -59,9 +68,10 @@
         return;
       }
       this.#pieces.shift();
+      if (next.piece === LINK_ENDS.reset) this.#to.resetAndDestroy();
       if (!this.#to.writable) continue;
-      if (next.piece) this.#to.write(next.piece);
-      else this.#to.end();
+      if (next.piece === LINK_ENDS.usual) this.#to.end();
+      else this.#to.write(next.piece);
     }
   }
 
@@ -70,3 +80,8 @@
     this.#timer = null;
   }
 }
+
+function isAnswer(piece: Buffer | LinkEnd): piece is Buffer {
+  if (!Buffer.isBuffer(piece)) return false;
+  return piece.toString('latin1', 0, answerStart.length) === answerStart;
+}
