--- /dev/null
+++ b/apps/hosted-node/src/stopped-node.feature
@@ -0,0 +1,22 @@
+@hosted
+Feature: Calls that a planned stop does not wait for
+  Guards against calls without an answer, and against parts of answers that look
+  complete, when a stop closes the connections of callers.
+
+  Scenario: The end of a planned stop answers the calls that still run
+    Given a hosted node process whose upstream works longer than its stop lasts
+    And 4 callers of it wait for their answers
+    When the hosted node process stops as planned
+    Then each of these callers has a whole answer of 502 or 503
+
+  Scenario: The end of a planned stop answers calls whose held answers are not complete
+    Given a hosted node process whose upstream works longer than its stop lasts
+    And 4 callers of it wait for the rest of 100000 bytes that it holds
+    When the hosted node process stops as planned
+    Then each of these callers has a whole answer of 502 or 503
+
+  Scenario: The end of a planned stop leaves no part of an answer in chunks that looks complete
+    Given a hosted node process whose upstream works longer than its stop lasts
+    And 1 caller of it reads an answer in chunks that does not end
+    When the hosted node process stops as planned
+    Then none of these callers has a complete answer
--- a/packages/node/src/calls/attempt-factory.ts
+++ b/packages/node/src/calls/attempt-factory.ts
@@ -1,3 +1,4 @@
+import {CALL_CODES, MeshError} from '@verbenabeam/core';
 import type {Service} from '@verbenabeam/document';
 import type {PickLimits} from '@verbenabeam/routing';
 import {Attempt} from './attempt.js';
@@ -67,6 +68,14 @@
     return new Attempt(this.#ports, target, head, this.#body, listener);
   }
 
+  /** The error for a call that no instance is left for. */
+  noInstance(): MeshError {
+    const {name} = this.#service;
+    const version = this.#choice?.version ?? '';
+    const message = `No instance of ${name} ${version} can take the call`;
+    return new MeshError(CALL_CODES.noInstance, message);
+  }
+
   #limits(remainingMs: number): PickLimits {
     const {name, targetLatencyMs} = this.#call.route;
     return {
--- a/packages/node/src/calls/attempt-log.ts
+++ b/packages/node/src/calls/attempt-log.ts
@@ -4,6 +4,8 @@
 import type {AttemptRecord} from './call-record.js';
 import type {Outcome} from './entry-ports.js';
 
+const cutMessage = 'The node stopped; the request may have been run.';
+
 /** The attempts of one call, and whether any of them may have run. @internal */
 export class AttemptLog {
   readonly #callId: string;
@@ -63,6 +65,18 @@
     this.#mayHaveRunError = err;
   }
 
+  /**
+   * The error for the caller of a call that its node ends before it has an answer.
+   *
+   * @param isTrying - Whether an attempt has not ended.
+   */
+  cutError(isTrying: boolean): MeshError {
+    if (isTrying || this.mayHaveRun) {
+      return new MeshError(CALL_CODES.outcomeUnknown, cutMessage);
+    }
+    return new MeshError(CALL_CODES.draining, CALL_CODES.draining.text);
+  }
+
   /**
    * The error for the caller after the last attempt failed with `err`. If an
    * attempt may have run the request, the result is `outcomeUnknown` with the
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -23,7 +23,7 @@
 import {OUTCOMES} from './entry-ports.js';
 import type {EntryPorts, Outcome} from './entry-ports.js';
 import {ReplayBody} from './replay-body.js';
-import {withRetryJitter} from './retry-jitter.js';
+import {withJitteredDelay} from './retry-jitter.js';
 import type {SharedByCalls} from './shared-by-calls.js';
 
 /** Called when a call ends, with its record and the refusal if it was refused. */
@@ -139,10 +139,8 @@
     this.#record(outcomeOf(err), err.code);
     this.#attempt = null;
     if (!err.code.notRun) this.#log.recordMayHaveRun(err);
-    if (this.#response.started) {
-      this.#response.resetConnection();
-      this.#finish(err.code);
-    } else if (this.#body.replayable && this.#retries.takeRetry(err)) {
+    if (this.#resetIfStarted(err.code)) return;
+    if (this.#body.replayable && this.#retries.takeRetry(err)) {
       this.#response.discardBuffered();
       this.#try(err);
     } else {
@@ -205,14 +203,10 @@
     const propagate = () => this.#retries.propagate();
     this.#attempt = this.#attempts.next(this.#remainingMs(), propagate, this);
     if (this.#attempt) this.#attempt.start(this.#log.lostConnection);
-    else this.#refuseWith(this.#log.toCallError(err ?? this.#noInstance()));
-  }
-
-  #noInstance(): MeshError {
-    const {name} = this.#service;
-    const version = this.#attempts.choice?.version ?? '';
-    const message = `No instance of ${name} ${version} can take the call`;
-    return new MeshError(CALL_CODES.noInstance, message);
+    else
+      this.#refuseWith(
+        this.#log.toCallError(err ?? this.#attempts.noInstance()),
+      );
   }
 
   #remainingMs(): number {
@@ -235,16 +229,28 @@
     if (this.#ended) return;
     const code = CALL_CODES.bodyGrewTooLarge;
     this.#abort(code, OUTCOMES.cancelled);
-    if (this.#response.started) {
-      this.#response.resetConnection();
-      this.#finish(code);
-      return;
-    }
+    if (this.#resetIfStarted(code)) return;
     // The rest of the body is not read, so the connection cannot be reused.
     this.#call.res.shouldKeepAlive = false;
     this.#refuse(code);
   }
 
+  /** Ends the call when the node stops before it has an answer. */
+  cut(): void {
+    if (this.#ended) return;
+    const err = this.#log.cutError(this.#attempt !== null);
+    this.#abort(err.code, OUTCOMES.cancelled);
+    if (!this.#resetIfStarted(err.code)) this.#refuseWith(err);
+  }
+
+  /** Resets the connection if the response has begun; returns whether it has. */
+  #resetIfStarted(code: ResultCode): boolean {
+    if (!this.#response.started) return false;
+    this.#response.resetConnection();
+    this.#finish(code);
+    return true;
+  }
+
   #cancel(): void {
     if (this.#ended) return;
     this.#abort(CALL_CODES.cancelled, OUTCOMES.cancelled);
@@ -272,17 +278,11 @@
       !err.code.notRun || !mayHaveRun,
       {callId: this.#call.callId, code: err.code.code},
     );
-    this.#response.refuse(this.#withJitter(err), this.#retries.remaining);
+    const refusal = withJitteredDelay(err, this.#ports.random);
+    this.#response.refuse(refusal, this.#retries.remaining);
     this.#finish(err.code, err);
   }
 
-  #withJitter(err: MeshError): MeshError {
-    const {retryAfterMs: baseMs} = err.details;
-    if (typeof baseMs !== 'number') return err;
-    const retryAfterMs = withRetryJitter(baseMs, this.#ports.random);
-    return new MeshError(err.code, err.message, {...err.details, retryAfterMs});
-  }
-
   #record(outcome: Outcome, code: ResultCode): void {
     const attempt = this.#attempt;
     if (!attempt) return;
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -67,7 +67,10 @@
     heldResponses: new MemoryBudget(heldResponseBytes),
   };
   readonly #returningCallers = new RetryingCallers();
+  /** Calls that have been admitted and have not ended. */
+  readonly #calls = new Set<EntryCall>();
   #draining = false;
+  #isClosed = false;
   /** Time at which a stopping node ends its calls in flight. */
   #stopAt = Infinity;
 
@@ -155,6 +158,15 @@
     this.#stopAt = at;
   }
 
+  /**
+   * Ends all calls in flight at once: those whose responses have not begun with a
+   * refusal, the others by resetting their connections. Refuses all further calls.
+   */
+  cutCalls(): void {
+    this.#isClosed = true;
+    for (const call of [...this.#calls]) call.cut();
+  }
+
   /** Checks that no call is in flight, before the connections are closed. */
   checkDrained(): void {
     const {count} = this.#inFlight;
@@ -175,6 +187,7 @@
   }
 
   #refusalCode(call: ReceivedCall, isDraining: boolean): ResultCode | null {
+    if (this.#isClosed) return CALL_CODES.draining;
     if (isDraining && !this.#isSubCall(call)) return CALL_CODES.draining;
     if (!call.snapshot) return CALL_CODES.noConfiguration;
     const {callerLimits} = call.snapshot.document;
@@ -220,6 +233,7 @@
 
   #start(call: RoutedCall, group: string): void {
     const onEnd: OnCallEnd = (record, refusal) => {
+      this.#calls.delete(entryCall);
       this.#inFlight.leave();
       const outcome = throttleOutcomeOf(record, refusal);
       const baseMs = refusal?.details['retryAfterMs'];
@@ -232,7 +246,9 @@
       }
       this.#ports.observer.onCall(record);
     };
-    new EntryCall(call, this.#ports, this.#shared, onEnd).start();
+    const entryCall = new EntryCall(call, this.#ports, this.#shared, onEnd);
+    this.#calls.add(entryCall);
+    entryCall.start();
   }
 
   #recordFailure({req, startAt, headers, waitedMs}: RoutedCall): void {
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -191,6 +191,7 @@
     net.Server.prototype.close.call(this.#callerServer);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
+    parts.entry.cutCalls();
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
     await readWaitingArrivals(this.#callerServer);
     await this.#close();
