--- a/apps/hosted-node/src/stopped-node.feature
+++ b/apps/hosted-node/src/stopped-node.feature
@@ -20,3 +20,16 @@
     And 1 caller of it reads an answer in chunks that does not end
     When the hosted node process stops as planned
     Then none of these callers has a complete answer
+
+  Scenario: A planned stop leaves no part of a long answer that looks complete
+    Given a hosted node process whose upstream works longer than its stop lasts
+    And 1 caller of it has paused in an answer of 10000000 bytes without a length
+    When the hosted node process stops as planned
+    And the paused caller reads on
+    Then none of these callers has a complete answer
+
+  Scenario: A planned stop waits for a caller that pauses in its answer
+    Given a hosted node process whose upstream works longer than its stop lasts
+    And 1 caller of it has paused in an answer of 10000000 bytes without a length
+    When the hosted node process stops as planned and the paused caller reads on 3500 ms later
+    Then each of these callers has a whole answer of 10000000 bytes
--- a/packages/node/src/hosted/closing-connections.ts
+++ b/packages/node/src/hosted/closing-connections.ts
@@ -9,8 +9,8 @@
  * @internal
  */
 export class ClosingConnections {
-  /** The newest response of each connection. */
-  readonly #newest = new WeakMap<Socket, ServerResponse>();
+  /** The newest response of each open connection. */
+  readonly #newest = new Map<Socket, ServerResponse>();
 
   /**
    * Takes a request.
@@ -20,13 +20,31 @@
    *   connection.
    */
   admit(req: IncomingMessage, res: ServerResponse, closes: boolean): boolean {
-    const earlier = this.#newest.get(req.socket);
+    const {socket} = req;
+    const earlier = this.#newest.get(socket);
     if (earlier && !earlier.shouldKeepAlive) {
       if (earlier.headersSent) return false;
       earlier.shouldKeepAlive = true;
     }
-    this.#newest.set(req.socket, res);
+    if (!earlier) socket.once('close', () => this.#newest.delete(socket));
+    this.#newest.set(socket, res);
     if (closes) res.shouldKeepAlive = false;
     return true;
   }
+
+  /** Whether a response has begun that the system has not taken whole. */
+  get isSending(): boolean {
+    const responses = [...this.#newest.values()];
+    return responses.some(res => res.headersSent && !res.writableFinished);
+  }
+
+  /**
+   * Resets connections with unfinished responses at once: a usual end would make the
+   * part of a response without a length look complete.
+   */
+  resetUnfinished(): void {
+    for (const [socket, res] of this.#newest) {
+      if (!res.writableFinished) socket.resetAndDestroy();
+    }
+  }
 }
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -30,6 +30,7 @@
   createReadinessServer,
 } from './listeners.js';
 import type {OperatorFormat} from './operator-documents.js';
+import {sleepUntil, sleepWhile} from './sleep-until.js';
 import type {UpstreamFormat} from './upstream-report.js';
 import {readWaitingArrivals} from './waiting-arrivals.js';
 
@@ -52,8 +53,10 @@
 const callerDrainMs = 2_600;
 /** Within this time all peers know that this node is draining. */
 const drainPropagationMs = 500;
-/** Part of the grace period for closing connections and leaving the store. */
+/** Part of the grace period for the last answers and for leaving the store. */
 const shutdownReserveMs = 1_000;
+/** Part of it in which the last answers leave. */
+const lastAnswersMs = 700;
 /** Dead connections between nodes are detected within about 2 s. */
 const wireTimeouts = {
   connectTimeoutMs: 1_000,
@@ -190,10 +193,15 @@
     // The HTTP server would close idle connections too, on which calls still come.
     net.Server.prototype.close.call(this.#callerServer);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
+    await sleepWhile(() => this.#closing.isSending, drainDeadlineAt);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     parts.entry.cutCalls();
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
     await readWaitingArrivals(this.#callerServer);
+    // Calls may still wait to be started, and are then refused.
+    const isAnswering = () =>
+      parts.entry.inFlight > 0 || this.#closing.isSending;
+    await sleepWhile(isAnswering, drainDeadlineAt + lastAnswersMs);
     await this.#close();
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
   }
@@ -217,6 +225,14 @@
     this.#parts.metrics.recordUnexpectedError();
   }
 
+  /**
+   * Resets the connections of callers whose answers are not whole, at once: when a
+   * process ends, the system closes its connections as if all had been sent.
+   */
+  resetUnfinished(): void {
+    this.#closing.resetUnfinished();
+  }
+
   /** Stops at once and aborts calls in flight, as a crash does. @internal */
   abort(): Promise<void> {
     return this.#close();
@@ -289,6 +305,7 @@
 
   async #close(): Promise<void> {
     this.#shutdown.abort();
+    this.resetUnfinished();
     for (const server of [this.#callerServer, ...this.#otherServers]) {
       server.close();
       server.closeAllConnections();
@@ -297,7 +314,3 @@
     await this.#options.store.close();
   }
 }
-
-function sleepUntil(at: number): Promise<void> {
-  return systemSleep(Math.max(0, at - performance.now()));
-}
