--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -90,6 +90,7 @@
   new ProcessGuard({
     onError: () => node.value.recordUnexpectedError(),
     onTooMany: () => {
+      node.value.resetUnfinished();
       sink.flush();
       process.exit(tooManyErrorsStatus);
     },
--- a/apps/hosted-node/src/stopped-node.feature
+++ b/apps/hosted-node/src/stopped-node.feature
@@ -28,6 +28,13 @@
     And the paused caller reads on
     Then none of these callers has a complete answer
 
+  Scenario: A process that ends over its errors leaves no part of a long answer that looks complete
+    Given a hosted node process that fails on a signal
+    And 1 caller of it has paused in an answer of 10000000 bytes without a length
+    When the hosted node process ends over its errors
+    And the paused caller reads on
+    Then none of these callers has a complete answer
+
   Scenario: A planned stop waits for a caller that pauses in its answer
     Given a hosted node process whose upstream works longer than its stop lasts
     And 1 caller of it has paused in an answer of 10000000 bytes without a length
--- a/apps/hosted-node/src/stopped-node.test.ts
+++ b/apps/hosted-node/src/stopped-node.test.ts
@@ -15,6 +15,8 @@
 /** Bytes of an answer without a length beside its filler. */
 const usualBytes = 'body of '.length + 'call-0'.length;
 const ok = 200;
+const tooManyErrorsStatus = 70;
+const failOnSignal = './apps/hosted-node/dist/test/fail-on-signal.js';
 
 let scene: ProcessScene | null = null;
 let callers: StrictCaller[] = [];
@@ -34,6 +36,15 @@
   },
 );
 
+Given(
+  'a hosted node process that fails on a signal',
+  {timeout: stepTimeoutMs},
+  async () => {
+    const program = ['--import', failOnSignal, unbundledProgram];
+    scene = await ProcessScene.serving(program, {timeoutMs: longMs});
+  },
+);
+
 Given(
   /^(\d+) callers of it wait for their answers$/,
   {timeout: stepTimeoutMs},
@@ -82,6 +93,17 @@
   },
 );
 
+When(
+  'the hosted node process ends over its errors',
+  {timeout: stepTimeoutMs},
+  async () => {
+    const {node} = scene!;
+    node.child.kill('SIGUSR2');
+    await waitUntil(() => node.hasEnded, stopWithinMs, 'ended');
+    assert.equal(node.child.exitCode, tooManyErrorsStatus, node.end);
+  },
+);
+
 When('the paused caller reads on', () => {
   for (const caller of callers) caller.resume();
 });
