--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -144,10 +144,8 @@
     this.#record(outcomeOf(err), err.code);
     this.#attempt = null;
     if (!err.code.notRun) this.#log.recordMayHaveRun(err);
-    if (this.#response.started) {
-      this.#response.resetConnection();
-      this.#finish(err.code);
-    } else if (this.#body.replayable && this.#retries.takeRetry(err)) {
+    if (this.#resetIfStarted(err.code)) return;
+    if (this.#body.replayable && this.#retries.takeRetry(err)) {
       this.#response.discardBuffered();
       this.#try(err);
     } else {
@@ -208,12 +206,10 @@
   #try(err?: MeshError): void {
     if (this.#ended) return;
     const propagate = () => this.#retries.propagate();
-    this.#attempt = this.#attempts.next(this.#remainingMs(), propagate, this);
+    const attempts = this.#attempts;
+    this.#attempt = attempts.next(this.#remainingMs(), propagate, this);
     if (this.#attempt) this.#attempt.start(this.#log.lostConnection);
-    else
-      this.#refuseWith(
-        this.#log.toCallError(err ?? this.#attempts.noInstance()),
-      );
+    else this.#refuseWith(this.#log.toCallError(err ?? attempts.noInstance()));
   }
 
   #remainingMs(): number {
@@ -236,11 +232,7 @@
     if (this.#ended) return;
     const code = CALL_CODES.bodyGrewTooLarge;
     this.#abort(code, OUTCOMES.cancelled);
-    if (this.#response.started) {
-      this.#response.resetConnection();
-      this.#finish(code);
-      return;
-    }
+    if (this.#resetIfStarted(code)) return;
     // The rest of the body is not read, so the connection cannot be reused.
     this.#call.res.shouldKeepAlive = false;
     this.#refuse(code);
@@ -253,6 +245,22 @@
     this.#refuse(CALL_CODES.responseTooLong);
   }
 
+  /** Ends the call when the node stops before it has an answer. */
+  cut(): void {
+    if (this.#ended) return;
+    const err = this.#log.cutError(this.#attempt !== null);
+    this.#abort(err.code, OUTCOMES.cancelled);
+    if (!this.#resetIfStarted(err.code)) this.#refuseWith(err);
+  }
+
+  /** Resets the connection if the response has begun; returns whether it has. */
+  #resetIfStarted(code: ResultCode): boolean {
+    if (!this.#response.started) return false;
+    this.#response.resetConnection();
+    this.#finish(code);
+    return true;
+  }
+
   #cancel(): void {
     if (this.#ended) return;
     this.#abort(CALL_CODES.cancelled, OUTCOMES.cancelled);
