--- a/packages/node/src/mesh-node.ts
+++ b/packages/node/src/mesh-node.ts
@@ -183,6 +183,7 @@
       this.#started;
     log('Node stops.', {nodeId: this.addresses().nodeId});
     await parts.drain(settings.limits.stop_wait);
+    parts.entry.cutCalls();
     await parts.leave();
     await sleep(leaveDelayMs);
     abortController.abort();
--- a/packages/node/src/runs/planned-stop.test.ts
+++ b/packages/node/src/runs/planned-stop.test.ts
@@ -23,6 +23,24 @@
 
 Given('a planned stop caller with an open connection to a node', async () => {
   mesh = new TestMesh();
+  await connect();
+});
+
+Given(
+  'a planned stop caller with an upload in flight at a node whose stop waits {int} ms',
+  async (stopWaitMs: number) => {
+    mesh = new TestMesh();
+    for (const each of mesh.instances) each.stopWaitMs = stopWaitMs;
+    await connect();
+    socket.write(`${upload}12345`);
+    const {entry} = instance.node.parts;
+    const isInFlight = () => entry.inFlight === 1;
+    await mesh.waitUntil(isInFlight, 'the upload is in flight', answerMs);
+  },
+);
+
+/** Starts the mesh and connects to its first node. */
+async function connect(): Promise<void> {
   await mesh.start();
   const [first] = mesh.up;
   assert.ok(first);
@@ -33,7 +51,7 @@
   socket.on('data', chunk => (received += chunk.toString()));
   socket.on('error', () => undefined);
   await once(socket, 'connect');
-});
+}
 
 // The upload keeps the connection active while the node closes idle connections.
 When('the node stops as planned during an upload of that caller', async () => {
@@ -44,6 +62,11 @@
   await sleep(answerMs);
 });
 
+When('the node stops as planned and the upload does not end', async () => {
+  await instance.node.stop();
+  await sleep(answerMs);
+});
+
 Then(
   'the planned stop upload was refused with {int} and its connection closed',
   (code: number) => {
--- a/packages/node/src/runs/test/test-instance.ts
+++ b/packages/node/src/runs/test/test-instance.ts
@@ -23,6 +23,8 @@
   state: 'down' | 'up' | 'stopping' = 'down';
   upstreamLeaving = false;
   starting = false;
+  /** Longest wait of a planned stop for calls in flight, in ms; 0 for no limit. */
+  stopWaitMs = 0;
   upstream: UpstreamStandin | null = null;
   addresses = {callers: anyPort, wire: anyPort, admin: anyPort};
   /** Highest configuration version in the responses of the running node. */
@@ -69,7 +71,8 @@
       const text = `${code.code} ${code.text} ${JSON.stringify(details)}`;
       this.mesh.violations.add(`${id}: ${text}`);
     });
-    const settings = {...file, nodeKey, operatorToken};
+    const limits = {...file.limits, stop_wait: this.stopWaitMs};
+    const settings = {...file, limits, nodeKey, operatorToken};
     const started = await MeshNode.start(settings, invariants);
     if (started.isErr) throw started.error;
     this.#node = started.value;
