Drills: an order written again at its old revision is not passed over

Cause: nodes that had begun with v4 (revision 37) took v3 (26) of a copy for a later order. As the operator wrote v4 again, the store gave it revision 37 once more; these nodes found that place among their former orders, held v3 in its place, and gave it to their peers at a higher position.

Change: a place that the node has held counts as former only at a revision below that of the last order.

--- a/packages/node/src/hosted/drills.feature
+++ b/packages/node/src/hosted/drills.feature
@@ -23,6 +23,8 @@
       | 13   | an order is taken up from a copy of where it was written again  |
       | 14   | an order that an older one of a copy displaced begins anew      |
       | 34   | an order of a copy that is newer than the last is passed over   |
+      | 49   | an order is passed over where it was before a copy displaced it |
+      | 55   | an order written again at its old revision is passed over       |
 
   Scenario Outline: A drill costs the store no more calls in a larger fleet: <nodes> nodes
     Guards against a herd of reads, leases and watches when all nodes see a new era.
--- a/packages/node/src/hosted/operator-records.feature
+++ b/packages/node/src/hosted/operator-records.feature
@@ -50,6 +50,21 @@
     Then the operator records took the orders "v2 v3"
     And the operator records give peers "order" with order "v3" at "3:9 kept"
 
+  Scenario: An order that an older one of a copy displaced is taken up at its old revision
+    Given the operator records get "order" with order "v4" at "1:37"
+    And the operator records get "order" with order "v3" at "2:26"
+    When the operator records get "order" with order "v4" at "3:37"
+    Then the operator records took the orders "v4 v3 v4"
+    And the operator records give peers "order" with order "v4" at "3:37"
+
+  Scenario: An order at the former revision of itself is held where the store shows it
+    Given the operator records get "order" with order "v4" at "1:37"
+    And the operator records get "order" with order "v3" at "2:26"
+    And the operator records get "order" with order "v4" at "2:35 kept"
+    When the operator records get "order" with order "v4" at "3:37"
+    Then the operator records took the orders "v4 v3 v4"
+    And the operator records give peers "order" with order "v4" at "3:37"
+
   Scenario: A new order in a new era is taken up
     Given the operator records get "order" with order "v2" at "1:20"
     When the operator records get "order" with order "v3" at "2:11"
--- a/packages/node/src/hosted/past-orders.ts
+++ b/packages/node/src/hosted/past-orders.ts
@@ -6,10 +6,17 @@
 /** Orders of one key that are remembered. */
 const maxOrders = 64;
 
+/** Where the store showed an order. */
+interface OrderPlace {
+  /** Revision without its era. */
+  readonly revision: number;
+  readonly hash: string;
+}
+
 interface KeyOrders {
   current: RolloutOrder;
-  /** Marks of the records, the newest last. */
-  readonly marks: string[];
+  /** Places of the records, the newest last. */
+  readonly places: OrderPlace[];
 }
 
 /**
@@ -26,30 +33,41 @@
     return this.#orders.get(key)?.current ?? null;
   }
 
-  /** Whether the record is an order of the key before the last one. */
+  /**
+   * Whether the record is an order of the key before the last one. At a revision
+   * above that of the last one it is newer: revisions are given out again, and orders
+   * that are written again may get those that they had.
+   */
   hasFormer(record: OperatorRecord): boolean {
-    const marks = this.#orders.get(record.key)?.marks ?? [];
-    const mark = markOf(record);
-    return marks.includes(mark) && marks.at(-1) !== mark;
+    const {places = []} = this.#orders.get(record.key) ?? {};
+    const last = places.at(-1);
+    const place = placeOf(record);
+    if (!last || place.revision >= last.revision) return false;
+    return places.some(former => isEqual(former, place));
   }
 
   add(order: RolloutOrder, record: OperatorRecord): void {
-    const marks = this.#orders.get(record.key)?.marks ?? [];
-    this.#orders.set(record.key, {current: order, marks});
+    const {places = []} = this.#orders.get(record.key) ?? {};
+    this.#orders.set(record.key, {current: order, places});
     this.addPlace(record);
   }
 
   /** Notes where the store shows the last order of the key now. */
   addPlace(record: OperatorRecord): void {
-    const {marks} = this.#orders.get(record.key) ?? {};
-    const mark = markOf(record);
-    if (!marks || marks.at(-1) === mark) return;
-    marks.push(mark);
-    if (marks.length > maxOrders) marks.shift();
+    const {places} = this.#orders.get(record.key) ?? {};
+    const place = placeOf(record);
+    const last = places?.at(-1);
+    if (!places || (last && isEqual(last, place))) return;
+    places.push(place);
+    if (places.length > maxOrders) places.shift();
   }
 }
 
-function markOf({revision, value}: OperatorRecord): string {
+function placeOf({revision, value}: OperatorRecord): OrderPlace {
   const hash = createHash('sha256').update(value).digest('base64');
-  return `${revisionOf(revision)} ${hash}`;
+  return {revision: revisionOf(revision), hash};
+}
+
+function isEqual(a: OrderPlace, b: OrderPlace): boolean {
+  return a.revision === b.revision && a.hash === b.hash;
 }
