Drills: an order that a late answer has shown is not taken up from a copy

Cause: only orders that a node had held were among its former ones.

Change: an order at an older position and a lower revision than those of the last one is noted as former. At a higher revision it is not, since the last one may be of a copy.

Of the two new scenarios the first failed before.

--- a/packages/node/src/hosted/operator-records.feature
+++ b/packages/node/src/hosted/operator-records.feature
@@ -65,6 +65,19 @@
     Then the operator records took the orders "v4 v3 v4"
     And the operator records give peers "order" with order "v4" at "3:37"
 
+  Scenario: An order that a late answer has shown is not taken up from a copy
+    Given the operator records get "order" with order "v4" at "2:37"
+    And the operator records get "order" with order "v3" at "1:26"
+    When the operator records get "order" with order "v3" at "3:26"
+    Then the operator records took the orders "v4"
+    And the operator records give peers "order" with order "v4" at "3:26 kept"
+
+  Scenario: An order of a late answer is taken up at a revision above that of the last one
+    Given the operator records get "order" with order "v4" at "2:26"
+    And the operator records get "order" with order "v3" at "1:37"
+    When the operator records get "order" with order "v3" at "3:37"
+    Then the operator records took the orders "v4 v3"
+
   Scenario: A new order in a new era is taken up
     Given the operator records get "order" with order "v2" at "1:20"
     When the operator records get "order" with order "v3" at "2:11"
--- a/packages/node/src/hosted/operator-records.ts
+++ b/packages/node/src/hosted/operator-records.ts
@@ -113,6 +113,9 @@
     const newer = records.filter(r => this.#isNewer(r));
     const keptAt = keptPosition(top);
     for (const record of newer) this.#accept(record, keptAt);
+    for (const record of records) {
+      if (this.#isOlder(record)) this.#orders.addFormer(record);
+    }
     if (isComplete) this.#keepMissing(keptAt);
     if (this.#revision === before && newer.length === 0) return false;
     if (before > 0 && eraOf(this.#revision) > eraOf(before)) {
@@ -126,6 +129,10 @@
     return revision > (this.#records.get(key)?.revision ?? 0);
   }
 
+  #isOlder({key, revision}: OperatorRecord): boolean {
+    return revision < (this.#records.get(key)?.revision ?? 0);
+  }
+
   /** @param keptAt - Position of a held record that stays in place of this one. */
   #accept(record: OperatorRecord, keptAt: number): void {
     const {key, revision, value} = record;
--- a/packages/node/src/hosted/past-orders.ts
+++ b/packages/node/src/hosted/past-orders.ts
@@ -52,6 +52,17 @@
     this.addPlace(record);
   }
 
+  /** Notes an order that an answer of an earlier state shows; ignores other records. */
+  addFormer(record: OperatorRecord): void {
+    const {places} = this.#orders.get(record.key) ?? {};
+    const last = places?.at(-1);
+    if (!places || !last || places.length >= maxOrders) return;
+    const place = placeOf(record);
+    const isOlder = place.revision < last.revision && place.hash !== last.hash;
+    if (!isOlder || this.hasFormer(record)) return;
+    places.unshift(place);
+  }
+
   /** Notes where the store shows the last order of the key now. */
   addPlace(record: OperatorRecord): void {
     const {places} = this.#orders.get(record.key) ?? {};
