Responses: at most 16 KB stand beside a body

Cause: 32 KB of each such answer were parsed before its connection was closed. What may stand beside a body (trailers, of which undici takes 16 KB of names and values, sizes and extensions of chunks) is less than what a head may have.

Change: 16 KB after the head, counted from its end.

"24000 zeros of a chunk size" failed before; 28 of 28 @http pass.

--- a/packages/http/src/response-meter.feature
+++ b/packages/http/src/response-meter.feature
@@ -42,6 +42,8 @@
       | 300 fields                   |
       | 300 fields after an informational head |
       | 300 fields in a trailer      |
+      | 24000 bytes of a trailer     |
+      | 24000 zeros of a chunk size  |
       | 3000 bytes of a reason phrase |
       | 3000 bytes of empty lines    |
       | 40000 bytes of empty lines   |
--- a/packages/http/src/response-meter.test.ts
+++ b/packages/http/src/response-meter.test.ts
@@ -84,6 +84,14 @@
     '\r\n'.repeat(1_500) + withLength('body'),
     null,
   ],
+  '24000 bytes of a trailer': [
+    `${chunkedHead}${chunk('body')}0\r\nb: ${'x'.repeat(24_000)}\r\n\r\n`,
+    null,
+  ],
+  '24000 zeros of a chunk size': [
+    `${chunkedHead}${'0'.repeat(24_000)}4\r\nbody\r\n${lastChunk}`,
+    null,
+  ],
   '300 fields in a trailer': [
     `${chunkedHead}${chunk('x'.repeat(5_000))}0\r\n${fields(2_000)}\r\n`,
     null,
--- a/packages/http/src/response-meter.ts
+++ b/packages/http/src/response-meter.ts
@@ -1,7 +1,7 @@
 /** Bytes of a response up to the end of its head, with informational heads. */
 const maxHeadBytes = 32_768;
 /** Bytes of a response after its head, until body bytes add to them. */
-const maxBodyOverheadBytes = 32_768;
+const maxBodyOverheadBytes = 16_384;
 /** A chunk of one byte has five bytes beside it; longer ones have fewer. */
 const overheadPerBodyByte = 8;
 /** Most bytes of a status line with the empty lines before it. */
