Responses: the parser gets at most 64 lines of a trailer at once

Cause: 256 fields of a trailer are allowed, but they are known as fields only after they were parsed: a piece of 4 KB has up to 1,000, and so has the rest of the piece in which the head ends. Each is two callbacks and two objects.

Ruled out: smaller pieces in bytes: bodies of long chunks need 4 KB.

Change: after a head, and in a chunked body, a piece ends with its 64th line; the rest is put back.

"The parser gets few small fields of a trailer at once" fails without the limit of lines; 34 of 34 @http and 96 of 96 @calls pass.

--- a/packages/http/src/response-meter.feature
+++ b/packages/http/src/response-meter.feature
@@ -57,3 +57,12 @@
   Scenario: A connection whose response ended after a pause has the limits of a head
     Given an http client with two connections, a paused response on one, half of a body of lines on the other
     Then 300 fields on the connection that was paused are given up
+
+  Scenario Outline: The parser gets few small fields of a trailer at once: <place>
+    Given a response meter whose next piece is a trailer of 500 fields <place>
+    Then the response meter lets the parser have 64 of those fields
+
+    Examples:
+      | place                 |
+      | in the piece of a head |
+      | in a piece of its own  |
--- a/packages/http/src/response-meter.test.ts
+++ b/packages/http/src/response-meter.test.ts
@@ -5,6 +5,7 @@
 import {After, Given, Then} from '@cucumber/cucumber';
 import type {Dispatcher} from 'undici';
 import {createMeteredAgent} from './metered-agent.js';
+import {ResponseMeter} from './response-meter.js';
 
 const closedWithinMs = 1_000;
 const pauseMs = 1;
@@ -234,3 +235,27 @@
     await res.body.text();
   }, /fields/);
 });
+
+let trailerBytes = 0;
+
+Given(
+  /^a response meter whose next piece is a trailer of 500 fields (in the piece of a head|in a piece of its own)$/,
+  (place: string) => {
+    const meter = new ResponseMeter();
+    const trailer = Buffer.from(fields(500));
+    const begin = Buffer.from(chunkedHead);
+    if (place === 'in the piece of a head') {
+      const piece = Buffer.concat([begin, trailer]);
+      trailerBytes = meter.onPiece(piece) - begin.length;
+    } else {
+      assert.equal(meter.onPiece(begin), begin.length);
+      meter.onHead(true);
+      trailerBytes = meter.onPiece(trailer);
+    }
+  },
+);
+
+Then(
+  'the response meter lets the parser have {int} of those fields',
+  (count: number) => assert.equal(trailerBytes, fields(count).length),
+);
--- a/packages/http/src/response-meter.ts
+++ b/packages/http/src/response-meter.ts
@@ -10,6 +10,8 @@
 const maxFields = 256;
 /** The parser keeps two objects for each field until the end of the head. */
 const headPieceBytes = 4_096;
+/** Lines after a head that the parser gets at once: they may be fields of a trailer. */
+const maxPieceLines = 64;
 const bodyPieceBytes = 16_384;
 /** Where the status begins in its line, after "HTTP/1.1 ". */
 const statusOffset = 9;
@@ -60,11 +62,11 @@
     return null;
   }
 
-  /** Counts a piece before the parser gets it. */
-  onPiece(piece: Uint8Array): void {
-    this.#overheadLeft -= piece.length;
-    if (this.#isInHead) this.#countHeadLines(piece);
-    else if (this.#isChunked) this.#pieceFields = countLineFeeds(piece);
+  /** Counts a piece before the parser gets it; returns how many bytes it may get. */
+  onPiece(piece: Uint8Array): number {
+    const bytes = this.#countLines(piece);
+    this.#overheadLeft -= bytes;
+    return bytes;
   }
 
   /** The parser has read the last piece: without a body its lines were fields. */
@@ -104,8 +106,22 @@
     this.#isChunked = this.#isInformational = false;
   }
 
-  /** Counts lines up to the empty one that ends a final head: a body may follow it. */
-  #countHeadLines(piece: Uint8Array): void {
+  #countLines(piece: Uint8Array): number {
+    if (this.#isInHead) {
+      const headEnd = this.#countHeadLines(piece);
+      return takeLines(piece, headEnd).end;
+    }
+    if (!this.#isChunked) return piece.length;
+    const {lines, end} = takeLines(piece, 0);
+    this.#pieceFields = lines;
+    return end;
+  }
+
+  /**
+   * Counts lines up to the empty one that ends a final head, after which a body may
+   * follow. Returns its end, or that of the piece.
+   */
+  #countHeadLines(piece: Uint8Array): number {
     let at = 0;
     while (at < piece.length) {
       const end = piece.indexOf(lineFeed, at);
@@ -113,15 +129,16 @@
       if (this.#isStatusLine) this.#readStatusLine(piece, at, next);
       this.#lineBytes += next - at;
       at = next;
-      if (end < 0 || this.excess !== null) return;
+      if (end < 0 || this.excess !== null) return piece.length;
       const before = end > 0 ? piece[end - 1] : carriageReturn;
       const isEmpty =
         this.#lineBytes === 1 ||
         (this.#lineBytes === 2 && before === carriageReturn);
       this.#lineBytes = 0;
       if (!isEmpty) this.#endLine();
-      else if (!this.#isStatusLine && !this.#endHead()) return;
+      else if (!this.#isStatusLine && !this.#endHead()) return at;
     }
+    return piece.length;
   }
 
   #readStatusLine(piece: Uint8Array, at: number, next: number): void {
@@ -147,13 +164,16 @@
   }
 }
 
-/** Counts up to the first one that is too many. */
-function countLineFeeds(piece: Uint8Array): number {
-  let count = 0;
-  let at = piece.indexOf(lineFeed);
-  while (at >= 0 && count <= maxFields) {
-    count++;
-    at = piece.indexOf(lineFeed, at + 1);
+/** The lines from a place in a piece on that the parser gets at once. */
+function takeLines(
+  piece: Uint8Array,
+  from: number,
+): {lines: number; end: number} {
+  let at = from;
+  for (let lines = 0; lines < maxPieceLines; lines++) {
+    const end = piece.indexOf(lineFeed, at);
+    if (end < 0) return {lines, end: piece.length};
+    at = end + 1;
   }
-  return count;
+  return {lines: maxPieceLines, end: at};
 }
--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -95,9 +95,10 @@
       const size = Math.min(socket.readableLength, meter.pieceBytes);
       const piece = read(size > 0 ? size : undefined) as Buffer | null;
       if (piece === null) return null;
-      meter.onPiece(piece);
+      const bytes = meter.onPiece(piece);
       if (meter.excess !== null) return cut(meter.excess);
-      return piece;
+      if (bytes < piece.length) unshift(piece.subarray(bytes));
+      return piece.subarray(0, bytes);
     };
     socket.unshift = (chunk: Buffer) => {
       meter.onUnread(chunk.length);
