Wire: small chunks of a stream are joined while they wait

Cause: an event for each chunk that arrives, an array entry and a view for each that waits to be sent, and arrays of that length that are shifted at their front.

Change: chunks in a row are one entry of the backlog, a ChunkList, and so are unsent ones; it joins small chunks to 4 KB. ChunkList moves from the calls to the wire package, with its test unchanged but for its tag: the hook of @wire needs buses.

Memory and time were not measured again.

--- a/packages/node/src/calls/part-joiner.ts
+++ b/packages/node/src/calls/part-joiner.ts
@@ -1,4 +1,4 @@
-import {ChunkList, smallChunkBytes} from './chunk-list.js';
+import {ChunkList, smallChunkBytes} from '@verbenabeam/wire';
 
 /** Takes what a {@link PartJoiner} passes on. @internal */
 export interface PartJoinerOptions {
--- a/packages/node/src/calls/replay-body.ts
+++ b/packages/node/src/calls/replay-body.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import {ChunkList} from './chunk-list.js';
+import {ChunkList} from '@verbenabeam/wire';
 import type {MemoryBudget} from './memory-budget.js';
 
 /** Default size of the largest body that is kept for retries. @internal */
--- a/packages/node/src/calls/chunk-list.feature
+++ b/packages/wire/src/chunk-list.feature
@@ -1,4 +1,4 @@
-@calls
+@wire-streams
 Feature: Chunks of a body that wait
   Guards against a body in chunks of one byte, whose objects use up the memory of the
   node long before the limits on its bytes, and against bytes that are lost or reordered.
--- a/packages/node/src/calls/chunk-list.ts
+++ b/packages/wire/src/chunk-list.ts
@@ -1,4 +1,4 @@
-/** Chunks from this size on are held as they are. @internal */
+/** Chunks from this size on are held as they are. @public */
 export const smallChunkBytes = 1_024;
 const blockBytes = 4_096;
 
@@ -6,7 +6,7 @@
  * Chunks of a body that wait, in order. Small ones in a row are joined: each object costs
  * about 200 bytes, so that a body in chunks of one byte would take 200 times its length.
  *
- * @internal
+ * @public
  */
 export class ChunkList implements Iterable<Buffer> {
   readonly #chunks: Buffer[] = [];
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,6 +5,7 @@
  */
 export {isPeerAddress} from './bus-options.js';
 export type {TcpPeerBusOptions, WireTls} from './bus-options.js';
+export {ChunkList, smallChunkBytes} from './chunk-list.js';
 export {FIRST_STREAM_BYTES} from './mux-stream.js';
 export {TcpPeerBus} from './tcp-peer-bus.js';
 export {TRAFFIC_CLASSES} from './peer-bus.js';
--- a/packages/wire/src/mux-stream.ts
+++ b/packages/wire/src/mux-stream.ts
@@ -1,4 +1,5 @@
 import type {MeshError} from '@verbenabeam/core';
+import {ChunkList} from './chunk-list.js';
 import {FRAME_TYPES} from './frame.js';
 import type {Frame} from './frame.js';
 import type {ByteStream, StreamListener} from './peer-bus.js';
@@ -52,13 +53,16 @@
   #listener: StreamListener | null = null;
   #paused = false;
   #delivering = false;
-  #backlog: StreamEvent[] = [];
+  /** Chunks in a row are one entry. */
+  #backlog: (StreamEvent | ChunkList)[] = [];
   /** Bytes that the other side may still send. */
   #window: number;
   #consumed = 0;
   /** Bytes that this side may still send. */
   #credit: number;
-  #unsent: Uint8Array[] = [];
+  readonly #unsent = new ChunkList();
+  /** Rest of a chunk that was sent in part; goes before the other unsent ones. */
+  #unsentRest: Buffer | null = null;
   #wantsDrain = false;
   #ending: {trailer: unknown} | null = null;
   #sentEnd = false;
@@ -84,9 +88,9 @@
 
   write(chunk: Uint8Array): boolean {
     if (this.#closed || this.#ending) return false;
-    if (chunk.length > 0) this.#unsent.push(chunk);
+    if (chunk.length > 0) this.#unsent.push(asBuffer(chunk));
     this.#pump();
-    this.#wantsDrain = this.#credit === 0 || this.#unsent.length > 0;
+    this.#wantsDrain = this.#credit === 0 || this.#hasUnsent;
     return !this.#wantsDrain;
   }
 
@@ -136,10 +140,8 @@
   takeChunk(bytes: Buffer): boolean {
     this.#window -= bytes.length;
     if (this.#window < 0 || this.#gotEnd) return false;
-    this.#deliver(l => {
-      this.#returnCredit(bytes.length);
-      l.onChunk(bytes);
-    });
+    if (this.#receiver) this.#deliverChunk(this.#receiver, bytes);
+    else this.#holdChunk(bytes);
     return true;
   }
 
@@ -158,7 +160,7 @@
   takeCredit(bytes: number): void {
     this.#credit += bytes;
     this.#pump();
-    if (!this.#wantsDrain || this.#unsent.length > 0 || this.#closed) return;
+    if (!this.#wantsDrain || this.#hasUnsent || this.#closed) return;
     this.#wantsDrain = false;
     this.#listener?.onDrain?.();
   }
@@ -180,16 +182,20 @@
     });
   }
 
+  get #hasUnsent(): boolean {
+    return this.#unsentRest !== null || this.#unsent.length > 0;
+  }
+
   #pump(): void {
-    while (this.#unsent.length > 0 && this.#credit > 0) {
-      const chunk = this.#unsent[0] as Uint8Array;
+    while (this.#credit > 0) {
+      const chunk = this.#unsentRest ?? this.#unsent.shift();
+      if (!chunk) break;
       const size = Math.min(chunk.length, this.#credit, maxChunkBytes);
       this.#credit -= size;
+      this.#unsentRest = size < chunk.length ? chunk.subarray(size) : null;
       this.#link.sendChunk(this.id, chunk.subarray(0, size));
-      if (size === chunk.length) this.#unsent.shift();
-      else this.#unsent[0] = chunk.subarray(size);
     }
-    if (this.#ending && !this.#sentEnd && this.#unsent.length === 0) {
+    if (this.#ending && !this.#sentEnd && !this.#hasUnsent) {
       this.#sentEnd = true;
       this.#link.send([FRAME_TYPES.end, this.id, this.#ending.trailer]);
       this.#closeIfEnded();
@@ -204,25 +210,52 @@
     this.#consumed = 0;
   }
 
+  /** The listener, if it gets what arrives at once. */
+  get #receiver(): StreamListener | null {
+    const waits = this.#paused || this.#delivering || this.#backlog.length > 0;
+    return waits ? null : this.#listener;
+  }
+
   #deliver(event: StreamEvent): void {
-    const direct =
-      this.#listener &&
-      !this.#paused &&
-      !this.#delivering &&
-      this.#backlog.length === 0;
-    if (direct && this.#listener) event(this.#listener);
+    if (this.#receiver) event(this.#receiver);
     else this.#backlog.push(event);
   }
 
+  #deliverChunk(listener: StreamListener, bytes: Buffer): void {
+    this.#returnCredit(bytes.length);
+    listener.onChunk(bytes);
+  }
+
+  #holdChunk(bytes: Buffer): void {
+    let list = this.#backlog.at(-1);
+    if (!(list instanceof ChunkList)) {
+      list = new ChunkList();
+      this.#backlog.push(list);
+    }
+    list.push(bytes);
+  }
+
   #deliverBacklog(): void {
     if (this.#delivering) return;
     this.#delivering = true;
     while (this.#listener && !this.#paused && this.#backlog.length > 0) {
-      this.#backlog.shift()?.(this.#listener);
+      this.#takeFirst()?.(this.#listener);
     }
     this.#delivering = false;
   }
 
+  /** Removes the first event of the backlog; of chunks in a row one. */
+  #takeFirst(): StreamEvent | undefined {
+    const first = this.#backlog[0];
+    if (!(first instanceof ChunkList)) {
+      this.#backlog.shift();
+      return first;
+    }
+    const chunk = first.shift();
+    if (first.length === 0) this.#backlog.shift();
+    return chunk && (l => this.#deliverChunk(l, chunk));
+  }
+
   #closeIfEnded(): void {
     if (this.#sentEnd && this.#gotEnd) this.#close();
   }
@@ -230,7 +263,12 @@
   #close(): void {
     if (this.#closed) return;
     this.#closed = true;
-    this.#unsent = [];
+    this.#unsent.clear();
+    this.#unsentRest = null;
     this.#link.forget(this.id);
   }
 }
+
+function asBuffer(bytes: Uint8Array): Buffer {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+}
