--- a/packages/http/src/response-meter.feature
+++ b/packages/http/src/response-meter.feature
@@ -19,6 +19,9 @@
       | 250 fields                     |
       | fields of 12000 bytes          |
       | 16 informational heads         |
+      | fields after informational heads         |
+      | a head of 16000 bytes before a long body |
+      | a body like an informational head        |
       | no body                        |
 
   Scenario Outline: A metered client reads a long response whole when it pauses: <response>
@@ -37,7 +40,12 @@
     Examples:
       | response                     |
       | 300 fields                   |
+      | 300 fields after an informational head |
       | 300 fields in a trailer      |
+      | 24000 bytes of a trailer     |
+      | 24000 zeros of a chunk size  |
+      | 3000 bytes of a reason phrase |
+      | 3000 bytes of empty lines    |
       | 40000 bytes of empty lines   |
       | 40000 zeros of a chunk size  |
       | 40000 bytes of an extension  |
@@ -49,3 +57,12 @@
   Scenario: A connection whose response ended after a pause has the limits of a head
     Given an http client with two connections, a paused response on one, half of a body of lines on the other
     Then 300 fields on the connection that was paused are given up
+
+  Scenario Outline: The parser gets few small fields of a trailer at once: <place>
+    Given a response meter whose next piece is a trailer of 500 fields <place>
+    Then the response meter lets the parser have 64 of those fields
+
+    Examples:
+      | place                 |
+      | in the piece of a head |
+      | in a piece of its own  |
--- a/packages/http/src/response-meter.test.ts
+++ b/packages/http/src/response-meter.test.ts
@@ -5,6 +5,7 @@
 import {After, Given, Then} from '@cucumber/cucumber';
 import type {Dispatcher} from 'undici';
 import {createMeteredAgent} from './metered-agent.js';
+import {ResponseMeter} from './response-meter.js';
 
 const closedWithinMs = 1_000;
 const pauseMs = 1;
@@ -57,8 +58,41 @@
       withLength('body'),
     'body',
   ],
+  'fields after informational heads': [
+    'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'.repeat(16) +
+      withLength('body', fields(200)),
+    'body',
+  ],
+  'a head of 16000 bytes before a long body': [
+    withLength('x'.repeat(longBytes), `b: ${'x'.repeat(16_000)}\r\n`),
+    'x'.repeat(longBytes),
+  ],
+  'a body like an informational head': [
+    withLength(`HTTP/1.1 103 Early Hints\r\n\r\n${fields(600)}`),
+    `HTTP/1.1 103 Early Hints\r\n\r\n${fields(600)}`,
+  ],
   'no body': ['HTTP/1.1 204 No Content\r\n\r\n', ''],
   '300 fields': [withLength('body', fields(300)), null],
+  '300 fields after an informational head': [
+    `HTTP/1.1 103 Early Hints\r\n\r\n${withLength('body', fields(300))}`,
+    null,
+  ],
+  '3000 bytes of a reason phrase': [
+    withLength('body').replace('OK', 'x'.repeat(3_000)),
+    null,
+  ],
+  '3000 bytes of empty lines': [
+    '\r\n'.repeat(1_500) + withLength('body'),
+    null,
+  ],
+  '24000 bytes of a trailer': [
+    `${chunkedHead}${chunk('body')}0\r\nb: ${'x'.repeat(24_000)}\r\n\r\n`,
+    null,
+  ],
+  '24000 zeros of a chunk size': [
+    `${chunkedHead}${'0'.repeat(24_000)}4\r\nbody\r\n${lastChunk}`,
+    null,
+  ],
   '300 fields in a trailer': [
     `${chunkedHead}${chunk('x'.repeat(5_000))}0\r\n${fields(2_000)}\r\n`,
     null,
@@ -201,3 +235,27 @@
     await res.body.text();
   }, /fields/);
 });
+
+let trailerBytes = 0;
+
+Given(
+  /^a response meter whose next piece is a trailer of 500 fields (in the piece of a head|in a piece of its own)$/,
+  (place: string) => {
+    const meter = new ResponseMeter();
+    const trailer = Buffer.from(fields(500));
+    const begin = Buffer.from(chunkedHead);
+    if (place === 'in the piece of a head') {
+      const piece = Buffer.concat([begin, trailer]);
+      trailerBytes = meter.onPiece(piece) - begin.length;
+    } else {
+      assert.equal(meter.onPiece(begin), begin.length);
+      meter.onHead(true);
+      trailerBytes = meter.onPiece(trailer);
+    }
+  },
+);
+
+Then(
+  'the response meter lets the parser have {int} of those fields',
+  (count: number) => assert.equal(trailerBytes, fields(count).length),
+);
--- a/packages/http/src/response-meter.ts
+++ b/packages/http/src/response-meter.ts
@@ -1,14 +1,23 @@
-/** Bytes of a response without its body, until body bytes add to them. */
-const maxOverheadBytes = 32_768;
+/** Bytes of a response up to the end of its head, with informational heads. */
+const maxHeadBytes = 32_768;
+/** Bytes of a response after its head, until body bytes add to them. */
+const maxBodyOverheadBytes = 16_384;
 /** A chunk of one byte has five bytes beside it; longer ones have fewer. */
 const overheadPerBodyByte = 8;
+/** Most bytes of a status line with the empty lines before it. */
+const maxStatusLineBytes = 2_048;
 /** Most fields of a head, with those of the informational heads before it. */
 const maxFields = 256;
 /** The parser keeps two objects for each field until the end of the head. */
 const headPieceBytes = 4_096;
+/** Lines after a head that the parser gets at once: they may be fields of a trailer. */
+const maxPieceLines = 64;
 const bodyPieceBytes = 16_384;
+/** Where the status begins in its line, after "HTTP/1.1 ". */
+const statusOffset = 9;
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const digitOne = 0x31;
 
 /**
  * Limits what the responses of a connection have beside their bodies. The parser of
@@ -18,14 +27,22 @@
  */
 export class ResponseMeter {
   /** Bytes that may follow before the next byte of a body. */
-  #overheadLeft = maxOverheadBytes;
+  #overheadLeft = maxHeadBytes;
   #fields = 0;
   /** Line ends of the last piece; those of a piece with bytes of the body are none. */
   #pieceFields = 0;
   #isInHead = true;
   #isChunked = false;
-  /** Bytes of the current line but its end. */
+  /** Bytes of the current line, with those of its end. */
   #lineBytes = 0;
+  /** Whether the current line is a status line or an empty line before one. */
+  #isStatusLine = true;
+  #statusLineBytes = 0;
+  #isInformational = false;
+
+  get isInChunkedBody(): boolean {
+    return !this.#isInHead && this.#isChunked;
+  }
 
   /** Largest piece for the parser, in bytes. */
   get pieceBytes(): number {
@@ -35,18 +52,21 @@
   /** Why the response must not be read on; null if it may. */
   get excess(): string | null {
     if (this.#overheadLeft < 0) {
-      return `The response has over ${maxOverheadBytes} bytes without a body`;
+      const most = this.#isInHead ? maxHeadBytes : maxBodyOverheadBytes;
+      return `The response has over ${most} bytes without a body`;
     }
+    if (this.#statusLineBytes > maxStatusLineBytes)
+      return `The response has a status line of over ${maxStatusLineBytes} bytes`;
     if (this.#fields > maxFields)
       return `The response has over ${maxFields} fields`;
     return null;
   }
 
-  /** Counts a piece before the parser gets it. */
-  onPiece(piece: Uint8Array): void {
-    this.#overheadLeft -= piece.length;
-    if (this.#isInHead) this.#fields += this.#countHeadLines(piece);
-    else if (this.#isChunked) this.#pieceFields = countLineFeeds(piece);
+  /** Counts a piece before the parser gets it; returns how many bytes it may get. */
+  onPiece(piece: Uint8Array): number {
+    const bytes = this.#countLines(piece);
+    this.#overheadLeft -= bytes;
+    return bytes;
   }
 
   /** The parser has read the last piece: without a body its lines were fields. */
@@ -64,47 +84,96 @@
   onHead(isChunked: boolean): void {
     this.#isInHead = false;
     this.#isChunked = isChunked;
-    this.#fields = this.#pieceFields = 0;
+    this.#fields = this.#pieceFields = this.#statusLineBytes = 0;
+    this.#overheadLeft = maxBodyOverheadBytes;
   }
 
   /** The last piece held bytes of the body. */
   onBody(bytes: number): void {
     this.#fields = this.#pieceFields = 0;
     this.#overheadLeft = Math.min(
-      maxOverheadBytes,
+      maxBodyOverheadBytes,
       this.#overheadLeft + bytes * (1 + overheadPerBodyByte),
     );
   }
 
   /** The response has ended; another one may follow on the connection. */
   onEnd(): void {
-    this.#overheadLeft = maxOverheadBytes;
-    this.#fields = this.#pieceFields = this.#lineBytes = 0;
-    this.#isInHead = true;
-    this.#isChunked = false;
+    this.#overheadLeft = maxHeadBytes;
+    this.#fields = this.#pieceFields = 0;
+    this.#lineBytes = this.#statusLineBytes = 0;
+    this.#isInHead = this.#isStatusLine = true;
+    this.#isChunked = this.#isInformational = false;
+  }
+
+  #countLines(piece: Uint8Array): number {
+    if (this.#isInHead) {
+      const headEnd = this.#countHeadLines(piece);
+      return takeLines(piece, headEnd).end;
+    }
+    if (!this.#isChunked) return piece.length;
+    const {lines, end} = takeLines(piece, 0);
+    this.#pieceFields = lines;
+    return end;
   }
 
-  /** Counts lines up to the empty one that ends a head: a body may follow it. */
+  /**
+   * Counts lines up to the empty one that ends a final head, after which a body may
+   * follow. Returns its end, or that of the piece.
+   */
   #countHeadLines(piece: Uint8Array): number {
-    let lines = 0;
-    for (const byte of piece) {
-      if (byte === lineFeed) {
-        const isEmpty = this.#lineBytes === 0;
-        this.#lineBytes = 0;
-        if (isEmpty && this.#fields + lines > 0) return lines;
-        if (!isEmpty) lines++;
-      } else if (byte !== carriageReturn) this.#lineBytes++;
+    let at = 0;
+    while (at < piece.length) {
+      const end = piece.indexOf(lineFeed, at);
+      const next = end < 0 ? piece.length : end + 1;
+      if (this.#isStatusLine) this.#readStatusLine(piece, at, next);
+      this.#lineBytes += next - at;
+      at = next;
+      if (end < 0 || this.excess !== null) return piece.length;
+      const before = end > 0 ? piece[end - 1] : carriageReturn;
+      const isEmpty =
+        this.#lineBytes === 1 ||
+        (this.#lineBytes === 2 && before === carriageReturn);
+      this.#lineBytes = 0;
+      if (!isEmpty) this.#endLine();
+      else if (!this.#isStatusLine && !this.#endHead()) return at;
     }
-    return lines;
+    return piece.length;
+  }
+
+  #readStatusLine(piece: Uint8Array, at: number, next: number): void {
+    this.#statusLineBytes += next - at;
+    const status = at + statusOffset - this.#lineBytes;
+    if (status < at || status >= next) return;
+    this.#isInformational = piece[status] === digitOne;
+  }
+
+  #endLine(): void {
+    if (this.#isStatusLine) {
+      this.#isStatusLine = false;
+      this.#statusLineBytes = 0;
+    } else this.#fields++;
+  }
+
+  /** Returns whether another head follows. */
+  #endHead(): boolean {
+    if (!this.#isInformational) return false;
+    this.#isStatusLine = true;
+    this.#isInformational = false;
+    return true;
   }
 }
 
-function countLineFeeds(piece: Uint8Array): number {
-  let count = 0;
-  let at = piece.indexOf(lineFeed);
-  while (at >= 0) {
-    count++;
-    at = piece.indexOf(lineFeed, at + 1);
+/** The lines from a place in a piece on that the parser gets at once. */
+function takeLines(
+  piece: Uint8Array,
+  from: number,
+): {lines: number; end: number} {
+  let at = from;
+  for (let lines = 0; lines < maxPieceLines; lines++) {
+    const end = piece.indexOf(lineFeed, at);
+    if (end < 0) return {lines, end: piece.length};
+    at = end + 1;
   }
-  return count;
+  return {lines: maxPieceLines, end: at};
 }
--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -1,14 +1,15 @@
 import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
 import {endedByReset} from './ended-by-reset.js';
+import {ReadPacer} from './read-pacer.js';
 import {ResponseMeter} from './response-meter.js';
 
 /**
  * The connections of a client. Helps to tell a truncated response from a complete one:
  * undici reports a response without a length as complete when the connection is reset,
  * for which Node.js may emit `end`, and a chunked response as complete when a connection
- * without keep-alive ends. Closes
- * connections whose responses exceed the limits of {@link ResponseMeter}.
+ * without keep-alive ends. Closes connections whose responses exceed the limits of
+ * {@link ResponseMeter}, and reads bodies in small parts at the pace of {@link ReadPacer}.
  */
 export class ResponseSockets {
   #failing = false;
@@ -20,6 +21,7 @@
   #meter: ResponseMeter | null = null;
   #exceeded = 0;
   #resetEnds = 0;
+  readonly #pacer = new ReadPacer();
 
   /**
    * Why a response is truncated that undici reports as complete now; null if it is not.
@@ -52,6 +54,7 @@
   /** To be called with each part of a body. */
   onBody(bytes: number): void {
     this.#meter?.onBody(bytes);
+    this.#pacer.onPart(bytes);
   }
 
   /** To be called when a response is complete. */
@@ -98,12 +101,14 @@
       this.#meter = meter;
       meter.onPieceParsed();
       if (meter.excess !== null) return cut(meter.excess);
+      if (meter.isInChunkedBody && !this.#pacer.admits(socket)) return null;
       const size = Math.min(socket.readableLength, meter.pieceBytes);
       const piece = read(size > 0 ? size : undefined) as Buffer | null;
       if (piece === null) return null;
-      meter.onPiece(piece);
+      const bytes = meter.onPiece(piece);
       if (meter.excess !== null) return cut(meter.excess);
-      return piece;
+      if (bytes < piece.length) unshift(piece.subarray(bytes));
+      return piece.subarray(0, bytes);
     };
     socket.unshift = (chunk: Buffer) => {
       meter.onUnread(chunk.length);
