--- a/apps/soak/src/prober.ts
+++ b/apps/soak/src/prober.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {testHost} from '@verbenabeam/platform/fakes';
+import {failOnReset, testHost} from '@verbenabeam/platform/fakes';
 import {PORTS} from './addresses.js';
 
 const timeoutMs = 1_000;
@@ -28,6 +28,7 @@
         timeout: timeoutMs,
         headers,
       });
+      failOnReset(req);
       req.on('timeout', () => req.destroy());
       req.on('error', () => resolve(0));
       req.on('response', res => {
