--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -6,5 +6,6 @@
  */
 export {endedByReset} from './ended-by-reset.js';
 export {createMeteredAgent} from './metered-agent.js';
+export type {ReadGate} from './read-gate.js';
 export {ResponseMeter} from './response-meter.js';
 export {ResponseSockets} from './response-sockets.js';
--- a/packages/http/src/response-sockets.ts
+++ b/packages/http/src/response-sockets.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
 import {endedByReset} from './ended-by-reset.js';
+import {ReadGate} from './read-gate.js';
 import {ReadPacer} from './read-pacer.js';
 import {ResponseMeter} from './response-meter.js';
 
@@ -19,6 +20,8 @@
    * after one that finds nothing, when it resumes at the end of a response.
    */
   #meter: ResponseMeter | null = null;
+  /** Of the same connection. */
+  #gate: ReadGate | null = null;
   #exceeded = 0;
   #resetEnds = 0;
   readonly #pacer = new ReadPacer();
@@ -46,9 +49,13 @@
     return this.#resetEnds;
   }
 
-  /** To be called with the head of a final response. */
-  onHead(isChunked: boolean): void {
+  /**
+   * To be called with the head of a final response. Returns what holds the reads of its
+   * connection, to be released at the end of the response.
+   */
+  onHead(isChunked: boolean): ReadGate | null {
     this.#meter?.onHead(isChunked);
+    return this.#gate;
   }
 
   /** To be called with each part of a body. */
@@ -87,6 +94,7 @@
   /** undici takes what has arrived by `read` and puts back what it does not parse. */
   #meterReads(socket: Socket): void {
     const meter = new ResponseMeter();
+    const gate = new ReadGate(socket);
     const read = socket.read.bind(socket);
     const unshift = socket.unshift.bind(socket);
     const cut = (reason: string) => {
@@ -97,8 +105,9 @@
     socket.read = (asked?: number) => {
       // The stream itself asks for 0 bytes, to have more read from the system.
       if (asked !== undefined) return read(asked) as Buffer | null;
-      if (socket.destroyed) return null;
+      if (socket.destroyed || gate.isHeld) return null;
       this.#meter = meter;
+      this.#gate = gate;
       meter.onPieceParsed();
       if (meter.excess !== null) return cut(meter.excess);
       if (meter.isInChunkedBody && !this.#pacer.admits(socket)) return null;
--- a/packages/node/src/calls/upstream-request.ts
+++ b/packages/node/src/calls/upstream-request.ts
@@ -1,4 +1,4 @@
-import type {ResponseSockets} from '@verbenabeam/http';
+import type {ReadGate, ResponseSockets} from '@verbenabeam/http';
 import type {Dispatcher, Pool} from 'undici';
 import type {CallHead} from './call-head.js';
 import {headerValue} from './call-headers.js';
@@ -48,7 +48,8 @@
   readonly #sockets: ResponseSockets;
   readonly #parts: PartJoiner;
   #abort: ((err?: Error) => void) | null = null;
-  #resume: (() => void) | null = null;
+  /** Null before the head of the response. */
+  #gate: ReadGate | null = null;
   #aborted = false;
   #isChunked = false;
   #refusalBytes = 0;
@@ -67,7 +68,7 @@
     this.#listener = listener;
     this.#parts = new PartJoiner({
       write: part => listener.onUpstreamData(part),
-      onOpen: () => this.#resume?.(),
+      onOpen: () => this.#gate?.release(),
     });
   }
 
@@ -96,7 +97,7 @@
 
   resume(): void {
     this.#parts.unblock();
-    this.#resume?.();
+    this.#gate?.release();
   }
 
   onConnect(abort: (err?: Error) => void): void {
@@ -106,15 +107,14 @@
     else this.sent = true;
   }
 
-  onHeaders(status: number, raw: Buffer[], resume: () => void): boolean {
+  onHeaders(status: number, raw: Buffer[]): boolean {
     if (status < firstFinalStatus) {
       this.#countInformationalHead();
       return true;
     }
-    this.#resume = resume;
     const headers = raw.map(item => item.toString('latin1'));
     this.#isChunked = headerValue(headers, 'transfer-encoding') !== null;
-    this.#sockets.onHead(this.#isChunked);
+    this.#gate = this.#sockets.onHead(this.#isChunked);
     this.#kind =
       status <= lastStatus
         ? this.#protocol.classify(this.#head, status, headers)
@@ -135,11 +135,13 @@
     this.#sockets.onBody(chunk.length);
     if (this.#isNotRun) this.#discardRefusalBody(chunk);
     if (this.#kind !== RESPONSE_KINDS.answer || this.#aborted) return true;
-    return this.#parts.push(chunk);
+    if (!this.#parts.push(chunk)) this.#gate?.hold();
+    return true;
   }
 
   onComplete(): void {
     this.#sockets.onResponseEnd();
+    this.#gate?.release();
     if (this.#aborted || this.#isNotRun) return;
     this.#parts.flush();
     const err = this.#sockets.truncation(this.#isChunked);
