--- a/packages/node/src/calls/caller-response.feature
+++ b/packages/node/src/calls/caller-response.feature
@@ -18,10 +18,11 @@
     Then no response without a length has begun at its caller but the ended ones
 
     Examples:
-      | ends         |
-      | ends         |
-      | is cancelled |
-      | is replaced  |
+      | ends                           |
+      | ends                           |
+      | is dropped with its connection |
+      | is cancelled                   |
+      | is replaced                    |
 
   Scenario: A response without a length that its caller reads slowly keeps its memory
     Given responses without a length that share 100000 bytes of memory
--- a/packages/node/src/calls/caller-response.test.ts
+++ b/packages/node/src/calls/caller-response.test.ts
@@ -17,6 +17,10 @@
     response.end();
     res.emit('close');
   },
+  'is dropped with its connection': ({response, res}) => {
+    response.end();
+    res.req.socket.emit('close');
+  },
   'is read slowly': ({response}) => response.end(),
   'is cancelled': ({response}) => response.release(),
   'is replaced': ({response}) => response.discardBuffered(),
@@ -32,8 +36,12 @@
 let ended = new Set<string>();
 let givenUp: string[] = [];
 
-function begin(name: string): HeldResponse {
-  const res = new ServerResponse(new IncomingMessage(new Socket()));
+function begin(
+  name: string,
+  req = new IncomingMessage(new Socket()),
+  headers: readonly string[] = [],
+): HeldResponse {
+  const res = new ServerResponse(req);
   const options = {
     protocol,
     metadata,
@@ -42,7 +50,7 @@
     onNoMemory: () => givenUp.push(name),
   };
   const response = new CallerResponse(res, options);
-  response.sendHead({status: ok, headers: []}, 0, 0);
+  response.sendHead({status: ok, headers}, 0, 0);
   const held = {response, res};
   responses.set(name, held);
   return held;
@@ -72,7 +80,7 @@
 );
 
 When(
-  /^the responses "(.+)" and "(.+)" each (ends|is read slowly|is cancelled|is replaced)$/,
+  /^the responses "(.+)" and "(.+)" each (ends|is dropped with its connection|is read slowly|is cancelled|is replaced)$/,
   (a: string, b: string, how: string) => {
     for (const name of [a, b]) {
       ended.add(name);
@@ -86,6 +94,17 @@
   () => assert.deepEqual(begun(), []),
 );
 
+When(
+  /^a caller of HTTP\/1\.0 gets (\d+) bytes of a response in chunks$/,
+  (bytes: string) => {
+    const req = new IncomingMessage(new Socket());
+    req.httpVersion = '1.0';
+    const headers = ['transfer-encoding', 'chunked'];
+    const {response} = begin('old', req, headers);
+    response.write(Buffer.alloc(Number(bytes)));
+  },
+);
+
 Then(
   'the responses {string} and {string} without a length are given up',
   (a: string, b: string) => {
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -111,11 +111,10 @@
 
   /** Whether the response itself shows where its body ends. */
   #isFramed({status, headers}: ResponseHead): boolean {
-    if (bodylessStatuses.has(status) || this.#res.req.method === 'HEAD') {
-      return true;
-    }
+    const {method} = this.#res.req;
+    if (bodylessStatuses.has(status) || method === 'HEAD') return true;
+    if (headerValue(headers, 'content-length') !== null) return true;
     return (
-      headerValue(headers, 'content-length') !== null ||
       headerValue(headers, 'transfer-encoding') !== null
     );
   }
@@ -150,8 +149,22 @@
     this.#res.end(Buffer.concat(buffered.chunks));
     const {sharedBytes} = buffered;
     if (sharedBytes === 0) return;
-    // A caller that reads slowly keeps the bytes in memory.
-    this.#res.once('close', () => this.#memory.release(sharedBytes));
+    this.#releaseOnceSent(sharedBytes);
+  }
+
+  /**
+   * Frees the memory of an ended response when the system has all of it, or when its
+   * connection has closed: a response behind one that closes the connection has no end.
+   */
+  #releaseOnceSent(sharedBytes: number): void {
+    const {socket} = this.#res.req;
+    const release = () => {
+      this.#res.off('close', release);
+      socket.off('close', release);
+      this.#memory.release(sharedBytes);
+    };
+    this.#res.once('close', release);
+    socket.once('close', release);
   }
 
   /** Frees the memory of a response that nobody waits for any more. */
