--- a/packages/node/src/calls/caller-response.feature
+++ b/packages/node/src/calls/caller-response.feature
@@ -30,3 +30,8 @@
     And the responses "a" and "b" each is read slowly
     And the responses "c" and "d" get 60000 bytes each
     Then the responses "c" and "d" without a length are given up
+
+  Scenario: A response in chunks does not begin at a caller of HTTP/1.0 before its end
+    Given responses without a length that share 100000 bytes of memory
+    When a caller of HTTP/1.0 gets 60000 bytes of a response in chunks
+    Then no response without a length has begun at its caller
--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -109,13 +109,15 @@
     this.#res.writeHead(status, [...headers]);
   }
 
-  /** Whether the response itself shows where its body ends. */
+  /** Whether the response shows the caller where its body ends. */
   #isFramed({status, headers}: ResponseHead): boolean {
-    const {method} = this.#res.req;
+    const {method, httpVersion} = this.#res.req;
     if (bodylessStatuses.has(status) || method === 'HEAD') return true;
     if (headerValue(headers, 'content-length') !== null) return true;
+    // Callers of HTTP/1.0 get no chunks.
     return (
-      headerValue(headers, 'transfer-encoding') !== null
+      headerValue(headers, 'transfer-encoding') !== null &&
+      httpVersion !== oldHttpVersion
     );
   }
 
@@ -229,6 +231,7 @@
   return status;
 }
 
+const oldHttpVersion = '1.0';
 /** Statuses of responses without a body. */
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
