Log: processor time of a node and refusals by its throttle, in each load line

"Load of the last second." had how busy the event loop is, which does not tell a dearer call from compiler threads on the same core, and one count for all refusals, which does not tell those decided at the entry node from those that an instance has answered. cpuMs is the processor time of all threads, throttled the refusals without an attempt. cpuMs over calls is the cost of a call in that second.

--- a/packages/node/src/hosted/load-monitor.test.ts
+++ b/packages/node/src/hosted/load-monitor.test.ts
@@ -6,6 +6,7 @@
 
 let monitor: LoadMonitor | null = null;
 let lines: LogFields[] = [];
+let processorUs = 0;
 
 After({tags: '@hosted'}, () => setLogSink(null));
 
@@ -13,6 +14,7 @@
   'a load monitor of a node whose event loop is busy for {float} of the time',
   (busy: number) => {
     lines = [];
+    processorUs = 0;
     setLogSink((part, _sentence, fields) => {
       if (part === 'load' && fields) lines.push(fields);
     });
@@ -23,6 +25,7 @@
       waits: () => new Map([['queue', {calls: 4, ms: 60}]]),
       turns: () => ({turns: 430, events: 780, lateMs: 62}),
       memory: () => ({heapUsed: 52_428_800, external: 8_388_608}),
+      processorTime: () => ({user: processorUs, system: 0}),
       utilization: () => ({active: 0, idle: 0, utilization: busy}),
     });
   },
@@ -35,11 +38,30 @@
       i < refused ? CALL_CODES.queueFull : CALL_CODES.ok,
     );
     for (const code of codes) {
-      monitor?.recordCall({code, route: 'orders', durationMs: 90});
+      const call = {code, route: 'orders', durationMs: 90, turnedAway: null};
+      monitor?.recordCall(call);
     }
   },
 );
 
+When(
+  '{int} calls are refused by the throttle of the monitored node',
+  (calls: number) => {
+    const turnedAway = {calls: 4, accepted: 1, retryAfterMs: 20};
+    const code = CALL_CODES.throttled;
+    for (let i = 0; i < calls; i++) {
+      monitor?.recordCall({code, route: null, durationMs: 1, turnedAway});
+    }
+  },
+);
+
+When(
+  'the threads of the monitored node use {int} ms of processor time',
+  (ms: number) => {
+    processorUs = ms * 1_000;
+  },
+);
+
 When(
   'calls of route {string} hold their slots for {int} and {int} ms',
   (route: string, a: number, b: number) => {
--- a/packages/node/src/hosted/load-monitor.ts
+++ b/packages/node/src/hosted/load-monitor.ts
@@ -12,6 +12,7 @@
 const log = logger('load');
 const windowMs = 1_000;
 const percent = 100;
+const usPerMs = 1_000;
 const bytesPerKb = 1_024;
 const bytesPerMb = 1_048_576;
 const noResponses: ResponseTotals = {
@@ -33,6 +34,8 @@
   readonly waits?: () => ReadonlyMap<string, TimeTotal>;
   /** Default no responses. */
   readonly responses?: () => ResponseTotals;
+  /** Processor time of all threads since the start, in µs; default measured. */
+  readonly processorTime?: () => NodeJS.CpuUsage;
   /** Event loop iterations since the last read; default measured. */
   readonly turns?: () => EventLoopWindow;
   /** Memory of the process; default measured. */
@@ -57,6 +60,8 @@
   #connections = 0;
   #calls = 0;
   #refused = 0;
+  #throttled = 0;
+  #processorMs: number;
   readonly #slotTimes = new TimeTotals();
   readonly #answered = new TimeTotals();
   readonly #loopSampler = new EventLoopSampler();
@@ -67,6 +72,7 @@
     this.#utilization =
       sources.utilization ?? (since => performance.eventLoopUtilization(since));
     this.#since = this.#utilization();
+    this.#processorMs = this.#readProcessorMs();
   }
 
   /** Share of the last window in which the event loop was busy, 0 to 1. */
@@ -90,9 +96,11 @@
     code,
     route,
     durationMs,
-  }: Pick<CallRecord, 'code' | 'route' | 'durationMs'>): void {
+    turnedAway,
+  }: Pick<CallRecord, 'code' | 'route' | 'durationMs' | 'turnedAway'>): void {
     this.#calls++;
     if (code.notRun) this.#refused++;
+    if (turnedAway) this.#throttled++;
     if (code === CALL_CODES.ok) this.#answered.add(route ?? '', durationMs);
   }
 
@@ -107,6 +115,7 @@
     const now = this.#utilization();
     this.#busyRatio = this.#utilization(this.#since).utilization;
     this.#since = now;
+    const processorMs = this.#readProcessorMs();
     const bytes = callBytes();
     const turns = this.#sources.turns?.() ?? this.#loopSampler.take();
     const waits = this.#sources.waits?.() ?? noTotals;
@@ -119,10 +128,12 @@
         this.#sources.memory?.() ?? process.memoryUsage();
       log('Load of the last second.', {
         busyPercent: Math.round(this.#busyRatio * percent),
+        cpuMs: Math.round(processorMs - this.#processorMs),
         ...turns,
         connections: this.#connections,
         calls: this.#calls,
         refused: this.#refused,
+        throttled: this.#throttled,
         waiting: waiting(),
         callKb: Math.round((bytes - this.#bytes) / bytesPerKb),
         heapMb: Math.round(heapUsed / bytesPerMb),
@@ -137,11 +148,19 @@
         held: formatTotals(held),
       });
     }
+    this.#processorMs = processorMs;
     this.#bytes = bytes;
     this.#resetEnds = resetEnds;
     this.#connections = 0;
     this.#calls = 0;
     this.#refused = 0;
+    this.#throttled = 0;
+  }
+
+  #readProcessorMs(): number {
+    const {user, system} =
+      this.#sources.processorTime?.() ?? process.cpuUsage();
+    return (user + system) / usPerMs;
   }
 }
 
