Responses: a usual one that has arrived whole is parsed at once

Only pieces without the end of a final head have to be short, since only those can hold many fields; behind that end the 64 lines and the bytes beside a body are counted as before, now from the end of the head.

The scenario fails without the change (4,096 bytes of 5,041).

--- a/packages/http/src/response-meter.feature
+++ b/packages/http/src/response-meter.feature
@@ -66,3 +66,7 @@
       | place                 |
       | in the piece of a head |
       | in a piece of its own  |
+
+  Scenario: A usual response that has arrived whole is parsed at once
+    Given a response meter whose next piece is a response with a body of 5000 bytes
+    Then the response meter lets the parser have that response in one piece
--- a/packages/http/src/response-meter.test.ts
+++ b/packages/http/src/response-meter.test.ts
@@ -259,3 +259,22 @@
   'the response meter lets the parser have {int} of those fields',
   (count: number) => assert.equal(trailerBytes, fields(count).length),
 );
+
+let meter = new ResponseMeter();
+let piece = Buffer.alloc(0);
+
+Given(
+  'a response meter whose next piece is a response with a body of {int} bytes',
+  (bytes: number) => {
+    meter = new ResponseMeter();
+    piece = Buffer.from(withLength('x'.repeat(bytes)));
+  },
+);
+
+Then(
+  'the response meter lets the parser have that response in one piece',
+  () => {
+    const first = piece.subarray(0, meter.pieceBytes);
+    assert.equal(meter.onPiece(first), piece.length);
+  },
+);
--- a/packages/http/src/response-meter.ts
+++ b/packages/http/src/response-meter.ts
@@ -31,6 +31,8 @@
   #fields = 0;
   /** Line ends of the last piece; those of a piece with bytes of the body are none. */
   #pieceFields = 0;
+  /** Bytes of the last piece behind the end of a head. */
+  #bytesAfterHead = 0;
   #isInHead = true;
   #isChunked = false;
   /** Bytes of the current line, with those of its end. */
@@ -46,7 +48,7 @@
 
   /** Largest piece for the parser, in bytes. */
   get pieceBytes(): number {
-    return this.#isInHead || this.#isChunked ? headPieceBytes : bodyPieceBytes;
+    return this.isInChunkedBody ? headPieceBytes : bodyPieceBytes;
   }
 
   /** Why the response must not be read on; null if it may. */
@@ -65,14 +67,15 @@
   /** Counts a piece before the parser gets it; returns how many bytes it may get. */
   onPiece(piece: Uint8Array): number {
     const bytes = this.#countLines(piece);
-    this.#overheadLeft -= bytes;
+    this.#overheadLeft -= bytes - this.#bytesAfterHead;
     return bytes;
   }
 
   /** The parser has read the last piece: without a body its lines were fields. */
   onPieceParsed(): void {
     this.#fields += this.#pieceFields;
-    this.#pieceFields = 0;
+    this.#overheadLeft -= this.#bytesAfterHead;
+    this.#pieceFields = this.#bytesAfterHead = 0;
   }
 
   /** Takes back bytes that the parser did not read. */
@@ -85,7 +88,8 @@
     this.#isInHead = false;
     this.#isChunked = isChunked;
     this.#fields = this.#pieceFields = this.#statusLineBytes = 0;
-    this.#overheadLeft = maxBodyOverheadBytes;
+    this.#overheadLeft = maxBodyOverheadBytes - this.#bytesAfterHead;
+    this.#bytesAfterHead = 0;
   }
 
   /** The last piece held bytes of the body. */
@@ -100,28 +104,36 @@
   /** The response has ended; another one may follow on the connection. */
   onEnd(): void {
     this.#overheadLeft = maxHeadBytes;
-    this.#fields = this.#pieceFields = 0;
+    this.#fields = this.#pieceFields = this.#bytesAfterHead = 0;
     this.#lineBytes = this.#statusLineBytes = 0;
     this.#isInHead = this.#isStatusLine = true;
     this.#isChunked = this.#isInformational = false;
   }
 
   #countLines(piece: Uint8Array): number {
-    if (this.#isInHead) {
-      const headEnd = this.#countHeadLines(piece);
-      return takeLines(piece, headEnd).end;
-    }
+    if (this.#isInHead) return this.#countHead(piece);
     if (!this.#isChunked) return piece.length;
     const {lines, end} = takeLines(piece, 0);
     this.#pieceFields = lines;
     return end;
   }
 
+  /** Only a piece with the end of a final head may be longer than `headPieceBytes`. */
+  #countHead(piece: Uint8Array): number {
+    const first =
+      piece.length > headPieceBytes ? piece.subarray(0, headPieceBytes) : piece;
+    const headEnd = this.#countHeadLines(first);
+    if (headEnd === null) return first.length;
+    const {end} = takeLines(piece, headEnd);
+    this.#bytesAfterHead = end - headEnd;
+    return end;
+  }
+
   /**
    * Counts lines up to the empty one that ends a final head, after which a body may
-   * follow. Returns its end, or that of the piece.
+   * follow. Returns its end; null if the piece does not hold it.
    */
-  #countHeadLines(piece: Uint8Array): number {
+  #countHeadLines(piece: Uint8Array): number | null {
     let at = 0;
     while (at < piece.length) {
       const end = piece.indexOf(lineFeed, at);
@@ -129,7 +141,7 @@
       if (this.#isStatusLine) this.#readStatusLine(piece, at, next);
       this.#lineBytes += next - at;
       at = next;
-      if (end < 0 || this.excess !== null) return piece.length;
+      if (end < 0 || this.excess !== null) return null;
       const before = end > 0 ? piece[end - 1] : carriageReturn;
       const isEmpty =
         this.#lineBytes === 1 ||
@@ -138,7 +150,7 @@
       if (!isEmpty) this.#endLine();
       else if (!this.#isStatusLine && !this.#endHead()) return at;
     }
-    return piece.length;
+    return null;
   }
 
   #readStatusLine(piece: Uint8Array, at: number, next: number): void {
