Metrics: the series of a call are looked up once

prom-client makes an object and a bound function for each look-up by labels, three for a call. They are kept for each class, service and code, which the registry keeps too.

--- a/packages/node/src/metrics/node-metrics.ts
+++ b/packages/node/src/metrics/node-metrics.ts
@@ -46,6 +46,13 @@
   readonly gauges?: readonly GaugeSource[];
 }
 
+/** The time series that a call belongs to. */
+interface CallSeries {
+  readonly durations: Histogram.Internal<'caller_class' | 'service'>;
+  readonly results: Counter.Internal;
+  readonly retries: Counter.Internal;
+}
+
 /** The Prometheus metrics of one node. @public */
 export class NodeMetrics {
   readonly #registry = new Registry();
@@ -99,6 +106,8 @@
     registers: [this.#registry],
   });
 
+  readonly #series = new Map<string, CallSeries>();
+
   constructor(sources: MetricSources) {
     collectDefaultMetrics({
       register: this.#registry,
@@ -109,12 +118,24 @@
   }
 
   recordCall(sample: CallSample): void {
-    const {callerClass, service, code} = sample;
-    this.#calls
-      .labels(callerClass, service)
-      .observe(sample.durationMs / msPerSecond);
-    this.#results.labels(callerClass, service, String(code)).inc();
-    if (sample.retries > 0) this.#retries.labels(service).inc(sample.retries);
+    const {durations, results, retries} = this.#seriesOf(sample);
+    durations.observe(sample.durationMs / msPerSecond);
+    results.inc();
+    if (sample.retries > 0) retries.inc(sample.retries);
+  }
+
+  /** Looks up labels once for each series; a look-up costs more than the update. */
+  #seriesOf({callerClass, service, code}: CallSample): CallSeries {
+    const key = `${callerClass}\n${service}\n${code}`;
+    const known = this.#series.get(key);
+    if (known) return known;
+    const series = {
+      durations: this.#calls.labels(callerClass, service),
+      results: this.#results.labels(callerClass, service, String(code)),
+      retries: this.#retries.labels(service),
+    };
+    this.#series.set(key, series);
+    return series;
   }
 
   /** @param delayMs - Time from acceptance to activation on this node. */
