Membership: ready nodes of a service are kept until a member changes

The version of each attempt was chosen by a walk over all members of the mesh: a cost of a call that grows with the fleet. The candidates beside it were already kept that way.

--- a/packages/node/src/membership/membership-service.ts
+++ b/packages/node/src/membership/membership-service.ts
@@ -41,6 +41,12 @@
   readonly silenceMs?: number;
 }
 
+/** A node whose upstream is ready. */
+interface ReadyNode {
+  readonly nodeId: string;
+  readonly version: string;
+}
+
 /** Runs the membership protocol and provides the known instances. @internal */
 export class MembershipService {
   readonly monitor: UpstreamMonitor;
@@ -48,6 +54,8 @@
   readonly #gossip: Gossip;
   /** Cache of {@link MembershipService.candidates}; cleared on each change. */
   readonly #candidates = new Map<string, readonly Candidate[]>();
+  /** Ready nodes of each service with their versions; cleared on each change. */
+  readonly #readyNodes = new Map<string, readonly ReadyNode[]>();
   #draining = false;
 
   constructor(options: MembershipServiceOptions) {
@@ -57,7 +65,7 @@
       silenceMs === undefined ? {} : {silenceMs},
     );
     this.#gossip = new Gossip(own, random, gossip);
-    this.#gossip.table.onChange(() => this.#candidates.clear());
+    this.#gossip.table.onChange(() => this.#clearCaches());
     this.monitor.onChange(record => this.#onUpstream(record));
   }
 
@@ -152,14 +160,30 @@
     exclude: ReadonlySet<string>,
   ): ReadonlyMap<string, number> {
     const counts = new Map<string, number>();
+    for (const {nodeId, version} of this.#readyNodesOf(service)) {
+      if (exclude.has(nodeId)) continue;
+      counts.set(version, (counts.get(version) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  #readyNodesOf(service: string): readonly ReadyNode[] {
+    const known = this.#readyNodes.get(service);
+    if (known) return known;
+    const found: ReadyNode[] = [];
     for (const {nodeId, upstream} of this.live()) {
       const isReady =
         upstream?.service === service &&
         upstream.state === UPSTREAM_STATES.ready;
-      if (!isReady || exclude.has(nodeId)) continue;
-      counts.set(upstream.version, (counts.get(upstream.version) ?? 0) + 1);
+      if (isReady) found.push({nodeId, version: upstream.version});
     }
-    return counts;
+    this.#readyNodes.set(service, found);
+    return found;
+  }
+
+  #clearCaches(): void {
+    this.#candidates.clear();
+    this.#readyNodes.clear();
   }
 
   #serves(row: InstanceRecord, service: string, version: string): boolean {
@@ -188,7 +212,7 @@
     const record = this.#draining ? {...announced, state: draining} : announced;
     const {service, version, state} = record;
     log('Upstream changed.', {service, version, state});
-    this.#candidates.clear();
+    this.#clearCaches();
     const {clock} = this.#options;
     this.#send(this.#gossip.setUpstream(record, clock.now()));
   }
