--- a/packages/routing/src/instance-picker.ts
+++ b/packages/routing/src/instance-picker.ts
@@ -72,9 +72,9 @@
     exclude: ReadonlySet<string> = noExclusions,
     limits: PickLimits = {},
   ): Result<Candidate, MeshError> {
-    const usable = this.#withoutEjected(candidates, now).filter(
-      c => !exclude.has(c.nodeId),
-    );
+    const inUse = this.#withoutEjected(candidates, now);
+    const usable =
+      exclude.size === 0 ? inUse : inUse.filter(c => !exclude.has(c.nodeId));
     const {maxCostMs = Infinity, route = ''} = limits;
     const best = this.#choose(usable, now, rng, limits);
     const fits = best && this.#cost(best, route, now) <= maxCostMs;
@@ -148,8 +148,8 @@
     rng: RandomSource,
   ): Candidate | null {
     if (candidates.length === 0) return null;
-    const drawn = candidates.filter(c => rng.float() < this.#weight(c, now));
-    const pool = drawn.length > 0 ? drawn : candidates;
+    if (candidates.length === 1) return candidates[0] ?? null;
+    const pool = this.#draw(candidates, now, rng);
     const first = rng.pick(pool);
     if (pool.length === 1) return first;
     const rest = pool.filter(c => c !== first);
@@ -159,6 +159,18 @@
     return isBetter ? second : first;
   }
 
+  /** Leaves out instances in slow start at random; all take part if none is left. */
+  #draw(
+    candidates: readonly Candidate[],
+    now: number,
+    rng: RandomSource,
+  ): readonly Candidate[] {
+    const isFull = candidates.every(c => this.#weight(c, now) >= 1);
+    if (isFull) return candidates;
+    const drawn = candidates.filter(c => rng.float() < this.#weight(c, now));
+    return drawn.length > 0 ? drawn : candidates;
+  }
+
   /** Probability that an instance is considered; rises during slow start. */
   #weight(candidate: Candidate, now: number): number {
     const age = (now - candidate.readySince) / this.#options.slowStartMs;
@@ -176,8 +188,9 @@
     now: number,
   ): readonly Candidate[] {
     const until = (c: Candidate) => this.#stats.get(c.nodeId)?.ejectedUntil;
-    const ejected = candidates.filter(c => (until(c) ?? -Infinity) > now);
-    if (ejected.length === 0) return candidates;
+    const isEjected = (c: Candidate) => (until(c) ?? -Infinity) > now;
+    if (!candidates.some(isEjected)) return candidates;
+    const ejected = candidates.filter(isEjected);
     const cap = Math.floor(candidates.length * maxEjectedShare);
     const longest = ejected.sort((a, b) => (until(b) ?? 0) - (until(a) ?? 0));
     const removed = new Set(longest.slice(0, cap));
