Calls: host and path of a request are cut once, and a single part is not copied

findRoute cuts port and query itself; the entry handler did the same with a regular expression before. A held response of one part was copied before it was written.

--- a/packages/node/src/calls/caller-response.ts
+++ b/packages/node/src/calls/caller-response.ts
@@ -148,8 +148,9 @@
       return;
     }
     this.#writeHead(buffered);
-    this.#res.end(Buffer.concat(buffered.chunks));
-    const {sharedBytes} = buffered;
+    const {chunks, sharedBytes} = buffered;
+    const [only] = chunks;
+    this.#res.end(chunks.length === 1 ? only : Buffer.concat(chunks));
     if (sharedBytes === 0) return;
     this.#releaseOnceSent(sharedBytes);
   }
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -182,12 +182,10 @@
   }
 
   #route(snapshot: Snapshot, req: IncomingMessage): Route | null {
-    const url = req.url ?? '/';
-    const query = url.indexOf('?');
     return this.#ports.config.match(snapshot, {
       method: req.method ?? 'GET',
-      host: hostWithoutPort(req.headers.host ?? ''),
-      path: query < 0 ? url : url.slice(0, query),
+      host: req.headers.host ?? '',
+      path: req.url ?? '/',
     });
   }
 
@@ -306,7 +304,3 @@
   const key = `${headers.host ?? ''}${url ?? ''}`;
   return {key, endsAt: startAt + deadlineMs};
 }
-
-function hostWithoutPort(host: string): string {
-  return host.replace(/:\d+$/, '').toLowerCase();
-}
