Warm-up: code that it optimises holds for the first real calls

Callers in the first seconds of load waited for calls that cost a multiple of later ones, although the warm-up had made 4,000 calls.

Ruled out: maps that die with the warm-up's objects (kept alive: the same), flags of V8.

--- a/apps/hosted-node/src/main.ts
+++ b/apps/hosted-node/src/main.ts
@@ -79,7 +79,7 @@
     protocol: platformProtocol({service: () => file.current.service}),
     operatorFormat,
     upstreamFormat,
-    sample: platformSample,
+    sample: platformSample(),
     store: new KvStore({address, budget}),
   });
   if (node.isErr) return reportFailure(node.error);
--- a/packages/node/src/calls/index.ts
+++ b/packages/node/src/calls/index.ts
@@ -27,6 +27,7 @@
 export {TimeTotals} from './time-totals.js';
 export type {TimeTotal} from './time-totals.js';
 export type {WaitPlace} from './call-waits.js';
+export {DataPath} from './data-path.js';
 export {drainCalls} from './drain-calls.js';
 export {EntryHandler} from './entry-handler.js';
 export {OUTCOMES} from './entry-ports.js';
--- a/packages/node/src/hosted/hosted-node.ts
+++ b/packages/node/src/hosted/hosted-node.ts
@@ -1,5 +1,4 @@
 import {setMaxListeners} from 'node:events';
-import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import net from 'node:net';
 import {
@@ -19,9 +18,9 @@
 import type {CallProtocol} from '../calls/index.js';
 import {listen} from '../listen.js';
 import {WarmUp} from '../warm-up/index.js';
-import type {WarmUpHeaders} from '../warm-up/index.js';
-import {callerBacklog, CallerConnections} from './caller-connections.js';
-import {ClosingConnections} from './closing-connections.js';
+import type {WarmUpSample} from '../warm-up/index.js';
+import {callerBacklog} from './caller-connections.js';
+import {CallerServer} from './caller-server.js';
 import {HostedParts} from './hosted-parts.js';
 import type {HostedSettings} from './hosted-settings.js';
 import {
@@ -37,14 +36,6 @@
 const log = logger('node');
 /** Timers and loops that stop on abort; each rollout adds a few. */
 const maxAbortListeners = 32;
-/** Above the header limit of any configuration, which refuses with 431. */
-const maxHeaderBytes = 131_072;
-/**
- * Bytes of pipelined responses that may wait behind a slow one on a connection.
- * Above this, Node.js stops reading the connection, and the node would not see the
- * requests that wait there.
- */
-const pipelineBufferBytes = 524_288;
 /** Added to the callers' idle limit, so that no request races with the close. */
 const idleMarginMs = 2_000;
 /** Idle limit until the first configuration arrives. */
@@ -71,7 +62,7 @@
   readonly operatorFormat: OperatorFormat;
   readonly upstreamFormat: UpstreamFormat;
   /** A typical call for the warm-up; without it there is no warm-up. */
-  readonly sample?: WarmUpHeaders;
+  readonly sample?: WarmUpSample;
   /** The platform's store; the node closes it. */
   readonly store: Store & {close(): Promise<void>};
 }
@@ -82,11 +73,8 @@
   readonly #parts: HostedParts;
   readonly #bus: TcpPeerBus;
   readonly #shutdown: AbortController;
-  readonly #callerServer: Server;
-  readonly #connections: CallerConnections;
-  readonly #closing = new ClosingConnections();
+  readonly #callers: CallerServer;
   readonly #otherServers: readonly Server[];
-  #closesConnections = false;
   #settings: HostedSettings;
 
   private constructor(
@@ -114,26 +102,12 @@
       invariants,
       signal: this.#shutdown.signal,
     });
-    this.#callerServer = createServer(
-      {
-        maxHeaderSize: maxHeaderBytes,
-        keepAliveTimeout: defaultIdleMs + idleMarginMs,
-        requestTimeout: 0,
-        highWaterMark: pipelineBufferBytes,
-      },
-      (req, res) => {
-        const closes =
-          this.#closesConnections || this.#connections.shouldCloseAfterResponse;
-        if (this.#closing.admit(req, res, closes)) {
-          this.#parts.entry.handle(req, res);
-        }
-      },
-    );
-    this.#connections = new CallerConnections(
-      this.#callerServer,
-      options.settings.maxDescriptors,
-    );
-    this.#callerServer.on('connection', () => {
+    this.#callers = new CallerServer({
+      keepAliveMs: defaultIdleMs + idleMarginMs,
+      maxDescriptors: options.settings.maxDescriptors,
+      handle: (req, res) => this.#parts.entry.handle(req, res),
+    });
+    this.#callers.server.on('connection', () => {
       this.#parts.load.recordConnection();
       this.#parts.entry.onConnection();
     });
@@ -183,24 +157,24 @@
     const drainDeadlineAt = startAt + graceMs - shutdownReserveMs;
     log('Node stops.', {graceMs, inFlight: parts.entry.inFlight});
     parts.beginDrain();
-    this.#closesConnections = true;
+    this.#callers.closesConnections = true;
     await systemSleep(drainPropagationMs);
     const served = parts.serving.drain();
     await systemSleep(callerDrainMs - drainPropagationMs);
     parts.entry.setStopDeadline(drainDeadlineAt);
     await Promise.race([served, sleepUntil(drainDeadlineAt)]);
-    await readWaitingArrivals(this.#callerServer);
+    await readWaitingArrivals(this.#callers.server);
     // The HTTP server would close idle connections too, on which calls still come.
-    net.Server.prototype.close.call(this.#callerServer);
+    net.Server.prototype.close.call(this.#callers.server);
     await Promise.race([parts.entry.drain(), sleepUntil(drainDeadlineAt)]);
-    await sleepWhile(() => this.#closing.isSending, drainDeadlineAt);
+    await sleepWhile(() => this.#callers.closing.isSending, drainDeadlineAt);
     const cut = parts.entry.inFlight + parts.serving.inFlight;
     parts.entry.cutCalls();
     await Promise.race([parts.leave(), systemSleep(shutdownReserveMs / 2)]);
-    await readWaitingArrivals(this.#callerServer);
+    await readWaitingArrivals(this.#callers.server);
     // Calls may still wait to be started, and are then refused.
     const isAnswering = () =>
-      parts.entry.inFlight > 0 || this.#closing.isSending;
+      parts.entry.inFlight > 0 || this.#callers.closing.isSending;
     await sleepWhile(isAnswering, drainDeadlineAt + lastAnswersMs);
     await this.#close();
     log('Node stopped.', {ms: Math.round(performance.now() - startAt), cut});
@@ -230,7 +204,7 @@
    * process ends, the system closes its connections as if all had been sent.
    */
   resetUnfinished(): void {
-    this.#closing.resetUnfinished();
+    this.#callers.closing.resetUnfinished();
   }
 
   /** Stops at once and aborts calls in flight, as a crash does. @internal */
@@ -263,11 +237,12 @@
       (server, i) => [server, addresses[i] ?? null] as const,
     );
     for (const [server, address] of [
-      [this.#callerServer, callers] as const,
+      [this.#callers.server, callers] as const,
       ...pairs,
     ]) {
       if (address === null) continue;
-      const backlog = server === this.#callerServer ? callerBacklog : undefined;
+      const backlog =
+        server === this.#callers.server ? callerBacklog : undefined;
       const listened = await listen(server, address, backlog);
       if (listened.isErr) return listened.error;
     }
@@ -281,7 +256,7 @@
     const {entry, serving} = this.#parts;
     const warmUp = new WarmUp({
       protocol,
-      headers: sample,
+      sample,
       isIdle: () => entry.inFlight + serving.inFlight === 0,
       signal: this.#shutdown.signal,
     });
@@ -293,20 +268,20 @@
   }
 
   #startAcceptMonitor(): void {
-    const monitor = new AcceptDelayMonitor(this.#callerServer);
+    const monitor = new AcceptDelayMonitor(this.#callers.server);
     monitor.start(this.#shutdown.signal);
     this.#parts.acceptWaitMs = () => monitor.waitMs;
   }
 
   #applyLimits({idleTimeoutMs, headerTimeoutMs}: CallerLimits): void {
-    this.#callerServer.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
-    this.#callerServer.headersTimeout = headerTimeoutMs;
+    this.#callers.server.keepAliveTimeout = idleTimeoutMs + idleMarginMs;
+    this.#callers.server.headersTimeout = headerTimeoutMs;
   }
 
   async #close(): Promise<void> {
     this.#shutdown.abort();
     this.resetUnfinished();
-    for (const server of [this.#callerServer, ...this.#otherServers]) {
+    for (const server of [this.#callers.server, ...this.#otherServers]) {
       server.close();
       server.closeAllConnections();
     }
--- a/packages/node/src/hosted/hosted-parts.ts
+++ b/packages/node/src/hosted/hosted-parts.ts
@@ -9,12 +9,11 @@
 import {
   CALL_STREAM,
   CallWaits,
-  EntryHandler,
+  DataPath,
   EventLoopMonitor,
   CallScheduler,
-  ServingHandler,
 } from '../calls/index.js';
-import type {CallRecord} from '../calls/index.js';
+import type {CallRecord, EntryHandler, ServingHandler} from '../calls/index.js';
 import {InstanceAdapter} from '../entry/instance-adapter.js';
 import {runPeriodically} from '../run-periodically.js';
 import {
@@ -176,46 +175,39 @@
       responses: () => responseTotals(this),
     });
     this.#quarantine = new QuarantineAdapter(shared);
-    this.#instances = new InstanceAdapter(shared);
+    const {membership} = this;
+    this.#instances = new InstanceAdapter({membership, clock, random});
     this.#retryBudget = hostedRetryBudget(
       () => this.#bounds,
       () => this.membership.live().length,
     );
     this.#calls = new CallLogger(this.metrics);
     const versions = new HostedVersions(this.membership, this.rollouts);
-    const retryAllowances = new RetryAllowances();
-    const {protocol} = options;
-    this.serving = new ServingHandler({
-      upstream: this.upstream,
-      admission: this.#admission,
-      quarantine: this.#quarantine,
-      stopped: versions,
-      ledger: retryAllowances,
-      protocol,
-      scheduler: scheduler,
-      waits: this.#callWaits,
-      invariants,
-    });
-    this.entry = new EntryHandler({
+    const dataPath = new DataPath({
       config: {
         current: () => this.records.snapshot,
         match: (snapshot, query) => findRoute(snapshot, query),
       },
       versions,
+      stopped: versions,
       instances: this.#instances,
       retries: this.#retryBudget,
-      ledger: retryAllowances,
+      ledger: new RetryAllowances(),
       claims: noClaims,
       bus,
-      serving: this.serving,
+      upstream: this.upstream,
+      admission: this.#admission,
+      quarantine: this.#quarantine,
       observer: {onCall: record => this.#onCall(record)},
-      protocol,
-      scheduler: scheduler,
+      protocol: options.protocol,
+      scheduler,
       waits: this.#callWaits,
       throttle: new AdaptiveThrottle({random}),
       random,
       invariants,
     });
+    this.serving = dataPath.serving;
+    this.entry = dataPath.entry;
   }
 
   /** Whether configured and not draining, with a peer or after {@link isolatedReadyMs}. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -37,8 +37,13 @@
   UpstreamMessage,
   UpstreamReport,
 } from './hosted/upstream-report.js';
-export {WarmUp} from './warm-up/index.js';
-export type {WarmUpHeaders, WarmUpOptions} from './warm-up/index.js';
+export {
+  WARM_UP_KINDS,
+  WarmUp,
+  warmUpHost,
+  warmUpService,
+} from './warm-up/index.js';
+export type {WarmUpOptions, WarmUpSample} from './warm-up/index.js';
 export {reportFailure} from './report-failure.js';
 export {loadSettings} from './settings/load-settings.js';
 export {nodeSettingsSchema} from './settings/node-settings.js';
--- a/packages/node/src/warm-up/warm-up-caller.ts
+++ b/packages/node/src/warm-up/warm-up-caller.ts
@@ -1,6 +1,6 @@
 import {connect} from 'node:net';
 import {newId} from '@verbenabeam/core';
-import type {WarmUpHeaders} from './warm-up-headers.js';
+import type {WarmUpHeaders} from './warm-up-sample.js';
 import {headerLines} from './header-lines.js';
 import {WARM_UP_KINDS, warmUpHost} from './warm-up-document.js';
 import type {WarmUpKind} from './warm-up-document.js';
@@ -19,6 +19,8 @@
   /** Number of calls, made one after the other. */
   readonly count: number;
   readonly headers: WarmUpHeaders;
+  /** Selects the headers of its requests. */
+  readonly variant: number;
 }
 
 /** Opens a connection, makes its calls and closes it. @internal */
@@ -48,11 +50,11 @@
   });
 }
 
-function requestHead({kind, headers}: WarmUpConnection): string {
+function requestHead({kind, headers, variant}: WarmUpConnection): string {
   const isUpload = kind === WARM_UP_KINDS.upload;
   const callId = newId();
   const length = isUpload ? `content-length: ${uploadBytes}\r\n` : '';
-  const lines = headerLines(headers.request(callId));
+  const lines = headerLines(headers.request(callId, variant));
   return (
     `${isUpload ? 'POST' : 'GET'} /${kind}/${callId} HTTP/1.1\r\n` +
     `host: ${warmUpHost}\r\n${lines}${length}\r\n`
--- a/packages/node/src/warm-up/warm-up-members.ts
+++ b/packages/node/src/warm-up/warm-up-members.ts
@@ -8,6 +8,8 @@
  * @internal
  */
 export const warmUpSlots = 3;
+/** Beyond the slow start of instances. */
+const readyMs = 60_000;
 const locality = {dataCentre: 'warm-up', region: 'warm-up'};
 
 /** A node that serves warm-up calls. @internal */
@@ -33,7 +35,7 @@
       nodeId,
       dataCentre,
       slots: warmUpSlots,
-      readySince: 0,
+      readySince: performance.now() - readyMs,
     }));
   }
 
--- a/packages/node/src/warm-up/warm-up-upstream.ts
+++ b/packages/node/src/warm-up/warm-up-upstream.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import type {WarmUpHeaders} from './warm-up-headers.js';
+import type {WarmUpHeaders} from './warm-up-sample.js';
 import {headerLines} from './header-lines.js';
 
 /** Response size; services answer with a few kilobytes. */
--- a/packages/node/src/warm-up/warm-up.test.ts
+++ b/packages/node/src/warm-up/warm-up.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {nativeProtocol} from '../calls/native-protocol.js';
+import {nativeSample} from './test/native-sample.js';
 import {WarmUp} from './warm-up.js';
 
 const settleMs = 100;
@@ -25,7 +26,7 @@
   socketsBefore = openSockets();
   warmUp = new WarmUp({
     protocol: nativeProtocol,
-    headers: {request: () => [], response: () => []},
+    sample: nativeSample,
     isIdle: () => isIdle,
     signal: end.signal,
     maxCalls,
--- a/packages/node/src/warm-up/warm-up.ts
+++ b/packages/node/src/warm-up/warm-up.ts
@@ -1,7 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {logger, seededRandom} from '@verbenabeam/core';
 import type {CallProtocol} from '../calls/index.js';
-import type {WarmUpHeaders} from './warm-up-headers.js';
+import type {WarmUpSample} from './warm-up-sample.js';
 import {makeCalls} from './warm-up-caller.js';
 import {WARM_UP_KINDS} from './warm-up-document.js';
 import type {WarmUpKind} from './warm-up-document.js';
@@ -11,7 +11,7 @@
 /** Options of {@link WarmUp}. @public */
 export interface WarmUpOptions {
   readonly protocol: CallProtocol;
-  readonly headers: WarmUpHeaders;
+  readonly sample: WarmUpSample;
   /** False while the node has calls from real callers. */
   readonly isIdle: () => boolean;
   readonly signal: AbortSignal;
@@ -73,16 +73,17 @@
    */
   async run(): Promise<void> {
     if (!(await this.#staysIdle())) return;
-    const {protocol, headers} = this.#options;
+    const {protocol, sample} = this.#options;
     this.#startedAt = performance.now();
     const random = seededRandom(seed);
-    const upstream = new WarmUpUpstream(headers);
+    const upstream = new WarmUpUpstream(sample);
     await upstream.start();
     const nodes = ['warm-up-1', 'warm-up-2'].map(
       nodeId =>
         new WarmUpNode({
           nodeId,
           protocol,
+          snapshot: sample.snapshot,
           random,
           upstreamAddress: upstream.address,
         }),
@@ -127,8 +128,9 @@
       const count = callsPerConnection[index % callsPerConnection.length] ?? 1;
       const port = ports[index % ports.length] ?? 0;
       this.#requested += count;
-      const {headers} = this.#options;
-      await makeCalls({port, kind: kindOf(index), count, headers});
+      const {sample: headers} = this.#options;
+      const kind = kindOf(index);
+      await makeCalls({port, kind, count, headers, variant: index});
     }
   }
 }
