--- a/packages/node/src/calls/call-head.ts
+++ b/packages/node/src/calls/call-head.ts
@@ -42,6 +42,8 @@
   readonly callId: string;
   readonly bodyBytes: number;
   readonly load: LoadReport;
+  /** Whether only upstreams make calls of the route. */
+  readonly isSubCall: boolean;
 }
 
 /** Encodes as an array: field names would take a third of the frame. @internal */
@@ -114,19 +116,24 @@
 }
 
 /** @internal */
-export function encodeTrailer({callId, bodyBytes, load}: ResponseTrailer) {
-  return [callId, bodyBytes, ...encodeLoad(load)];
+export function encodeTrailer(trailer: ResponseTrailer) {
+  const {callId, bodyBytes, load, isSubCall} = trailer;
+  return [callId, bodyBytes, ...encodeLoad(load), Number(isSubCall)];
 }
 
 /** @internal */
 export function decodeTrailer(value: unknown): ResponseTrailer | null {
   if (!Array.isArray(value)) return null;
-  const [callId, bodyBytes, ...load] = value as readonly unknown[];
-  const report = decodeLoad(load);
+  const [callId, bodyBytes, ...rest] = value as readonly unknown[];
+  const report = decodeLoad(rest);
   if (!isString(callId) || !isNumber(bodyBytes) || !report) return null;
-  return {callId, bodyBytes, load: report};
+  const isSubCall = rest[loadFields] === 1;
+  return {callId, bodyBytes, load: report, isSubCall};
 }
 
+/** Number of fields that `encodeLoad` makes. */
+const loadFields = 4;
+
 /** @internal */
 export function encodeLoad(load: LoadReport): number[] {
   return [load.inFlight, load.queued, load.slots, load.serviceMs];
--- a/packages/node/src/calls/call-retries.ts
+++ b/packages/node/src/calls/call-retries.ts
@@ -23,6 +23,8 @@
 /** Properties of a call that limit its retries. @internal */
 export interface CallRetriesOptions {
   readonly service: string;
+  /** Whether only upstreams make calls of the route. */
+  readonly isSubCall: boolean;
   readonly idempotent: boolean;
   /** Deadline on the clock of `performance.now()`, in ms. */
   readonly deadlineAt: number;
@@ -53,14 +55,14 @@
   #decision: RetryDecision = 'granted';
 
   constructor(limits: RetryLimits, options: CallRetriesOptions) {
-    const {parentCallId, retriesLeft, service} = options;
+    const {parentCallId, retriesLeft, service, isSubCall} = options;
     this.#limits = limits;
     this.#options = options;
     this.#available =
       parentCallId === null
         ? retriesLeft
         : limits.ledger.takeAll(parentCallId, retriesLeft);
-    limits.retries.recordCall(service);
+    limits.retries.recordCall(service, isSubCall);
   }
 
   /** Retries to report in the `vb-retries-left` header of the response. */
--- a/packages/node/src/calls/entry-call.ts
+++ b/packages/node/src/calls/entry-call.ts
@@ -17,6 +17,7 @@
 import type {CallRecord} from './call-record.js';
 import {chooseService, maxRetriesOf} from './choose-service.js';
 import {buildCallRecord} from './build-call-record.js';
+import type {RouteCallers} from './route-callers.js';
 import type {RoutedCall} from './routed-call.js';
 import {CallerResponse} from './caller-response.js';
 import {CallRetries} from './call-retries.js';
@@ -43,6 +44,7 @@
   readonly #attempts: AttemptFactory;
   readonly #log: AttemptLog;
   readonly #service: Service;
+  readonly #routeCallers: RouteCallers;
   #attempt: Attempt | null = null;
   #claim: CallClaim | null = null;
   #headMs: number | null = null;
@@ -51,13 +53,14 @@
   constructor(
     call: RoutedCall,
     ports: EntryPorts,
-    {connections, readAhead, heldResponses}: SharedByCalls,
+    {connections, readAhead, heldResponses, routeCallers}: SharedByCalls,
     onEnd: OnCallEnd,
   ) {
     const {headers, req, res, route, snapshot, callId, startAt} = call;
     this.#call = call;
     this.#ports = ports;
     this.#onEnd = onEnd;
+    this.#routeCallers = routeCallers;
     this.#log = new AttemptLog(callId, startAt);
     const service = chooseService(route, ports.random);
     this.#service = service;
@@ -66,29 +69,25 @@
       startAt + callTimeoutMs(headers, route, protocol.deadlineMarginMs);
     this.#retries = new CallRetries(ports, {
       service: service.name,
+      isSubCall: routeCallers.isSubCall(route),
       idempotent: route.idempotent,
       deadlineAt: this.#deadlineAt,
       parentCallId: headers.parentCallId,
       retriesLeft: Math.min(headers.retriesLeft, maxRetriesOf(route)),
       propagates: ports.protocol.propagatesRetries,
     });
-    this.#timer = setTimeout(
-      () => this.#expire(),
-      Math.max(0, this.#deadlineAt - performance.now()),
-    );
-    const hasBody = headers.bodyBytes !== 0;
-    this.#body = new ReplayBody(req, hasBody, {
+    this.#timer = setTimeout(() => this.#expire(), this.#remainingMs());
+    this.#body = new ReplayBody(req, headers.bodyBytes !== 0, {
       maxKeptBytes: protocol.maxReplayBytes,
       maxBytes: snapshot.document.callerLimits?.maxBodyBytes ?? Infinity,
       readAhead,
       onTooLarge: () => this.#rejectBody(),
     });
     this.#attempts = new AttemptFactory(call, service, ports, this.#body);
-    const metadata = {callId, configVersion: snapshot.version};
     const keepCopy = !route.idempotent && headers.idempotencyKey !== null;
     this.#response = new CallerResponse(res, {
       protocol,
-      metadata,
+      metadata: {callId, configVersion: snapshot.version},
       keepCopy,
       memory: heldResponses,
       onNoMemory: () => this.#giveUpResponse(),
@@ -133,6 +132,7 @@
       this.onFailure(new MeshError(CALL_CODES.outcomeUnknown, text));
       return;
     }
+    this.#routeCallers.record(this.#call.route, trailer.isSubCall);
     const isFailure = this.#response.status >= minServerErrorStatus;
     this.#record(isFailure ? OUTCOMES.failed : OUTCOMES.ok, CALL_CODES.ok);
     if (isFailure && this.#retryServerError()) return;
--- a/packages/node/src/calls/entry-handler.ts
+++ b/packages/node/src/calls/entry-handler.ts
@@ -26,6 +26,7 @@
 import {buildCallRecord} from './build-call-record.js';
 import {InFlightCounter} from './in-flight-counter.js';
 import {MemoryBudget} from './memory-budget.js';
+import {RouteCallers} from './route-callers.js';
 import type {ReceivedCall, RoutedCall} from './routed-call.js';
 import type {SharedByCalls} from './shared-by-calls.js';
 import {withRetryJitter} from './retry-jitter.js';
@@ -65,6 +66,7 @@
     connections: this.#connections,
     readAhead: new MemoryBudget(readAheadBytes),
     heldResponses: new MemoryBudget(heldResponseBytes),
+    routeCallers: new RouteCallers(),
   };
   readonly #returningCallers = new RetryingCallers();
   /** Calls that have been admitted and have not ended. */
--- a/packages/node/src/calls/serving-admission.ts
+++ b/packages/node/src/calls/serving-admission.ts
@@ -2,10 +2,14 @@
 import type {ResultCode} from '@verbenabeam/core';
 import {UPSTREAM_STATES} from '@verbenabeam/membership';
 import {fingerprintOf} from '@verbenabeam/routing';
-import type {CallHead} from './call-head.js';
+import type {CallHead, ResponseTrailer} from './call-head.js';
 import type {ServingBody} from './serving-body.js';
 import type {ServingTimes} from './serving-log.js';
-import type {AdmissionRequest, OwnUpstream} from './serving-ports.js';
+import type {
+  AdmissionPort,
+  AdmissionRequest,
+  OwnUpstream,
+} from './serving-ports.js';
 
 /**
  * Retry delay for a request that the upstream refused although it had free
@@ -57,3 +61,13 @@
   const details = isShed ? {retryAfterMs: shedRetryAfterMs} : {};
   return new MeshError(code, code.text, details);
 }
+
+/** Builds the last message of a response. @internal */
+export function trailerOf(
+  {callId, routeName}: CallHead,
+  bodyBytes: number,
+  admission: AdmissionPort,
+): ResponseTrailer {
+  const isSubCall = admission.isSubCall(routeName);
+  return {callId, bodyBytes, load: admission.load(), isSubCall};
+}
--- a/packages/node/src/calls/serving-call.ts
+++ b/packages/node/src/calls/serving-call.ts
@@ -12,6 +12,7 @@
   fingerprintOfCall,
   refusalCodeFor,
   admissionRequestOf,
+  trailerOf,
 } from './serving-admission.js';
 import {logCancelledCall, logFailedCall} from './serving-log.js';
 import type {ServingTimes} from './serving-log.js';
@@ -123,10 +124,8 @@
     if (this.#ended) return;
     const {admission} = this.#context.ports;
     this.#end(performance.now() - this.#dispatchAt);
-    const {callId} = this.#head;
-    const load = admission.load();
     this.#stream.end(
-      encodeTrailer({callId, bodyBytes: this.#responseBytes, load}),
+      encodeTrailer(trailerOf(this.#head, this.#responseBytes, admission)),
     );
   }
 
--- a/packages/node/src/calls/serving-ports.ts
+++ b/packages/node/src/calls/serving-ports.ts
@@ -78,6 +78,8 @@
   announce(call: AdmissionRequest): MeshError | null;
   withdraw(callId: string): void;
   load(): LoadReport;
+  /** Whether only upstreams make calls of the route. */
+  isSubCall(route: string): boolean;
 }
 
 /** A request that was in flight when the upstream crashed. @public */
--- a/packages/node/src/calls/shared-by-calls.ts
+++ b/packages/node/src/calls/shared-by-calls.ts
@@ -1,5 +1,6 @@
 import type {CallerConnections} from './caller-connections.js';
 import type {MemoryBudget} from './memory-budget.js';
+import type {RouteCallers} from './route-callers.js';
 
 /** What all calls of an entry node share. @internal */
 export interface SharedByCalls {
@@ -8,4 +9,5 @@
   readonly readAhead: MemoryBudget;
   /** For long responses whose end is not known yet. */
   readonly heldResponses: MemoryBudget;
+  readonly routeCallers: RouteCallers;
 }
--- a/packages/node/src/calls/test/test-node.ts
+++ b/packages/node/src/calls/test/test-node.ts
@@ -38,6 +38,8 @@
   readonly ownUpstream = new FakeUpstream();
   /** Delay of the event loop; data that is read now may have waited this long. */
   readonly loop = {lateMs: 0};
+  /** Large enough not to limit retries: the tests count those of whole call chains. */
+  readonly retries = new RetryBudget({burst: 1e6});
   /** Test nodes may share one object. */
   claims = new FakeClaims();
   readonly log = new CallLog();
@@ -74,8 +76,7 @@
       config,
       instances,
       versions: this.versions,
-      // Large enough not to limit retries: the tests count those of whole call chains.
-      retries: new RetryBudget({burst: 1e6}),
+      retries: this.retries,
       ledger,
       claims: {
         begin: claim => this.claims.begin(claim),
--- a/packages/node/src/calls/test/test-ports.ts
+++ b/packages/node/src/calls/test/test-ports.ts
@@ -94,6 +94,8 @@
 export class FakeAdmission implements AdmissionPort {
   slots = 1000;
   queueLimit = 0;
+  /** Routes that only upstreams call. */
+  readonly subCallRoutes = new Set<string>();
   #used = 0;
   readonly #queue: ((ticket: Ticket) => void)[] = [];
 
@@ -121,6 +123,10 @@
     // This fake does not count announced calls.
   }
 
+  isSubCall(route: string): boolean {
+    return this.subCallRoutes.has(route);
+  }
+
   announce(): MeshError | null {
     if (this.#used < this.slots) return null;
     if (this.#queue.length < this.queueLimit) return null;
--- a/packages/node/src/hosted/hosted-retry-budget.ts
+++ b/packages/node/src/hosted/hosted-retry-budget.ts
@@ -13,6 +13,8 @@
 ): RetryBudget {
   return new RetryBudget({
     share: bounds().retryShare * retryShareUsed,
+    // The platform's share is one of the calls from outside.
+    subCallShare: 0,
     burst: () => {
       const nodes = Math.max(1, liveNodes());
       return (bounds().retryMinimum * retryMinimumUsed) / nodes;
--- a/packages/node/src/serving/admission-adapter.ts
+++ b/packages/node/src/serving/admission-adapter.ts
@@ -52,6 +52,10 @@
     return this.#admission.report();
   }
 
+  isSubCall(route: string): boolean {
+    return this.#subCalls.isSubCall(route);
+  }
+
   /** Applies the number of slots that the upstream announced. */
   setSlots(slots: number): void {
     this.#applyDecisions(this.#admission.setSlots(slots, this.#clock.now()));
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -4,6 +4,8 @@
 export interface RetryBudgetOptions {
   /** Tokens added per call: the retries per call in the long run; default 0.1. */
   readonly share?: number;
+  /** The same for calls that upstreams make; default `share`. */
+  readonly subCallShare?: number;
   /** Capacity of the token bucket of one service; default 10. */
   readonly burst?: number | (() => number);
 }
@@ -49,18 +51,21 @@
  */
 export class RetryBudget {
   readonly #share: number;
+  readonly #subCallShare: number;
   readonly #burst: () => number;
   readonly #tokens = new Map<string, number>();
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#share = options.share ?? defaultShare;
+    this.#subCallShare = options.subCallShare ?? this.#share;
     const burst = options.burst ?? defaultBurst;
     this.#burst = typeof burst === 'number' ? () => burst : burst;
   }
 
   /** Counts a first attempt, which adds a fraction of a token. */
-  recordCall(service: string): void {
-    const tokens = this.tokens(service) + this.#share;
+  recordCall(service: string, isSubCall = false): void {
+    const share = isSubCall ? this.#subCallShare : this.#share;
+    const tokens = this.tokens(service) + share;
     this.#tokens.set(service, Math.min(this.#burst(), tokens));
   }
 
