--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,134 +1,113 @@
-// A configuration leaves out a service for some seconds. Meanwhile a server of it
-// says that it is leaving, and its node acknowledges that.
+// A server falls silent in the middle of long answers. Their route has a time-out.
 import {writeFileSync} from 'node:fs';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
-import {ConsumerChannel, newRequestId} from '../lib-2/consumer.mjs';
+import {ConsumerChannel} from '../lib-2/consumer.mjs';
 import {isBuilt, Nodes} from '../lib-2/nodes.mjs';
 import {configOf, loopbackNetwork, sleep, Store} from '../lib-2/platform.mjs';
-import {AppServer} from '../lib-2/server.mjs';
+import {AppServer, sealOf} from '../lib-2/server.mjs';
 
 const hasTrouble = process.env['TROUBLE'] !== '0';
 const heartbeatMs = 1_500;
-/** drain_ms of the settings. */
-const drainMs = 2_000;
-const workMs = 200;
-/** Time of the leaving server from its ack to its end: drain_ms and a little. */
-const leavesAfterMs = drainMs + 1_000;
+const timeoutMs = 1_200;
+const deadlineMs = 4_000;
+/** A final answer must be there this long after the time-out of the route. */
+const slackMs = 500;
+const requests = 12;
+/** Eight or more, and over a quarter of those that last so long. */
+const leastBroken = 8;
+const answerBytes = 200_000;
+const partBytes = 120_000;
 const record = [];
 const nodes = new Nodes();
 const store = new Store();
 const servers = [];
 const startAt = performance.now();
-const seconds = at => ((at - startAt) / 1_000).toFixed(2);
-const note = text => record.push(`${seconds(performance.now())} s ${text}`);
-const late = [];
-let lost = 0;
-let isOver = false;
-let version = 0;
-
-function configure(withService) {
-  const rules = [{prefix: '/xapu221/', service: 'wuno96b', kind: 'unsafe'}];
-  const services = ['wuno96b'];
-  if (withService) {
-    rules.push({prefix: '/lepu270/', service: 'huvo11a', kind: 'unsafe'});
-    services.push('huvo11a');
-  }
-  store.put('op/config', configOf(++version, rules, services));
-  note(`configuration ${version} ${withService ? 'with' : 'without'} huvo11a`);
-}
+const note = text =>
+  record.push(
+    `${((performance.now() - startAt) / 1_000).toFixed(2)} s ${text}`,
+  );
 
 async function main() {
   if (!isBuilt()) return 2;
   const network = loopbackNetwork();
   await store.start(network.next());
-  configure(true);
-  const entry = await addMachine(network, 0, 'wuno96b');
-  const others = [];
-  for (let n = 1; n <= 3; n++)
-    others.push(await addMachine(network, n, 'huvo11a'));
-  for (const {node} of [entry, ...others]) await nodes.untilReady(node);
+  store.put(
+    'op/config',
+    configOf(
+      1,
+      [{prefix: '/lepu270/', service: 'huvo11a', timeoutMs}],
+      ['huvo11a', 'wuno96b'],
+    ),
+  );
+  const all = [];
+  for (const service of ['wuno96b', 'huvo11a']) {
+    const ip = network.next();
+    const server = new AppServer({
+      id: `i-${service}`,
+      service,
+      slots: 16,
+      work: (request, channel) => answerLong(server, request, channel),
+    });
+    await server.start(ip);
+    servers.push(server);
+    const node = await nodes.add({
+      nodeId: `sidecar-prg-a-${all.length + 1}`,
+      zone: 'prg-a',
+      ip,
+      service,
+      appAddress: server.address,
+      store: store.address,
+      heartbeatMs,
+    });
+    server.beatTo(node.control, heartbeatMs);
+    all.push(node);
+  }
+  for (const node of all) await nodes.untilReady(node);
   await sleep(4_000);
-  const sending = [1, 2, 3, 4].map(() => send(entry.node));
-  await sleep(1_000);
-  for (const machine of others) await leave(machine);
-  isOver = true;
-  await Promise.all(sending);
-  note(
-    `requests that reached a server over ${drainMs} ms after its ack: ${late.length}`,
+  const results = await Promise.all(
+    Array.from({length: requests}, () => ask(all[0])),
   );
-  note(`requests of these that were lost with the server: ${lost}`);
-  return late.length > 0 ? 1 : 0;
+  const late = results.filter(ms => ms > timeoutMs + slackMs).length;
+  const long = results.filter(ms => ms > timeoutMs).length;
+  note(`requests that lasted over ${timeoutMs} ms: ${long}`);
+  note(`of these without a final answer ${slackMs} ms later: ${late}`);
+  return late >= leastBroken && late > long / 4 ? 1 : 0;
 }
 
-async function addMachine(network, n, service) {
-  const ip = network.next();
-  const server = new AppServer({
-    id: `i-${n}-0`,
-    service,
-    work: (request, channel) => {
-      setTimeout(() => channel.answer(`body of ${request.id}`), workMs);
-    },
-  });
-  await server.start(ip);
-  servers.push(server);
-  server.onArrival = ({id}) => {
-    const after = performance.now() - server.ackedAt;
-    if (!(after > drainMs)) return;
-    late.push(id);
-    note(`${id} reaches ${server.id} ${Math.round(after)} ms after its ack`);
-  };
-  const node = await nodes.add({
-    nodeId: `sidecar-prg-a-${n}`,
-    zone: 'prg-a',
-    ip,
-    service,
-    appAddress: server.address,
-    store: store.address,
-    heartbeatMs,
-  });
-  server.beatTo(node.control, heartbeatMs);
-  return {node, server, ip, n};
+/** With trouble the server is silent from the middle of its answers on. */
+function answerLong(server, {id}, channel) {
+  const head =
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n` +
+    `Server-Seal: ${sealOf(server.id, id)}\r\n` +
+    `Content-Length: ${answerBytes}\r\n\r\n`;
+  const body = 'x'.repeat(answerBytes);
+  setTimeout(() => {
+    channel.raw(head + body.slice(0, partBytes));
+    if (hasTrouble) {
+      server.stopBeats();
+      return;
+    }
+    channel.raw(body.slice(partBytes));
+    channel.done();
+  }, 200);
 }
 
-/** One server leaves, and another one takes its place. */
-async function leave({server, ip, n}) {
-  if (hasTrouble) configure(false);
-  await sleep(700);
-  // The server says so with a ping at its usual time, and with all that follow.
-  server.state = 'draining';
-  const status = await server.beat();
-  server.ackedAt = performance.now();
-  note(`${server.id} is draining: ack ${status}`);
-  if (status !== 200) throw new Error('no ack');
-  await sleep(drainMs + 300);
-  if (hasTrouble) configure(true);
-  await sleep(leavesAfterMs - drainMs - 300);
-  await server.leave();
-  note(`${server.id} has left`);
-  server.crash();
-  server.ackedAt = undefined;
-  await sleep(1_000);
-  await server.startAgain(`i-${n}-1`, ip, heartbeatMs);
-  await sleep(4_000);
-}
-
-/** Requests of a consumer, one after the other. */
-async function send(node) {
-  while (!isOver) {
-    const channel = new ConsumerChannel(node.outbound);
-    const id = newRequestId();
-    const request = {
-      path: '/lepu270/x',
-      method: 'POST',
-      body: Buffer.from('x'),
-    };
-    const answer = await channel.send({...request, id, deadlineMs: 2_000});
-    channel.close();
-    if (answer.status === 502 && late.includes(id)) lost++;
-    await sleep(100);
-  }
+/** Time until the answer or the channel ended; the consumer leaves at its limit. */
+async function ask(node) {
+  const channel = new ConsumerChannel(node.outbound);
+  const sentAt = performance.now();
+  const leaves = setTimeout(() => channel.close(), deadlineMs);
+  const answer = await channel.send({path: '/lepu270/long', deadlineMs});
+  clearTimeout(leaves);
+  channel.close();
+  const ms = performance.now() - sentAt;
+  note(
+    `${answer.id}: ${answer.status === 0 ? 'no whole answer' : answer.status} ` +
+      `after ${Math.round(ms)} ms`,
+  );
+  return ms;
 }
 
 let status = 2;
@@ -137,7 +116,6 @@
 } catch (err) {
   note(`could not run: ${err.stack}`);
 }
-isOver = true;
 await nodes.stop();
 for (const server of servers) server.stop();
 store.stop();
