--- a/review/lib-2/nodes.mjs
+++ b/review/lib-2/nodes.mjs
@@ -42,8 +42,11 @@
   async add({nodeId, zone, ip, service, appAddress, store, heartbeatMs, rest}) {
     const [inbound, outbound, ready, control] = [];
     const node = {nodeId, ip, inbound, outbound, ready, control};
+    const used = new Set([appAddress]);
     for (const name of ['inbound', 'outbound', 'ready', 'control']) {
-      node[name] = `${ip}:${await freePort(ip)}`;
+      while (!node[name] || used.has(node[name]))
+        node[name] = `${ip}:${await freePort(ip)}`;
+      used.add(node[name]);
     }
     node.file = path.join(this.#dir, `${nodeId}.toml`);
     node.settings = settingsOf({
@@ -90,7 +93,11 @@
       if ((await statusOf(node.ready, '/ready')) === 200) return;
       await sleep(100);
     }
-    throw new Error(`${node.nodeId} was not ready in ${withinMs} ms`);
+    const ended = node.exit ? JSON.stringify(node.exit) : 'still runs';
+    throw new Error(
+      `${node.nodeId} was not ready in ${withinMs} ms; its process: ${ended}\n` +
+        `${node.settings}\n${this.log.slice(-6_000)}`,
+    );
   }
 
   get log() {
